--- /dev/null
+++ b/crates/decisions/src/dispatch.rs
@@ -0,0 +1,306 @@
+//! Which waiting request goes next, and to which replica.
+//!
+//! Load pattern: bursts beyond capacity, replicas of differing speed, long prompts among short
+//! ones. Engines admit in order of arrival, so a request that is sent to a full engine waits
+//! behind cheaper work and its place in line can't be changed. Requests therefore wait here, the
+//! most urgent first, until a replica has a free place; then the replica is chosen at which the
+//! first token comes soonest, counted with what it costs the streams that already run there.
+//!
+//! Load is counted, not reported: this instance knows its own requests exactly, and the others
+//! tell theirs several times a second. A count that is a little old overfills an engine by one or
+//! two requests for a moment; nothing else depends on it.
+
+pub mod pace;
+mod upstream;
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::id::{ServiceId, UpstreamId};
+
+use upstream::{Running, Upstream};
+
+pub use upstream::Replica;
+
+/// Number of a request at this instance.
+pub type JobId = u64;
+
+/// Requests that may stand in a plain service's replica for each of its slots: these serve in
+/// tens of milliseconds, so a short queue there costs less than a slot that idles.
+const PLAIN_DEPTH: u32 = 2;
+
+/// A request that waits for a replica.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Its number.
+    pub id: JobId,
+    /// Urgency, the lowest first.
+    pub rank: (u32, u32),
+    /// When it came.
+    pub received: Instant,
+    /// Until when its answer is on time.
+    pub due: Instant,
+    /// When its caller is told to come back.
+    pub give_up: Instant,
+    /// The service that may run it.
+    pub service: ServiceId,
+    /// Tokens of its prompt.
+    pub prompt: f64,
+    /// Most tokens that it generates.
+    pub output: f64,
+    /// Longest pause between events that streams of its kind bear; zero for plain requests.
+    pub longest_pause: Duration,
+    /// Replicas that it was sent to already.
+    pub tried: Vec<UpstreamId>,
+}
+
+/// A request and the replica that it goes to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placed {
+    /// The request.
+    pub job: JobId,
+    /// The replica.
+    pub upstream: UpstreamId,
+}
+
+/// What became of a request at a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole answer.
+    Served,
+    /// The replica failed.
+    Failed,
+    /// No connection could be made.
+    Unreachable,
+    /// The replica said that it has no room.
+    Full,
+    /// The caller went away, or the answer tells nothing about the replica.
+    Unknown,
+}
+
+/// The waiting requests and the replicas of one instance.
+#[derive(Debug, Default)]
+pub struct Dispatch {
+    upstreams: Vec<Upstream>,
+    waiting: Vec<Job>,
+}
+
+impl Dispatch {
+    /// Nothing waits, no replica is known.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the published replicas; what was learned of those that stay is kept.
+    pub fn set_replicas(&mut self, replicas: &[Replica]) {
+        let mut old = std::mem::take(&mut self.upstreams);
+        for replica in replicas {
+            let known = old
+                .iter()
+                .position(|u| u.replica.id == replica.id && u.replica.born == replica.born);
+            let upstream = match known {
+                Some(at) => {
+                    let mut upstream = old.swap_remove(at);
+                    upstream.replica = replica.clone();
+                    upstream
+                }
+                None => Upstream::new(replica.clone()),
+            };
+            self.upstreams.push(upstream);
+        }
+        self.upstreams
+            .sort_by(|a, b| a.replica.id.cmp(&b.replica.id));
+    }
+
+    /// Takes what the other instances have at a replica.
+    pub fn set_elsewhere(&mut self, upstream: &UpstreamId, running: u32, prompt: f64) {
+        if let Some(u) = self.find(upstream) {
+            u.elsewhere = running;
+            u.prompt_elsewhere = prompt;
+        }
+    }
+
+    /// Takes a peer's word on how fast a replica is.
+    pub fn hint_step(&mut self, upstream: &UpstreamId, step_ms: f64) {
+        if let Some(u) = self.find(upstream) {
+            u.pace.hint_step_ms(step_ms);
+        }
+    }
+
+    /// Own requests, their unread prompt tokens and the learned step of each replica.
+    pub fn own_load(&self) -> impl Iterator<Item = (&UpstreamId, u32, f64, Option<f64>)> {
+        self.upstreams.iter().map(|u| {
+            let prompt = u.running.iter().map(|r| r.prompt).sum();
+            let running = u.running.len() as u32;
+            (&u.replica.id, running, prompt, u.pace.learned_step_ms())
+        })
+    }
+
+    /// Adds a request.
+    pub fn enqueue(&mut self, job: Job) {
+        let at = self
+            .waiting
+            .partition_point(|w| (w.rank, w.received) <= (job.rank, job.received));
+        self.waiting.insert(at, job);
+    }
+
+    /// Takes a request out whose caller went away.
+    pub fn withdraw(&mut self, job: JobId) {
+        self.waiting.retain(|w| w.id != job);
+    }
+
+    /// Number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Places as many waiting requests as there is room for.
+    pub fn place(&mut self, now: Instant) -> Vec<Placed> {
+        let mut placed = Vec::new();
+        for late in [false, true] {
+            let mut at = 0;
+            while at < self.waiting.len() {
+                let job = &self.waiting[at];
+                let is_late = now >= job.due;
+                if is_late != late && self.waiting.len() > 1 {
+                    at += 1;
+                    continue;
+                }
+                let Some(index) = self.choose(now, job) else {
+                    at += 1;
+                    continue;
+                };
+                let job = self.waiting.remove(at);
+                placed.push(self.start(now, &job, index));
+            }
+        }
+        placed
+    }
+
+    /// Takes out the requests whose time to wait is over.
+    pub fn give_up(&mut self, now: Instant) -> Vec<JobId> {
+        let mut gone = Vec::new();
+        self.waiting.retain(|w| {
+            let over = now >= w.give_up;
+            if over {
+                gone.push(w.id);
+            }
+            !over
+        });
+        gone
+    }
+
+    /// The next moment at which a waiting request is given up.
+    pub fn next_give_up(&self) -> Option<Instant> {
+        self.waiting.iter().map(|w| w.give_up).min()
+    }
+
+    /// Notes that the replica has begun to answer.
+    pub fn on_first(&mut self, now: Instant, upstream: &UpstreamId, job: JobId) {
+        if let Some(u) = self.find(upstream) {
+            u.heard_at = Some(now);
+            if let Some(r) = u.running.iter_mut().find(|r| r.job == job) {
+                r.prompt = 0.0;
+                r.heard = true;
+            }
+        }
+    }
+
+    /// Notes events of a stream that came `gap` after the ones before.
+    pub fn on_events(&mut self, now: Instant, upstream: &UpstreamId, events: u32, gap: Duration) {
+        if let Some(u) = self.find(upstream) {
+            u.heard_at = Some(now);
+            let tokens = events.max(1) * u.replica.tokens_per_event.max(1);
+            u.pace.on_gap(gap / tokens);
+        }
+    }
+
+    /// Frees the place of a request and learns from its outcome.
+    pub fn on_end(&mut self, now: Instant, upstream: &UpstreamId, job: JobId, outcome: Outcome) {
+        let Some(u) = self.find(upstream) else {
+            return;
+        };
+        let since = u.running.iter().find(|r| r.job == job).map(|r| r.since);
+        u.running.retain(|r| r.job != job);
+        match outcome {
+            Outcome::Served => {
+                u.heard_at = Some(now);
+                u.pace.on_outcome(now, false);
+                if let Some(since) = since.filter(|_| !u.replica.engine) {
+                    u.pace.on_served(now.saturating_duration_since(since));
+                }
+            }
+            Outcome::Failed => u.pace.on_outcome(now, true),
+            Outcome::Unreachable => {
+                u.pace.on_outcome(now, true);
+                u.shun_unreachable(now);
+            }
+            Outcome::Full => u.shun_full(now),
+            Outcome::Unknown => {}
+        }
+    }
+
+    /// Whether the replica has brought nothing for so long that it is likely dead.
+    pub fn is_silent(&self, now: Instant, upstream: &UpstreamId) -> bool {
+        self.upstreams
+            .binary_search_by(|u| u.replica.id.cmp(upstream))
+            .is_ok_and(|at| self.upstreams[at].silent(now))
+    }
+
+    fn start(&mut self, now: Instant, job: &Job, index: usize) -> Placed {
+        let u = &mut self.upstreams[index];
+        u.running.push(Running {
+            job: job.id,
+            prompt: if u.replica.engine { job.prompt } else { 0.0 },
+            since: now,
+            heard: false,
+        });
+        Placed {
+            job: job.id,
+            upstream: u.replica.id.clone(),
+        }
+    }
+
+    fn choose(&self, now: Instant, job: &Job) -> Option<usize> {
+        let usual = self.usual_failing(now, &job.service);
+        let mut best: Option<(f64, usize)> = None;
+        for (index, u) in self.upstreams.iter().enumerate() {
+            if !fits(now, u, job) {
+                continue;
+            }
+            let cost = u.cost_ms(now, job, usual);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, index));
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+
+    /// The least share of failures among a service's replicas: what is due to the requests.
+    fn usual_failing(&self, now: Instant, service: &ServiceId) -> f64 {
+        self.upstreams
+            .iter()
+            .filter(|u| u.replica.usable && u.replica.service == *service)
+            .map(|u| u.pace.failing(now))
+            .fold(1.0, f64::min)
+    }
+
+    fn find(&mut self, upstream: &UpstreamId) -> Option<&mut Upstream> {
+        let at = self
+            .upstreams
+            .binary_search_by(|u| u.replica.id.cmp(upstream))
+            .ok()?;
+        Some(&mut self.upstreams[at])
+    }
+}
+
+fn fits(now: Instant, u: &Upstream, job: &Job) -> bool {
+    let depth = if u.replica.engine { 1 } else { PLAIN_DEPTH };
+    u.replica.usable
+        && u.replica.service == job.service
+        && u.total() < u.replica.slots * depth
+        && !u.shunned(now)
+        && !u.silent(now)
+        && !job.tried.contains(&u.replica.id)
+}
--- /dev/null
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -0,0 +1,176 @@
+//! One replica as the dispatcher sees it: its places, what stands there and what it costs to add.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::dispatch::{Job, JobId, pace::Pace};
+use crate::id::{ServiceId, UpstreamId};
+
+/// Steps that an engine spends on a request before its first token beside the prompt itself.
+/// About 120 ms at 7 ms a step on the users' engines.
+const FIRST_TOKEN_STEPS: f64 = 17.0;
+
+/// Prompt tokens that an engine reads in the time of one step of a running batch: 62 tokens a
+/// millisecond at 6.9 ms a step on the users' engines.
+const PROMPT_TOKENS_A_STEP: f64 = 430.0;
+
+/// Prompt length at which attention over the prompt itself doubles the time of reading it.
+const QUADRATIC_TOKENS: f64 = 61_000.0;
+
+/// Tokens of a prompt that an engine reads between two events of the streams beside it: two
+/// chunks of 4,096.
+const STALL_TOKENS: f64 = 8_192.0;
+
+/// Milliseconds of a wait that a share of failures of one counts as.
+const FAILURE_MS: f64 = 2_500.0;
+
+/// Milliseconds that one stream weighs which is likely to pause beyond its bound by a new prompt.
+const STALL_MS: f64 = 400.0;
+
+/// A replica that has answered none of its requests for this long is taken to be dead or stuck.
+const SILENT: Duration = Duration::from_millis(900);
+
+/// How long a replica is left alone after a connection to it failed.
+const UNREACHABLE: Duration = Duration::from_millis(1500);
+
+/// How long a replica that said that it is full is left alone.
+const FULL: Duration = Duration::from_millis(150);
+
+/// What is published of a replica.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Replica {
+    /// Its name.
+    pub id: UpstreamId,
+    /// Its start, which tells two lives of one name apart.
+    pub born: u64,
+    /// Its service.
+    pub service: ServiceId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Time of a message there and back.
+    pub round_trip: Duration,
+    /// Whether it generates tokens in a batch.
+    pub engine: bool,
+    /// Tokens in one event of its streams.
+    pub tokens_per_event: u32,
+    /// Whether it may get new work.
+    pub usable: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct Running {
+    pub(super) job: JobId,
+    /// Prompt tokens still to be read, 0 after the first event.
+    pub(super) prompt: f64,
+    pub(super) since: Instant,
+    pub(super) heard: bool,
+}
+
+/// A replica with what is known of its load.
+#[derive(Debug)]
+pub(super) struct Upstream {
+    pub(super) replica: Replica,
+    pub(super) pace: Pace,
+    pub(super) running: Vec<Running>,
+    pub(super) elsewhere: u32,
+    pub(super) prompt_elsewhere: f64,
+    pub(super) heard_at: Option<Instant>,
+    pub(super) shunned_until: Option<Instant>,
+}
+
+impl Upstream {
+    pub(super) fn new(replica: Replica) -> Self {
+        Self {
+            replica,
+            pace: Pace::default(),
+            running: Vec::new(),
+            elsewhere: 0,
+            prompt_elsewhere: 0.0,
+            heard_at: None,
+            shunned_until: None,
+        }
+    }
+
+    pub(super) fn total(&self) -> u32 {
+        self.running.len() as u32 + self.elsewhere
+    }
+
+    pub(super) fn shun_unreachable(&mut self, now: Instant) {
+        self.shunned_until = Some(now + UNREACHABLE);
+    }
+
+    pub(super) fn shun_full(&mut self, now: Instant) {
+        self.shunned_until = Some(now + FULL);
+    }
+
+    pub(super) fn shunned(&self, now: Instant) -> bool {
+        self.shunned_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether requests stand there and none of them has brought anything for long.
+    pub(super) fn silent(&self, now: Instant) -> bool {
+        let slowest = Duration::from_secs_f64(self.pace.step_ms() * FIRST_TOKEN_STEPS * 4.0 / 1e3);
+        let patience = SILENT.max(slowest);
+        let waited = self
+            .running
+            .iter()
+            .filter(|r| !r.heard)
+            .any(|r| now.saturating_duration_since(r.since) > patience);
+        let quiet = self
+            .heard_at
+            .is_none_or(|at| now.saturating_duration_since(at) > patience);
+        waited && quiet
+    }
+
+    /// Milliseconds of prompt reading that stand before a new request.
+    fn backlog_ms(&self) -> f64 {
+        let own: f64 = self.running.iter().map(|r| r.prompt).sum();
+        prompt_steps(own + self.prompt_elsewhere) * self.pace.step_ms()
+    }
+
+    /// Milliseconds until the first byte of the job's answer, and what it costs the others there.
+    pub(super) fn cost_ms(&self, now: Instant, job: &Job, usual_failing: f64) -> f64 {
+        let travel = self.replica.round_trip.as_secs_f64() * 1000.0;
+        let failing = (self.pace.failing(now) - usual_failing).max(0.0) * FAILURE_MS;
+        if !self.replica.engine {
+            let ahead = f64::from(self.total()) / f64::from(self.replica.slots.max(1));
+            return travel + self.pace.service_ms() * (1.0 + ahead) + failing;
+        }
+        let step = self.pace.step_ms();
+        let read = prompt_steps(job.prompt) * step;
+        let queue = self.queue_ms(job);
+        let first = FIRST_TOKEN_STEPS * step + read + self.backlog_ms() + queue;
+        travel + first + failing + self.stall_ms(job)
+    }
+
+    fn queue_ms(&self, job: &Job) -> f64 {
+        let over = (self.total() + 1).saturating_sub(self.replica.slots);
+        let turn =
+            job.output.max(60.0) * self.pace.step_ms() / f64::from(self.replica.slots.max(1));
+        f64::from(over) * turn
+    }
+
+    /// What reading the prompt costs the streams that run there, if they pause for too long.
+    fn stall_ms(&self, job: &Job) -> f64 {
+        let chunk = job.prompt.min(STALL_TOKENS);
+        let waiting: f64 =
+            self.running.iter().map(|r| r.prompt).sum::<f64>() + self.prompt_elsewhere;
+        let both = (chunk + waiting).min(STALL_TOKENS);
+        let longest = job.prompt.max(waiting);
+        let quadratic = 1.0 + 2.0 * longest / QUADRATIC_TOKENS;
+        let pause = both / PROMPT_TOKENS_A_STEP * quadratic * self.pace.step_ms();
+        let bound = job.longest_pause.as_secs_f64() * 1000.0;
+        if bound <= 0.0 || pause < bound * 0.8 {
+            return 0.0;
+        }
+        let streams = f64::from(self.total());
+        let excess = (pause / bound).min(3.0);
+        STALL_MS * streams * excess
+    }
+}
+
+/// Steps of a batch in whose time a prompt is read.
+fn prompt_steps(tokens: f64) -> f64 {
+    tokens / PROMPT_TOKENS_A_STEP * (1.0 + tokens / QUADRATIC_TOKENS)
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,20 +4,24 @@
 //! gets actions back, and carries them out. Nothing here opens a socket, reads a file or spawns
 //! a task, so each decision is read and tested alone.
 
+pub mod allowance;
 pub mod concurrency;
 pub mod configuration;
+pub mod dispatch;
 pub mod drain;
 pub mod fairness;
 pub mod health;
 pub mod holder;
 pub mod id;
 pub mod idempotency;
+pub mod known;
 pub mod length;
 pub mod limits;
 pub mod membership;
 pub mod ownership;
 pub mod pace;
 pub mod prefixes;
+pub mod repeats;
 pub mod retries;
 pub mod routing;
 pub mod shedding;
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,136 @@
+//! Connections of callers, of the balancer's readiness checks and of peers.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::gossip::{SNAPSHOT_PATH, Snapshot};
+use crate::node::{Node, Stage};
+use crate::request;
+
+/// Path of the measures, on the address for peers and operators.
+const METRICS_PATH: &str = "/metrics";
+
+/// Idle time before a table is known.
+const FIRST_IDLE: std::time::Duration = std::time::Duration::from_secs(15);
+
+/// Answers callers until the process ends.
+pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(Rc::clone(&node), stream));
+            }
+            // Out of descriptors: those that are open end sooner or later.
+            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(20)).await,
+        }
+    }
+}
+
+async fn connection(node: Rc<Node>, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let limits = node.table().map(|t| t.limits);
+    let idle = limits.map_or(FIRST_IDLE, |l| l.idle_timeout.max(l.head_timeout));
+    let head = limits.map_or(16 * 1024, |l| l.head_bytes).max(8 * 1024);
+    let mut stage = node.stage.subscribe();
+    let service = {
+        let node = Rc::clone(&node);
+        service_fn(move |req| {
+            let node = Rc::clone(&node);
+            async move { Ok::<_, Infallible>(request::serve(node, req).await) }
+        })
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(head * 2)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    loop {
+        tokio::select! {
+            // An error means that the caller went away or sent what is no request.
+            _ = connection.as_mut() => return,
+            changed = stage.changed() => {
+                if changed.is_err() || *stage.borrow() == Stage::Closing {
+                    connection.as_mut().graceful_shutdown();
+                    let _ = connection.as_mut().await;
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Answers the balancer's question whether this instance is ready.
+pub async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
+    serve_small(node, listener, |node, _| {
+        let status = if node.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        request::empty(status)
+    })
+    .await;
+}
+
+/// Answers peers and operators.
+pub async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
+    serve_small(node, listener, |node, req| match req.uri().path() {
+        SNAPSHOT_PATH => snapshot(node),
+        METRICS_PATH => text(node.metrics.text()),
+        _ => request::empty(StatusCode::NOT_FOUND),
+    })
+    .await;
+}
+
+fn snapshot(node: &Node) -> Response<Full<Bytes>> {
+    let known = node.known.borrow();
+    let snapshot = Snapshot {
+        upto: known.upto(),
+        entries: known.entries().to_vec(),
+    };
+    match rmp_serde::to_vec(&snapshot) {
+        Ok(bytes) => Response::new(Full::new(bytes.into())),
+        Err(_) => request::empty(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+fn text(text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    let plain = http::HeaderValue::from_static("text/plain; version=0.0.4");
+    response.headers_mut().insert(header::CONTENT_TYPE, plain);
+    response
+}
+
+type Answer = fn(&Node, &Request<Incoming>) -> Response<Full<Bytes>>;
+
+async fn serve_small(node: Rc<Node>, listener: TcpListener, answer: Answer) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let node = Rc::clone(&node);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |req| {
+                let response = answer(&node, &req);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            // An error means that the other side went away.
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/directory.rs
@@ -0,0 +1,302 @@
+//! Keeps up with the published directory, through the store or through peers.
+//!
+//! The store may refuse this instance alone, fall silent on an open connection, answer late or
+//! drop its history. A watch that brings nothing is therefore ended after a few seconds, and an
+//! instance whose peers are ahead takes what they know.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcupfield_decisions::id::UpstreamId;
+use kingcupfield_decisions::known::{Entry, Revision};
+use rand::RngExt as _;
+use tokio::time::{Instant, sleep};
+
+use crate::gossip;
+use crate::log::Weight;
+use crate::node::Node;
+use crate::port::{Listing, Meaning, SourceError};
+use crate::replica::Published;
+
+/// Longest time that one watch waits. Each call is paid for, and a silent connection is noticed
+/// only after this; peers tell sooner that something was missed.
+const WATCH: Duration = Duration::from_secs(6);
+
+/// Shortest and longest pause after a call that failed: long enough for a store that counts its
+/// calls, short enough to keep the operator's bound of three seconds on changes.
+const PAUSES: [Duration; 4] = [
+    Duration::from_millis(60),
+    Duration::from_millis(200),
+    Duration::from_millis(500),
+    Duration::from_millis(900),
+];
+
+/// A replica whose entry lapsed while the store was away is used on for this long: it writes
+/// itself anew within two seconds of the store's return if it lives.
+const RETURNS_WITHIN: Duration = Duration::from_millis(2300);
+
+/// A call that failed this lately means that entries may have lapsed by the store's own trouble.
+const TROUBLE: Duration = Duration::from_secs(4);
+
+/// Pause between two calls to peers for the directory.
+const ASK_PAUSE: Duration = Duration::from_millis(300);
+
+#[derive(Debug)]
+struct Read {
+    key: String,
+    revision: Revision,
+    replica: Option<Published>,
+    /// Until when a lapsed replica is used on.
+    fading: Option<Instant>,
+}
+
+/// What was read of the entries so far.
+#[derive(Debug, Default)]
+pub struct Reader {
+    read: Vec<Read>,
+    failed_at: Option<Instant>,
+    asking: bool,
+}
+
+/// Follows the store until the process ends.
+pub async fn run(node: Rc<Node>) {
+    let mut failures = 0;
+    loop {
+        let Err(e) = follow(&node, &mut failures).await;
+        node.reader.borrow_mut().failed_at = Some(Instant::now());
+        failures += 1;
+        if failures == 1 || failures % 16 == 0 {
+            let reason = e.to_string();
+            node.log.line(
+                Weight::Notable,
+                format_args!("event=directory_lost failures={failures} reason={reason:?}"),
+            );
+        }
+        if node.table().is_none() {
+            ask_peers_later(&node, Duration::ZERO);
+        }
+        let pause = PAUSES[failures.min(PAUSES.len()) - 1];
+        sleep(pause.mul_f64(rand::rng().random_range(0.7..1.3))).await;
+    }
+}
+
+/// Reads everything once and then each change; ends with the first failure.
+async fn follow(node: &Rc<Node>, failures: &mut usize) -> Result<Infallible, SourceError> {
+    loop {
+        let after = node.known.borrow().upto();
+        if after == 0 || node.relist.get() {
+            let listing = node.source.list().await?;
+            node.relist.set(false);
+            take_list(node, listing);
+            *failures = 0;
+            continue;
+        }
+        let listing = tokio::select! {
+            listing = node.source.changes(after, WATCH) => listing,
+            () = node.reread.notified() => {
+                // The process stood still: what it was told meanwhile may be lost.
+                node.relist.set(true);
+                continue;
+            }
+        };
+        match listing {
+            Ok(listing) => {
+                take_changes(node, listing);
+                *failures = 0;
+            }
+            Err(SourceError::HistoryGone) => {
+                node.log.line(
+                    Weight::Notable,
+                    format_args!("event=directory_history_gone"),
+                );
+                node.relist.set(true);
+            }
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+fn take_list(node: &Rc<Node>, listing: Listing) {
+    let entries = listing.entries.len();
+    let changed = node
+        .known
+        .borrow_mut()
+        .take_list(listing.upto, listing.entries);
+    node.log.line(
+        Weight::Notable,
+        format_args!(
+            "event=directory_list upto={} entries={entries} changed={}",
+            listing.upto,
+            changed.len()
+        ),
+    );
+    apply(node);
+}
+
+fn take_changes(node: &Rc<Node>, listing: Listing) {
+    let changed = node
+        .known
+        .borrow_mut()
+        .take_changes(listing.upto, listing.entries);
+    if !changed.is_empty() {
+        apply(node);
+    }
+}
+
+/// Asks a peer after a while, if it is still ahead or nothing is known here.
+pub fn ask_peers_later(node: &Rc<Node>, after: Duration) {
+    if std::mem::replace(&mut node.reader.borrow_mut().asking, true) {
+        return;
+    }
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        sleep(after).await;
+        ask_peers(&node).await;
+        sleep(ASK_PAUSE).await;
+        node.reader.borrow_mut().asking = false;
+    });
+}
+
+async fn ask_peers(node: &Rc<Node>) {
+    let upto = node.known.borrow().upto();
+    let ahead = node
+        .peers
+        .borrow()
+        .ahead(Instant::now(), upto)
+        .map(|p| p.address);
+    let Some(address) = ahead else {
+        return;
+    };
+    let peer = SocketAddr::from((address, node.cfg.peer_listen.port()));
+    match gossip::fetch(peer).await {
+        Ok(snapshot) => {
+            node.log.line(
+                Weight::Notable,
+                format_args!(
+                    "event=directory_from_peer peer={peer} upto={} before={upto}",
+                    snapshot.upto
+                ),
+            );
+            take_snapshot(node, snapshot.upto, snapshot.entries);
+        }
+        Err(e) => node.log.line(
+            Weight::Notable,
+            format_args!(
+                "event=peer_unreachable peer={peer} reason={:?}",
+                e.to_string()
+            ),
+        ),
+    }
+}
+
+fn take_snapshot(node: &Rc<Node>, upto: Revision, entries: Vec<Entry>) {
+    if upto <= node.known.borrow().upto() {
+        return;
+    }
+    node.known.borrow_mut().take_list(upto, entries);
+    apply(node);
+}
+
+/// Puts what is known into force.
+pub fn apply(node: &Rc<Node>) {
+    let now = Instant::now();
+    let mut lapsing = false;
+    {
+        let known = node.known.borrow();
+        let mut reader = node.reader.borrow_mut();
+        let trouble = reader
+            .failed_at
+            .is_some_and(|at| now.saturating_duration_since(at) < TROUBLE);
+        for entry in known.entries() {
+            reader.take(node, now, entry, trouble);
+        }
+        lapsing |= reader.read.iter().any(|r| r.fading.is_some());
+    }
+    let replicas = node.reader.borrow_mut().replicas(now);
+    node.set_replicas(replicas);
+    if lapsing {
+        let node = Rc::clone(node);
+        tokio::task::spawn_local(async move {
+            sleep(RETURNS_WITHIN).await;
+            let replicas = node.reader.borrow_mut().replicas(Instant::now());
+            node.set_replicas(replicas);
+        });
+    }
+}
+
+impl Reader {
+    fn take(&mut self, node: &Node, now: Instant, entry: &Entry, trouble: bool) {
+        let found = self.read.binary_search_by(|r| r.key.cmp(&entry.key));
+        if found.is_ok_and(|at| self.read[at].revision >= entry.revision) {
+            return;
+        }
+        let before = found.ok().and_then(|at| self.read[at].replica.take());
+        let mut read = Read {
+            key: entry.key.clone(),
+            revision: entry.revision,
+            replica: None,
+            fading: None,
+        };
+        match &entry.value {
+            Some(value) => read.replica = meaning(node, &entry.key, value),
+            None => lapse(node, now, before, trouble, &mut read),
+        }
+        match found {
+            Ok(at) => self.read[at] = read,
+            Err(at) => self.read.insert(at, read),
+        }
+    }
+
+    fn replicas(&mut self, now: Instant) -> Vec<Published> {
+        for read in &mut self.read {
+            if read.fading.is_some_and(|until| now >= until) {
+                read.fading = None;
+                read.replica = None;
+            }
+        }
+        self.read.iter().filter_map(|r| r.replica.clone()).collect()
+    }
+}
+
+fn lapse(node: &Node, now: Instant, before: Option<Published>, trouble: bool, read: &mut Read) {
+    let Some(replica) = before else {
+        return;
+    };
+    let id: &UpstreamId = &replica.id;
+    node.log.line(
+        Weight::Notable,
+        format_args!("event=replica_gone replica={id} store_trouble={trouble}"),
+    );
+    if trouble && !replica.leaving {
+        read.replica = Some(replica);
+        read.fading = Some(now + RETURNS_WITHIN);
+    }
+}
+
+fn meaning(node: &Node, key: &str, value: &[u8]) -> Option<Published> {
+    match node.source.meaning(key, value) {
+        Meaning::Table(table) => node.set_table(table),
+        Meaning::Replica(replica) => {
+            node.log.line(
+                Weight::Notable,
+                format_args!(
+                    "event=replica replica={} service={} address={} leaving={}",
+                    replica.id, replica.service, replica.address, replica.leaving
+                ),
+            );
+            return Some(replica);
+        }
+        Meaning::BadReplica(reason) => node.log.line(
+            Weight::Notable,
+            format_args!("event=replica_unreadable key={key:?} reason={reason:?}"),
+        ),
+        Meaning::BadTable(reason) => node.log.line(
+            Weight::Notable,
+            format_args!("event=table_unreadable reason={reason:?}"),
+        ),
+        Meaning::Other => {}
+    }
+    None
+}
--- /dev/null
+++ b/crates/entry/src/exchange.rs
@@ -0,0 +1,133 @@
+//! One send of a request to one replica, up to the head of its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::node::Target;
+use crate::pool::{self, Connection};
+use crate::port::{Dialect, Reply};
+
+/// Kept connections are taken for requests that must not be lost only when they are this fresh:
+/// a replica may drop an idle connection without notice, and what is sent next is then in doubt.
+const FRESH_ENOUGH: Duration = Duration::from_millis(1500);
+
+/// Longest answer that is held whole before the caller gets it.
+const MAX_WHOLE: usize = 8 * 1024 * 1024;
+
+/// Why there is no answer of the replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// Nothing was sent.
+    NotSent,
+    /// The replica says that it has no room and did not run the request.
+    Full,
+    /// The replica says that it did not run the request.
+    NotRun,
+    /// It may have run.
+    Broken,
+    /// What came is not the answer to this request, which may have run.
+    Foreign,
+}
+
+impl Failure {
+    /// Name for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::Full => "full",
+            Self::NotRun => "not_run",
+            Self::Broken => "broken",
+            Self::Foreign => "foreign",
+        }
+    }
+}
+
+/// A replica's answer whose body is still to come.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its head.
+    pub head: http::response::Parts,
+    /// Its body.
+    pub body: Incoming,
+    /// The connection that brings it.
+    pub connection: Connection,
+}
+
+/// Sends a request to the target and waits for the head of the answer.
+pub async fn send(
+    target: &Rc<Target>,
+    dialect: &dyn Dialect,
+    id: &str,
+    head: &Parts,
+    fields: HeaderMap,
+    body: Bytes,
+    repeatable: bool,
+) -> Result<Answer, Failure> {
+    let fresh = if repeatable {
+        Duration::MAX
+    } else {
+        FRESH_ENOUGH
+    };
+    loop {
+        let kept = target.pool.take(Instant::now(), fresh);
+        let was_kept = kept.is_some();
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => pool::open(target.published.address)
+                .await
+                .map_err(|_| Failure::NotSent)?,
+        };
+        let req = request(head, fields.clone(), body.clone());
+        match connection.sender.try_send_request(req).await {
+            Ok(response) => return judge(dialect, id, response, connection).await,
+            // The connection was closed before anything was written: a new one is tried.
+            Err(mut e) => match e.take_message() {
+                Some(_) if was_kept => {}
+                Some(_) => return Err(Failure::NotSent),
+                None => return Err(Failure::Broken),
+            },
+        }
+    }
+}
+
+/// Reads the rest of an answer.
+pub async fn whole(body: Incoming) -> Result<Bytes, Failure> {
+    let collected = Limited::new(body, MAX_WHOLE).collect().await;
+    collected
+        .map(http_body_util::Collected::to_bytes)
+        .map_err(|_| Failure::Broken)
+}
+
+async fn judge(
+    dialect: &dyn Dialect,
+    id: &str,
+    response: Response<Incoming>,
+    connection: Connection,
+) -> Result<Answer, Failure> {
+    let (head, body) = response.into_parts();
+    match dialect.reply(id, &head) {
+        Reply::Ran => Ok(Answer {
+            head,
+            body,
+            connection,
+        }),
+        Reply::Full => Err(Failure::Full),
+        Reply::NotRun => Err(Failure::NotRun),
+        Reply::Foreign => Err(Failure::Foreign),
+    }
+}
+
+fn request(head: &Parts, fields: HeaderMap, body: Bytes) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(body));
+    *req.method_mut() = head.method.clone();
+    *req.uri_mut() = head.uri.clone();
+    *req.headers_mut() = fields;
+    req
+}
--- /dev/null
+++ b/crates/entry/src/kind.rs
@@ -0,0 +1,279 @@
+//! The closed list of error kinds and the table from kind to answer.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use serde::Serialize;
+
+/// What went wrong for a caller. The list is closed: every refusal has one of these kinds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// The request cannot be understood.
+    BadRequest,
+    /// No key, or a key that the table does not hold.
+    Unauthorized,
+    /// The organisation may not do this.
+    Forbidden,
+    /// No such path, model, service or request.
+    NotFound,
+    /// The idempotency key was closed or belongs to another call.
+    KeyConflict,
+    /// The body or a header is larger than the limit.
+    TooLarge,
+    /// A non-idempotent call came without an idempotency key.
+    KeyRequired,
+    /// The organisation's own limit is used up.
+    Limited,
+    /// Capacity is short and the tier is refused.
+    Shed,
+    /// The instance cannot serve now: starting, leaving, full or without upstreams.
+    Unavailable,
+    /// The deadline cannot be met, or passed before dispatch.
+    Deadline,
+    /// The upstream broke after dispatch.
+    UpstreamBroke,
+    /// Whether the call ran cannot be known.
+    Unknown,
+}
+
+/// Whether the upstream ran the request, as sent in `Kingcup-Ran`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ran {
+    /// It was dispatched.
+    Yes,
+    /// It was not and never will be.
+    No,
+    /// It may have been.
+    Unknown,
+}
+
+impl Ran {
+    /// Value of the header `Kingcup-Ran`.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Yes => "yes",
+            Self::No => "no",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// How one kind is answered.
+#[derive(Debug)]
+pub struct Answer {
+    /// The kind.
+    pub kind: Kind,
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Name in the error body, logs and metrics.
+    pub name: &'static str,
+    /// What a caller reads when there is nothing more exact to say.
+    pub message: &'static str,
+    /// Whether the upstream ran the request.
+    pub ran: Ran,
+    /// When the caller should come back, where nothing more exact is known.
+    pub retry_after: Option<Duration>,
+}
+
+/// When a caller should come back that was refused for want of capacity: a second, in which a
+/// change of membership or of the list is known everywhere.
+const SOON: Duration = Duration::from_secs(1);
+
+/// The table from kind to answer, in the order of [`Kind`].
+pub const ANSWERS: [Answer; 13] = [
+    answer(
+        Kind::BadRequest,
+        StatusCode::BAD_REQUEST,
+        "bad_request",
+        "the request cannot be understood",
+        Ran::No,
+    ),
+    answer(
+        Kind::Unauthorized,
+        StatusCode::UNAUTHORIZED,
+        "unauthorized",
+        "no valid key in Authorization: Bearer KEY",
+        Ran::No,
+    ),
+    answer(
+        Kind::Forbidden,
+        StatusCode::FORBIDDEN,
+        "forbidden",
+        "the organisation may not do this",
+        Ran::No,
+    ),
+    answer(
+        Kind::NotFound,
+        StatusCode::NOT_FOUND,
+        "not_found",
+        "no such path, model, service or request",
+        Ran::No,
+    ),
+    answer(
+        Kind::KeyConflict,
+        StatusCode::CONFLICT,
+        "key_conflict",
+        "the idempotency key cannot be used for this call",
+        Ran::No,
+    ),
+    answer(
+        Kind::TooLarge,
+        StatusCode::PAYLOAD_TOO_LARGE,
+        "too_large",
+        "the body is larger than the limit",
+        Ran::No,
+    ),
+    answer(
+        Kind::KeyRequired,
+        StatusCode::PRECONDITION_REQUIRED,
+        "key_required",
+        "this call needs an Idempotency-Key from POST /v1/idempotency-keys",
+        Ran::No,
+    ),
+    refusal(
+        Kind::Limited,
+        StatusCode::TOO_MANY_REQUESTS,
+        "limited",
+        "the organisation's limit is used up",
+    ),
+    refusal(
+        Kind::Shed,
+        StatusCode::SERVICE_UNAVAILABLE,
+        "shed",
+        "capacity is short for this tier",
+    ),
+    refusal(
+        Kind::Unavailable,
+        StatusCode::SERVICE_UNAVAILABLE,
+        "unavailable",
+        "the instance cannot serve this now",
+    ),
+    refusal(
+        Kind::Deadline,
+        StatusCode::GATEWAY_TIMEOUT,
+        "deadline",
+        "the deadline cannot be met",
+    ),
+    answer(
+        Kind::UpstreamBroke,
+        StatusCode::BAD_GATEWAY,
+        "upstream_broke",
+        "the upstream broke after the request was dispatched",
+        Ran::Yes,
+    ),
+    answer(
+        Kind::Unknown,
+        StatusCode::BAD_GATEWAY,
+        "unknown",
+        "whether the call ran cannot be known",
+        Ran::Unknown,
+    ),
+];
+
+const fn answer(
+    kind: Kind,
+    status: StatusCode,
+    name: &'static str,
+    message: &'static str,
+    ran: Ran,
+) -> Answer {
+    Answer {
+        kind,
+        status,
+        name,
+        message,
+        ran,
+        retry_after: None,
+    }
+}
+
+/// Like [`answer`], for refusals of which the caller may try again.
+const fn refusal(
+    kind: Kind,
+    status: StatusCode,
+    name: &'static str,
+    message: &'static str,
+) -> Answer {
+    Answer {
+        retry_after: Some(SOON),
+        ..answer(kind, status, name, message, Ran::No)
+    }
+}
+
+impl Kind {
+    /// The kind with this name in error bodies.
+    pub fn from_name(name: &str) -> Option<Self> {
+        ANSWERS
+            .iter()
+            .find(|row| row.name == name)
+            .map(|row| row.kind)
+    }
+
+    /// The row of [`ANSWERS`] for this kind.
+    pub fn answer(self) -> &'static Answer {
+        &ANSWERS[self as usize]
+    }
+}
+
+/// Why a request was not answered by an upstream.
+#[derive(Debug, Clone, thiserror::Error)]
+#[error("{}: {message}", kind.answer().name)]
+pub struct Refusal {
+    /// The kind, which decides the status.
+    pub kind: Kind,
+    /// What the caller reads.
+    pub message: String,
+    /// Whether the upstream ran the request.
+    pub ran: Ran,
+    /// When the caller should come back, if it should.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Makes a refusal with the message and the `ran` of the table.
+    pub fn new(kind: Kind) -> Self {
+        let row = kind.answer();
+        Self {
+            kind,
+            message: row.message.to_owned(),
+            ran: row.ran,
+            retry_after: None,
+        }
+    }
+
+    /// Replaces the message by a more exact one.
+    pub fn with_message<M>(mut self, message: M) -> Self
+    where
+        M: Into<String>,
+    {
+        self.message = message.into();
+        self
+    }
+
+    /// Tells the caller when to come back.
+    pub fn with_retry_after(mut self, after: Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// Replaces what is known about whether the upstream ran it.
+    pub fn with_ran(mut self, ran: Ran) -> Self {
+        self.ran = ran;
+        self
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::ANSWERS;
+
+    #[test]
+    fn each_kind_stands_at_its_own_row() {
+        for (i, row) in ANSWERS.iter().enumerate() {
+            assert_eq!(row.kind as usize, i, "{}", row.name);
+            assert_eq!(row.kind.answer().name, row.name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,25 @@
+//! An entry instance that forwards calls as they come.
+//!
+//! What callers, replicas and the directory say in their own words is translated behind the ports
+//! of [`port`]; everything that is decided, known and recovered stands here and in
+//! `kingcupfield-decisions`.
+
+pub mod callers;
+pub mod clock;
+pub mod directory;
+pub mod events;
+pub mod exchange;
+pub mod gossip;
+pub mod kind;
+pub mod life;
+pub mod log;
+pub mod metrics;
+pub mod node;
+pub mod peers;
+pub mod pool;
+pub mod port;
+pub mod relay;
+pub mod replica;
+pub mod request;
+pub mod settings;
+pub mod table;
--- /dev/null
+++ b/crates/entry/src/life.rs
@@ -0,0 +1,164 @@
+//! The life of a process: start, signals, and an end that cuts nothing.
+
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::LocalSet;
+use tokio::time::{Instant, interval, sleep, sleep_until};
+
+use crate::log::{self, Weight};
+use crate::node::{Node, Stage};
+use crate::port::{Dialect, Source};
+use crate::settings::Settings;
+use crate::{callers, directory, gossip};
+
+/// How long connections stay open after the order to stop: the balancer notices after two of its
+/// questions, a second apart.
+const BALANCER_NOTICES: Duration = Duration::from_millis(2600);
+
+/// The process ends this long before it would be killed.
+const BEFORE_KILL: Duration = Duration::from_millis(450);
+
+/// How often waiting requests are looked at.
+const WAITING_TICK: Duration = Duration::from_millis(20);
+
+/// How often idle connections are looked at.
+const HOUSEKEEPING: Duration = Duration::from_secs(1);
+
+/// Runs an instance until it is told to stop.
+pub fn run(cfg: Settings, dialect: Rc<dyn Dialect>, source: Rc<dyn Source>) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, live(cfg, dialect, source))
+}
+
+async fn live(
+    cfg: Settings,
+    dialect: Rc<dyn Dialect>,
+    source: Rc<dyn Source>,
+) -> std::io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let hup = signal(SignalKind::hangup())?;
+    let callers = TcpListener::bind(cfg.listen).await?;
+    let ready = TcpListener::bind(cfg.ready_listen).await?;
+    let peers = TcpListener::bind(cfg.peer_listen).await?;
+    let datagrams = UdpSocket::bind((cfg.address(), cfg.peer_port)).await?;
+    let node = Node::new(cfg, dialect, source);
+    node.log.line(
+        Weight::Notable,
+        format_args!(
+            "event=start instance={} listen={} ready_listen={} peer_listen={}",
+            node.cfg.instance,
+            callers.local_addr()?,
+            ready.local_addr()?,
+            peers.local_addr()?
+        ),
+    );
+    let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
+    spawn(Box::pin(callers::serve(Rc::clone(&node), callers)));
+    spawn(Box::pin(callers::serve_ready(Rc::clone(&node), ready)));
+    spawn(Box::pin(callers::serve_peers(Rc::clone(&node), peers)));
+    spawn(Box::pin(gossip::run(
+        Rc::clone(&node),
+        datagrams,
+        incarnation(),
+    )));
+    spawn(Box::pin(directory::run(Rc::clone(&node))));
+    spawn(Box::pin(watch_waiting(Rc::clone(&node))));
+    spawn(Box::pin(keep_house(Rc::clone(&node))));
+    spawn(Box::pin(flush_log(Rc::clone(&node))));
+    spawn(Box::pin(hang_ups(Rc::clone(&node), hup)));
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    stop(&node).await;
+    Ok(())
+}
+
+/// Grows with each start of a machine's process.
+fn incarnation() -> u64 {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    now.as_micros() as u64
+}
+
+/// Stops without cutting anything that can end in time.
+async fn stop(node: &Rc<Node>) {
+    let began = Instant::now();
+    node.log.line(
+        Weight::Notable,
+        format_args!("event=stopping active={}", node.active.get()),
+    );
+    node.stage.send_replace(Stage::Leaving);
+    let last = began + node.cfg.grace().saturating_sub(BEFORE_KILL);
+    let closing = (began + BALANCER_NOTICES).min(last);
+    sleep_until(closing).await;
+    node.stage.send_replace(Stage::Closing);
+    while Instant::now() < last {
+        sleep(Duration::from_millis(50)).await;
+        if node.active.get() == 0 && Instant::now() > closing + Duration::from_millis(300) {
+            break;
+        }
+    }
+    node.log.line(
+        Weight::Notable,
+        format_args!("event=stopped cut={}", node.active.get()),
+    );
+    node.log.flush();
+    // The writing thread needs a moment for the last lines.
+    sleep(Duration::from_millis(10)).await;
+}
+
+/// Gives up waiting requests in time, and tries again to place those for which a replica was left
+/// alone for a while.
+async fn watch_waiting(node: Rc<Node>) {
+    loop {
+        if node.dispatch.borrow().waiting() == 0 {
+            node.waiting.notified().await;
+        }
+        sleep(WAITING_TICK).await;
+        node.give_up();
+        node.pump();
+    }
+}
+
+async fn keep_house(node: Rc<Node>) {
+    let mut ticks = interval(HOUSEKEEPING);
+    loop {
+        ticks.tick().await;
+        let now = Instant::now();
+        for target in node.targets() {
+            target.pool.reap(now);
+        }
+        if let Some(slept) = node.clock.woke() {
+            node.log.line(
+                Weight::Notable,
+                format_args!("event=woke suspended_ms={}", slept.as_millis()),
+            );
+            node.reread.notify_one();
+        }
+    }
+}
+
+async fn flush_log(node: Rc<Node>) {
+    let mut ticks = interval(log::COLLECT);
+    loop {
+        ticks.tick().await;
+        node.log.flush();
+    }
+}
+
+/// Settings of a running process do not change; the signal must not end it.
+async fn hang_ups(node: Rc<Node>, mut hup: Signal) {
+    while hup.recv().await.is_some() {
+        node.log
+            .line(Weight::Notable, format_args!("event=reload changed=false"));
+    }
+}
--- /dev/null
+++ b/crates/entry/src/log.rs
@@ -0,0 +1,131 @@
+//! Logs on standard output: one line of key=value pairs for each event, bounded and never blocking.
+//!
+//! A reader of standard output that stands still must delay no request, so lines go through a
+//! short queue to a thread of their own, and what does not fit is counted. Under load lines beyond
+//! a budget are counted too: failures and changes of belief have their own, larger budget.
+
+use std::cell::RefCell;
+use std::fmt::{self, Write as _};
+use std::io::Write as _;
+use std::sync::mpsc::{SyncSender, sync_channel};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::time::Instant;
+
+/// Lines of ordinary outcomes a second; one costs about 20 microseconds of a small machine.
+const ORDINARY_A_SECOND: u32 = 40;
+
+/// Lines of failures and changes a second.
+const NOTABLE_A_SECOND: u32 = 200;
+
+/// Lines are collected for this long, so that the writing thread wakes rarely.
+pub const COLLECT: Duration = Duration::from_millis(250);
+
+/// Batches that may wait for a reader that stands still.
+const BATCHES: usize = 8;
+
+/// How much a line matters when there are too many.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Weight {
+    /// An ordinary outcome.
+    Ordinary,
+    /// A failure, a refusal or a change of what the instance believes.
+    Notable,
+}
+
+#[derive(Debug)]
+struct State {
+    buf: String,
+    second: Instant,
+    ordinary: u32,
+    notable: u32,
+    dropped: u64,
+}
+
+/// The log of one process.
+#[derive(Debug)]
+pub struct Log {
+    state: RefCell<State>,
+    tx: SyncSender<String>,
+}
+
+impl Log {
+    /// Starts the writing thread.
+    pub fn new() -> Self {
+        let (tx, rx) = sync_channel::<String>(BATCHES);
+        thread::spawn(move || {
+            let mut out = std::io::stdout();
+            while let Ok(batch) = rx.recv() {
+                if out.write_all(batch.as_bytes()).is_err() {
+                    return;
+                }
+                let _ = out.flush();
+            }
+        });
+        let state = State {
+            buf: String::new(),
+            second: Instant::now(),
+            ordinary: 0,
+            notable: 0,
+            dropped: 0,
+        };
+        Self {
+            state: RefCell::new(state),
+            tx,
+        }
+    }
+
+    /// Writes one event.
+    pub fn line(&self, weight: Weight, pairs: fmt::Arguments<'_>) {
+        let mut state = self.state.borrow_mut();
+        if !state.admits(weight) {
+            state.dropped += 1;
+            return;
+        }
+        let at = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let _ = writeln!(state.buf, "time_ms={} {pairs}", at.as_millis());
+    }
+
+    /// Hands the collected lines to the writing thread.
+    pub fn flush(&self) {
+        let mut state = self.state.borrow_mut();
+        if state.dropped > 0 {
+            let dropped = state.dropped;
+            state.dropped = 0;
+            let _ = writeln!(state.buf, "event=log_dropped lines={dropped}");
+        }
+        if state.buf.is_empty() {
+            return;
+        }
+        let batch = std::mem::take(&mut state.buf);
+        let lines = batch.lines().count() as u64;
+        if self.tx.try_send(batch).is_err() {
+            state.dropped += lines;
+        }
+    }
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl State {
+    fn admits(&mut self, weight: Weight) -> bool {
+        if self.second.elapsed() >= Duration::from_secs(1) {
+            self.second = Instant::now();
+            self.ordinary = 0;
+            self.notable = 0;
+        }
+        let (used, most) = match weight {
+            Weight::Ordinary => (&mut self.ordinary, ORDINARY_A_SECOND),
+            Weight::Notable => (&mut self.notable, NOTABLE_A_SECOND),
+        };
+        *used += 1;
+        *used <= most
+    }
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,391 @@
+//! What one entry instance knows and does, shared by its tasks.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcupfield_decisions::allowance::Allowances;
+use kingcupfield_decisions::dispatch::{Dispatch, Job, JobId, Outcome, Replica};
+use kingcupfield_decisions::id::UpstreamId;
+use kingcupfield_decisions::known::Known;
+use kingcupfield_decisions::repeats::Repeats;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::Instant;
+
+use crate::clock::Clock;
+use crate::directory::Reader;
+use crate::log::{Log, Weight};
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::pool::Pool;
+use crate::port::{Dialect, Source};
+use crate::replica::Published;
+use crate::settings::Settings;
+use crate::table::Table;
+
+/// Time of a message there and back between availability zones of a region.
+const ROUND_TRIP_ZONE: Duration = Duration::from_millis(2);
+
+/// Time of a message there and back between regions, 60 ms, and what the bytes that cross cost
+/// the users, counted as time: both firms pay for them by volume.
+const ROUND_TRIP_REGION: Duration = Duration::from_millis(120);
+
+/// Where a process stands in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// It takes connections and requests.
+    Serving,
+    /// It says that it is not ready, and still answers what comes.
+    Leaving,
+    /// It closes connections as they become idle.
+    Closing,
+}
+
+/// A replica that requests can be sent to.
+#[derive(Debug)]
+pub struct Target {
+    /// What is published of it.
+    pub published: Published,
+    /// Kept connections to it.
+    pub pool: Pool,
+}
+
+/// Why a waiting request got no place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoPlace {
+    /// No replica had room in time.
+    GivenUp,
+}
+
+type Verdict = Result<UpstreamId, NoPlace>;
+
+/// Everything that the tasks of an instance share.
+pub struct Node {
+    /// Its settings.
+    pub cfg: Settings,
+    /// Words of callers and upstreams.
+    pub dialect: Rc<dyn Dialect>,
+    /// The published directory.
+    pub source: Rc<dyn Source>,
+    /// Its log.
+    pub log: Log,
+    /// Notices suspension.
+    pub clock: Clock,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Limits of organisations.
+    pub allowances: RefCell<Allowances>,
+    /// Budget for repeats.
+    pub repeats: RefCell<Repeats>,
+    /// Published entries.
+    pub known: RefCell<Known>,
+    /// The other instances.
+    pub peers: RefCell<Peers>,
+    /// Waiting requests and the load of replicas.
+    pub dispatch: RefCell<Dispatch>,
+    /// Wakes the reader of the directory.
+    pub reread: Notify,
+    /// Whether the directory is to be read whole.
+    pub relist: Cell<bool>,
+    /// What was read of the directory.
+    pub reader: RefCell<Reader>,
+    /// Where the process stands in its life.
+    pub stage: watch::Sender<Stage>,
+    /// The table's version, for those that wait for a change.
+    pub version: watch::Sender<u64>,
+    /// Requests being answered.
+    pub active: Cell<usize>,
+    /// Wakes the timer of waiting requests.
+    pub waiting: Notify,
+    table: RefCell<Option<Rc<Table>>>,
+    targets: RefCell<Vec<Rc<Target>>>,
+    waiters: RefCell<Vec<(JobId, oneshot::Sender<Verdict>)>>,
+    next_job: Cell<JobId>,
+}
+
+impl std::fmt::Debug for Node {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Node")
+            .field("cfg", &self.cfg)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Node {
+    /// Makes an instance that knows nothing yet.
+    pub fn new(cfg: Settings, dialect: Rc<dyn Dialect>, source: Rc<dyn Source>) -> Rc<Self> {
+        let now = Instant::now();
+        Rc::new(Self {
+            dialect,
+            source,
+            log: Log::new(),
+            clock: Clock::new(),
+            metrics: Metrics::new(),
+            allowances: RefCell::new(Allowances::new()),
+            repeats: RefCell::new(Repeats::new(cfg.repeat_bounds())),
+            known: RefCell::new(Known::new()),
+            peers: RefCell::new(Peers::new(now, cfg.address(), !cfg.contacts.is_empty())),
+            dispatch: RefCell::new(Dispatch::new()),
+            reread: Notify::new(),
+            relist: Cell::new(false),
+            reader: RefCell::new(Reader::default()),
+            stage: watch::Sender::new(Stage::Serving),
+            version: watch::Sender::new(0),
+            active: Cell::new(0),
+            waiting: Notify::new(),
+            table: RefCell::new(None),
+            targets: RefCell::new(Vec::new()),
+            waiters: RefCell::new(Vec::new()),
+            next_job: Cell::new(1),
+            cfg,
+        })
+    }
+
+    /// The table in force.
+    pub fn table(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// Where the process stands in its life.
+    pub fn stage(&self) -> Stage {
+        *self.stage.borrow()
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.stage() == Stage::Serving && self.table.borrow().is_some()
+    }
+
+    /// Puts a newer table in force; an older one is ignored.
+    pub fn set_table(&self, table: Rc<Table>) {
+        let held = self.table.borrow().as_ref().map_or(0, |t| t.version);
+        if held >= table.version && held != 0 {
+            return;
+        }
+        let version = table.version;
+        self.log.line(
+            Weight::Notable,
+            format_args!("event=table version={version} before={held}"),
+        );
+        *self.table.borrow_mut() = Some(table);
+        self.version.send_replace(version);
+    }
+
+    /// Takes the published replicas that may get work or finish it.
+    pub fn set_replicas(&self, published: Vec<Published>) {
+        let mut targets = Vec::with_capacity(published.len());
+        for replica in published {
+            let old = self.target(&replica.id).filter(|t| same_life(t, &replica));
+            targets.push(match old {
+                Some(old) if old.published == replica => old,
+                _ => Rc::new(Target {
+                    published: replica,
+                    pool: Pool::new(),
+                }),
+            });
+        }
+        targets.sort_by(|a, b| a.published.id.cmp(&b.published.id));
+        *self.targets.borrow_mut() = targets;
+        self.refresh_replicas();
+        self.pump();
+    }
+
+    /// Tells the dispatcher of the replicas anew, after a change of them or of the table.
+    pub fn refresh_replicas(&self) {
+        let replicas: Vec<Replica> = self
+            .targets
+            .borrow()
+            .iter()
+            .map(|t| self.replica(&t.published))
+            .collect();
+        self.dispatch.borrow_mut().set_replicas(&replicas);
+    }
+
+    /// A replica by its name.
+    pub fn target(&self, id: &UpstreamId) -> Option<Rc<Target>> {
+        let targets = self.targets.borrow();
+        let at = targets.binary_search_by(|t| t.published.id.cmp(id)).ok()?;
+        Some(Rc::clone(&targets[at]))
+    }
+
+    /// All replicas.
+    pub fn targets(&self) -> Vec<Rc<Target>> {
+        self.targets.borrow().clone()
+    }
+
+    /// A number for a new request.
+    pub fn new_job(&self) -> JobId {
+        let id = self.next_job.get();
+        self.next_job.set(id + 1);
+        id
+    }
+
+    /// Waits until a replica has a place for the request.
+    pub async fn place(self: &Rc<Self>, job: Job) -> Result<Place, NoPlace> {
+        let id = job.id;
+        let (tx, rx) = oneshot::channel();
+        self.waiters.borrow_mut().push((id, tx));
+        self.dispatch.borrow_mut().enqueue(job);
+        let mut waiting = Waiting {
+            node: Rc::clone(self),
+            job: id,
+            rx,
+        };
+        self.pump();
+        self.waiting.notify_one();
+        let verdict = (&mut waiting.rx).await.unwrap_or(Err(NoPlace::GivenUp));
+        verdict.map(|upstream| Place {
+            node: Rc::clone(self),
+            upstream,
+            job: id,
+            ended: false,
+        })
+    }
+
+    /// Gives places to waiting requests, as far as there are any.
+    pub fn pump(&self) {
+        let now = Instant::now();
+        loop {
+            let placed = self.dispatch.borrow_mut().place(now);
+            let mut lost = Vec::new();
+            for p in placed {
+                if !self.tell(p.job, Ok(p.upstream.clone())) {
+                    lost.push(p);
+                }
+            }
+            if lost.is_empty() {
+                return;
+            }
+            // Their callers went away meanwhile, so the places are free again.
+            for p in lost {
+                self.end(&p.upstream, p.job, Outcome::Unknown);
+            }
+        }
+    }
+
+    /// Gives up the waiting requests whose time is over.
+    pub fn give_up(&self) {
+        let gone = self.dispatch.borrow_mut().give_up(Instant::now());
+        for job in gone {
+            self.tell(job, Err(NoPlace::GivenUp));
+        }
+    }
+
+    fn tell(&self, job: JobId, verdict: Verdict) -> bool {
+        let mut waiters = self.waiters.borrow_mut();
+        let Some(at) = waiters.iter().position(|(id, _)| *id == job) else {
+            return false;
+        };
+        let (_, tx) = waiters.swap_remove(at);
+        tx.send(verdict).is_ok()
+    }
+
+    fn end(&self, upstream: &UpstreamId, job: JobId, outcome: Outcome) {
+        self.dispatch
+            .borrow_mut()
+            .on_end(Instant::now(), upstream, job, outcome);
+    }
+
+    fn replica(&self, published: &Published) -> Replica {
+        let service = self.table().and_then(|t| {
+            let service = t.service(&published.service)?;
+            Some(service.tokens_per_event)
+        });
+        Replica {
+            id: published.id.clone(),
+            born: published.born,
+            service: published.service.clone(),
+            slots: published.slots,
+            round_trip: self.round_trip(&published.zone),
+            engine: service.flatten().is_some(),
+            tokens_per_event: service.flatten().unwrap_or(1),
+            usable: !published.leaving,
+        }
+    }
+
+    fn round_trip(&self, zone: &str) -> Duration {
+        if zone == &*self.cfg.availability_zone {
+            return Duration::ZERO;
+        }
+        let region = self.cfg.regions_by_zone.get(zone);
+        if region.is_some_and(|r| **r == *self.cfg.region) {
+            return ROUND_TRIP_ZONE;
+        }
+        ROUND_TRIP_REGION
+    }
+}
+
+fn same_life(target: &Target, replica: &Published) -> bool {
+    target.published.born == replica.born && target.published.address == replica.address
+}
+
+/// Takes a waiting request out again when its caller goes away.
+#[derive(Debug)]
+struct Waiting {
+    node: Rc<Node>,
+    job: JobId,
+    rx: oneshot::Receiver<Verdict>,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.node
+            .waiters
+            .borrow_mut()
+            .retain(|(id, _)| *id != self.job);
+        self.node.dispatch.borrow_mut().withdraw(self.job);
+        // A place that was given but not taken would stay occupied for good.
+        if let Ok(Ok(upstream)) = self.rx.try_recv() {
+            self.node.end(&upstream, self.job, Outcome::Unknown);
+            self.node.pump();
+        }
+    }
+}
+
+/// A place at a replica, held until the request has ended there.
+#[derive(Debug)]
+pub struct Place {
+    node: Rc<Node>,
+    /// The replica.
+    pub upstream: UpstreamId,
+    job: JobId,
+    ended: bool,
+}
+
+impl Place {
+    /// Notes that the replica has begun to answer.
+    pub fn on_first(&self) {
+        let mut dispatch = self.node.dispatch.borrow_mut();
+        dispatch.on_first(Instant::now(), &self.upstream, self.job);
+    }
+
+    /// Notes events of the stream, and the time since the ones before.
+    pub fn on_events(&self, events: u32, gap: Duration) {
+        let mut dispatch = self.node.dispatch.borrow_mut();
+        dispatch.on_events(Instant::now(), &self.upstream, events, gap);
+    }
+
+    /// Whether the replica brings nothing to anybody here.
+    pub fn is_silent(&self) -> bool {
+        self.node
+            .dispatch
+            .borrow()
+            .is_silent(Instant::now(), &self.upstream)
+    }
+
+    /// Frees the place.
+    pub fn end(mut self, outcome: Outcome) {
+        self.ended = true;
+        self.node.end(&self.upstream, self.job, outcome);
+        self.node.pump();
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.node.end(&self.upstream, self.job, Outcome::Unknown);
+            self.node.pump();
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,246 @@
+//! The other instances, and what they say of their load and spending.
+//!
+//! Each instance tells all others what it has at each replica, what it has spent for each
+//! organisation and up to which revision it knows the directory. Nothing is agreed on: a message
+//! replaces the one before, and what a silent instance said last is forgotten after a while.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use kingcupfield_decisions::known::Revision;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// An instance that was not heard for this long may be cut off: its load is no longer counted,
+/// and its share of the organisations' limits is left to it. Three of the slowest messages.
+pub const SILENT: Duration = Duration::from_millis(2500);
+
+/// An instance that was not heard for this long is gone: longer than any cut that the users see,
+/// so that the two sides of a cut never spend the same share.
+const FORGOTTEN: Duration = Duration::from_secs(60);
+
+/// Instances that are assumed while none was ever heard: about what the firms run today. An
+/// instance that starts behind a cut then spends its share alone.
+const ASSUMED: usize = 7;
+
+/// Short name of a replica or organisation in messages.
+pub type ShortName = u32;
+
+/// The short name of `name`.
+pub fn short_name(name: &str) -> ShortName {
+    xxh3_64(name.as_bytes()) as ShortName
+}
+
+/// What an instance has at one replica.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// The replica.
+    pub replica: ShortName,
+    /// Requests of the instance there.
+    pub running: u16,
+    /// Their prompt tokens that are still to be read.
+    pub prompt: u32,
+}
+
+/// A message from one instance to another.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Digest {
+    /// Distinguishes the lives of the instance.
+    pub incarnation: u64,
+    /// Revision up to which it knows the directory.
+    pub upto: Revision,
+    /// Whether it is about to end.
+    pub leaving: bool,
+    /// Its load at replicas; those that are missing have none.
+    pub loads: Vec<Load>,
+    /// What it has spent of each organisation since it started.
+    pub spent: Vec<(ShortName, f64)>,
+    /// Microseconds a step that it has learned of replicas; not in every message.
+    pub steps: Vec<(ShortName, u32)>,
+    /// Instances that it has heard lately; not in every message.
+    pub members: Vec<Ipv4Addr>,
+}
+
+/// What is known of one other instance.
+#[derive(Debug)]
+pub struct Peer {
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// When it was heard last; `None` if it is only known by name.
+    pub heard: Option<Instant>,
+    /// When it became known.
+    pub since: Instant,
+    /// When it was written to last.
+    pub told: Option<Instant>,
+    /// What it said last.
+    pub digest: Digest,
+}
+
+impl Peer {
+    /// Whether it was heard lately.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        self.heard
+            .is_some_and(|at| now.saturating_duration_since(at) < SILENT)
+    }
+
+    fn is_forgotten(&self, now: Instant) -> bool {
+        let last = self.heard.unwrap_or(self.since);
+        now.saturating_duration_since(last) >= FORGOTTEN
+    }
+}
+
+/// What a message changed.
+#[derive(Debug, Default)]
+pub struct Heard {
+    /// Spending that was not known before.
+    pub spent: Vec<(ShortName, f64)>,
+    /// Whether the instance is new or started anew, so that it should be answered.
+    pub is_new: bool,
+}
+
+/// The other instances, sorted by address.
+#[derive(Debug)]
+pub struct Peers {
+    own: Ipv4Addr,
+    has_contacts: bool,
+    peers: Vec<Peer>,
+    started: Instant,
+}
+
+impl Peers {
+    /// Knows nobody yet.
+    pub fn new(now: Instant, own: Ipv4Addr, has_contacts: bool) -> Self {
+        Self {
+            own,
+            has_contacts,
+            peers: Vec::new(),
+            started: now,
+        }
+    }
+
+    /// The other instances that are known.
+    pub fn all(&self) -> &[Peer] {
+        &self.peers
+    }
+
+    /// The other instances, to note that they were written to.
+    pub fn all_mut(&mut self) -> &mut [Peer] {
+        &mut self.peers
+    }
+
+    /// Number of instances that are known, with this one.
+    pub fn known(&self) -> usize {
+        let known = self.peers.len() + 1;
+        if known == 1 && self.has_contacts {
+            return ASSUMED;
+        }
+        known
+    }
+
+    /// Number of instances that are heard now, with this one.
+    pub fn fresh(&self, now: Instant) -> usize {
+        self.peers.iter().filter(|p| p.is_fresh(now)).count() + 1
+    }
+
+    /// Share of the known instances that are heard now.
+    pub fn part(&self, now: Instant) -> f64 {
+        self.fresh(now) as f64 / self.known() as f64
+    }
+
+    /// Makes an instance known by its address.
+    pub fn learn(&mut self, now: Instant, address: Ipv4Addr) {
+        if address == self.own {
+            return;
+        }
+        if let Err(at) = self.peers.binary_search_by(|p| p.address.cmp(&address)) {
+            let peer = Peer {
+                address,
+                heard: None,
+                since: now,
+                told: None,
+                digest: Digest::default(),
+            };
+            self.peers.insert(at, peer);
+        }
+    }
+
+    /// Takes a message.
+    pub fn on_digest(&mut self, now: Instant, from: Ipv4Addr, mut digest: Digest) -> Heard {
+        if from == self.own {
+            return Heard::default();
+        }
+        for member in std::mem::take(&mut digest.members) {
+            self.learn(now, member);
+        }
+        self.learn(now, from);
+        let Ok(at) = self.peers.binary_search_by(|p| p.address.cmp(&from)) else {
+            return Heard::default();
+        };
+        if digest.leaving {
+            self.peers.remove(at);
+            return Heard::default();
+        }
+        let peer = &mut self.peers[at];
+        let same_life = peer.digest.incarnation == digest.incarnation;
+        let is_new = !same_life || !peer.is_fresh(now);
+        let spent = more_spent(&peer.digest, &digest, same_life, peer.heard.is_some());
+        digest.upto = digest.upto.max(peer.digest.upto);
+        peer.digest = digest;
+        peer.heard = Some(now);
+        Heard { spent, is_new }
+    }
+
+    /// Forgets the instances that are gone.
+    pub fn forget(&mut self, now: Instant) {
+        self.peers.retain(|p| !p.is_forgotten(now));
+    }
+
+    /// Requests of the others at a replica and their unread prompt tokens.
+    pub fn load_at(&self, now: Instant, replica: ShortName) -> (u32, f64) {
+        let mut running = 0;
+        let mut prompt = 0.0;
+        for peer in self.peers.iter().filter(|p| p.is_fresh(now)) {
+            for load in peer.digest.loads.iter().filter(|l| l.replica == replica) {
+                running += u32::from(load.running);
+                prompt += f64::from(load.prompt);
+            }
+        }
+        (running, prompt)
+    }
+
+    /// An instance that knows the directory further than `upto`.
+    pub fn ahead(&self, now: Instant, upto: Revision) -> Option<&Peer> {
+        self.peers
+            .iter()
+            .filter(|p| p.is_fresh(now) && p.digest.upto > upto)
+            .max_by_key(|p| p.digest.upto)
+    }
+
+    /// How long this instance has run.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started)
+    }
+}
+
+fn more_spent(
+    before: &Digest,
+    digest: &Digest,
+    same_life: bool,
+    heard: bool,
+) -> Vec<(ShortName, f64)> {
+    let mut more = Vec::new();
+    for (name, total) in &digest.spent {
+        let known = before.spent.iter().find(|(n, _)| n == name);
+        let base = match known {
+            Some((_, known)) if same_life => *known,
+            // The first word of an instance that has run for long says nothing of now.
+            _ if !heard => continue,
+            _ => 0.0,
+        };
+        if (*total - base).abs() > f64::EPSILON {
+            more.push((*name, *total - base));
+        }
+    }
+    more
+}
--- /dev/null
+++ b/crates/entry/src/port.rs
@@ -0,0 +1,131 @@
+//! The ports that an adapter fills in: the words of callers and upstreams, and the directory.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::future::LocalBoxFuture;
+use http::request::Parts as RequestParts;
+use http::response::Parts as ResponseParts;
+use http::{HeaderMap, StatusCode};
+use kingcupfield_decisions::known::{Entry, Revision};
+
+use crate::kind::Refusal;
+use crate::replica::Published;
+use crate::table::Table;
+
+/// What the head of a caller's request says.
+#[derive(Debug, Clone, Default)]
+pub struct Call {
+    /// The caller's id of this attempt.
+    pub id: String,
+    /// The key that it carries.
+    pub key: Option<String>,
+    /// How long the caller waits.
+    pub deadline: Option<Duration>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: Option<u32>,
+    /// Most tokens to generate.
+    pub output_tokens: Option<u32>,
+    /// Likely number of tokens to generate.
+    pub likely_tokens: Option<u32>,
+    /// Last event that the caller has, when it resumes a stream.
+    pub last_event: Option<String>,
+}
+
+/// What the instance adds to a request that goes to a replica.
+#[derive(Debug)]
+pub struct Onward<'a> {
+    /// The replica that alone may run it.
+    pub replica: &'a str,
+    /// Time that is left, if the caller named a deadline.
+    pub left: Option<Duration>,
+    /// The organisation that holds the caller's key.
+    pub organisation: Option<&'a str>,
+    /// The last event that the caller has, when a stream is resumed here.
+    pub last_event: Option<&'a str>,
+}
+
+/// What the head of a replica's answer says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reply {
+    /// The answer of the replica that was asked.
+    Ran,
+    /// The replica did not run the request, for want of room.
+    Full,
+    /// The replica did not run the request for another reason: it is another one, or leaves.
+    NotRun,
+    /// An answer to another request, or one that lacks what a replica's answer must have.
+    Foreign,
+}
+
+/// The words that callers and upstreams use.
+pub trait Dialect {
+    /// Reads a caller's request.
+    fn call(&self, head: &RequestParts) -> Call;
+
+    /// The head fields with which the request goes to a replica.
+    fn onward(&self, head: &RequestParts, onward: &Onward<'_>) -> HeaderMap;
+
+    /// Judges the answer to the attempt `id`.
+    fn reply(&self, id: &str, head: &ResponseParts) -> Reply;
+
+    /// The head fields of a replica's answer that the caller gets.
+    fn answer(&self, head: &ResponseParts) -> HeaderMap;
+
+    /// Status and head fields of a refusal.
+    fn refusal(&self, id: Option<&str>, refusal: &Refusal) -> (StatusCode, HeaderMap);
+}
+
+/// A list of the directory.
+#[derive(Debug)]
+pub struct Listing {
+    /// Revision up to which it is complete.
+    pub upto: Revision,
+    /// What it holds, or what has changed.
+    pub entries: Vec<Entry>,
+}
+
+/// Why the directory did not answer.
+#[derive(Debug, thiserror::Error)]
+pub enum SourceError {
+    /// It refused: too many calls, or not now.
+    #[error("refused with status {0}")]
+    Refused(StatusCode),
+    /// The changes since that revision are no longer kept.
+    #[error("history is no longer kept")]
+    HistoryGone,
+    /// No answer, or one that can't be read.
+    #[error("{0}")]
+    Lost(String),
+}
+
+/// What a directory entry means.
+#[derive(Debug)]
+pub enum Meaning {
+    /// A version of the table.
+    Table(Rc<Table>),
+    /// A replica.
+    Replica(Published),
+    /// An entry that names a replica but can't be read.
+    BadReplica(String),
+    /// A table that can't be read; the last good one holds.
+    BadTable(String),
+    /// Something that is none of ours.
+    Other,
+}
+
+/// The published directory, which is only read.
+pub trait Source {
+    /// Reads everything.
+    fn list(&self) -> LocalBoxFuture<'_, Result<Listing, SourceError>>;
+
+    /// Waits for changes after a revision, for `wait` at most.
+    fn changes(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<Listing, SourceError>>;
+
+    /// Says what an entry means.
+    fn meaning(&self, key: &str, value: &[u8]) -> Meaning;
+}
--- /dev/null
+++ b/crates/entry/src/relay.rs
@@ -0,0 +1,327 @@
+//! Passes a stream of events on as they come, and resumes it elsewhere where the route allows it.
+//!
+//! A replica may stop in the middle of an event. Of a stream that may be resumed only whole events
+//! are passed on, so that the rest from another replica fits; of any other the bytes pass at once.
+//! A stream that is not finished ends by closing the caller's connection, never as if complete.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
+use kingcupfield_decisions::dispatch::Outcome;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::events::Scanner;
+use crate::exchange::{self, Answer};
+use crate::log::Weight;
+use crate::node::{Node, Place, Target};
+use crate::pool::Connection;
+use crate::request::{Active, Life, timed_out};
+
+/// Chunks that may wait for a slow caller before the replica is made to wait.
+const CHUNKS: usize = 8;
+
+/// A resumable stream that pauses for this many of its longest pauses is taken up elsewhere: its
+/// caller leaves after eight.
+const STUCK_PAUSES: f64 = 5.0;
+
+/// The stream broke off; the caller's connection is closed.
+#[derive(Debug, thiserror::Error)]
+#[error("the stream broke off")]
+pub struct BrokenOff;
+
+/// Body of an answer: whole, or passed on as it comes.
+#[derive(Debug)]
+pub enum Body {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// What a relay passes on.
+    Relayed(mpsc::Receiver<Result<Bytes, BrokenOff>>),
+}
+
+impl Body {
+    /// A body that is there as a whole.
+    pub fn whole(bytes: Bytes) -> Self {
+        Self::Whole(Some(bytes).filter(|b| !b.is_empty()))
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Relayed(rx) => rx.poll_recv(cx).map(|c| c.map(|c| c.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                hyper::body::SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Self::Relayed(_) => hyper::body::SizeHint::default(),
+        }
+    }
+}
+
+/// Starts to pass a stream on.
+pub fn start(
+    node: Rc<Node>,
+    life: Life,
+    target: Rc<Target>,
+    place: Place,
+    answer: Answer,
+    active: Option<Active>,
+) -> Response<Body> {
+    let (tx, rx) = mpsc::channel(CHUNKS);
+    let mut response = Response::new(Body::Relayed(rx));
+    *response.status_mut() = answer.head.status;
+    *response.headers_mut() = node.dialect.answer(&answer.head);
+    let run = Run {
+        target,
+        place,
+        connection: answer.connection,
+        body: answer.body,
+        head: answer.head,
+    };
+    let relay = Relay {
+        node,
+        life,
+        tx,
+        scanner: Scanner::new(),
+        held: BytesMut::new(),
+        last: Instant::now(),
+        first: true,
+    };
+    tokio::task::spawn_local(async move {
+        relay.pass(run).await;
+        drop(active);
+    });
+    response
+}
+
+/// A run of the request at one replica.
+struct Run {
+    target: Rc<Target>,
+    place: Place,
+    connection: Connection,
+    body: Incoming,
+    head: http::response::Parts,
+}
+
+/// How passing a run on ended.
+enum End {
+    Whole,
+    Broken,
+    CallerGone,
+    TimedOut,
+}
+
+struct Relay {
+    node: Rc<Node>,
+    life: Life,
+    tx: mpsc::Sender<Result<Bytes, BrokenOff>>,
+    scanner: Scanner,
+    held: BytesMut,
+    last: Instant,
+    first: bool,
+}
+
+impl Relay {
+    async fn pass(mut self, mut run: Run) {
+        loop {
+            let end = self.pass_run(&mut run).await;
+            let replica = run.place.upstream.clone();
+            match end {
+                End::Whole => {
+                    run.target
+                        .pool
+                        .keep(Instant::now(), run.connection, &run.head.headers);
+                    run.place.end(Outcome::Served);
+                    let status = run.head.status.as_u16();
+                    self.life.log_end(&self.node, &replica, status);
+                    return;
+                }
+                End::CallerGone => {
+                    self.log("caller_gone", &replica);
+                    return;
+                }
+                End::TimedOut => {
+                    self.log("timed_out", &replica);
+                    let _ = self.tx.try_send(Err(BrokenOff));
+                    return;
+                }
+                End::Broken => {}
+            }
+            self.log("broke_off", &replica);
+            drop(run.connection);
+            drop(run.body);
+            run.place.end(Outcome::Failed);
+            match self.resume().await {
+                Some(next) => run = next,
+                None => {
+                    let _ = self.tx.send(Err(BrokenOff)).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    fn log(&self, how: &'static str, replica: &str) {
+        self.node.metrics.count(how);
+        self.node.log.line(
+            Weight::Notable,
+            format_args!(
+                "event=stream_ended id={} how={how} replica={replica} after_ms={} last_event={:?}",
+                self.life.call.id,
+                self.life.received.elapsed().as_millis(),
+                self.scanner.last_id()
+            ),
+        );
+    }
+
+    async fn pass_run(&mut self, run: &mut Run) -> End {
+        let node = Rc::clone(&self.node);
+        let route = Rc::clone(&self.life.route);
+        let received = self.life.received;
+        let mut over = std::pin::pin!(timed_out(&node, &route, received));
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = self.tx.closed() => return End::CallerGone,
+                frame = run.body.frame() => frame,
+                () = &mut over => return End::TimedOut,
+                () = self.stuck() => return End::Broken,
+            };
+            let chunk = match frame {
+                None if self.scanner.in_event() => return End::Broken,
+                None => return End::Whole,
+                Some(Err(_)) => return End::Broken,
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            if let Some(chunk) = self.take(run, chunk) {
+                tokio::select! {
+                    sent = self.tx.send(Ok(chunk)) => {
+                        if sent.is_err() {
+                            return End::CallerGone;
+                        }
+                    }
+                    () = &mut over => return End::TimedOut,
+                }
+            }
+        }
+    }
+
+    /// Reads a chunk's events and returns what goes to the caller now.
+    fn take(&mut self, run: &Run, chunk: Bytes) -> Option<Bytes> {
+        let found = self.scanner.read(&chunk);
+        let now = Instant::now();
+        if found.events > 0 {
+            if self.first {
+                run.place.on_first();
+            } else {
+                run.place.on_events(found.events, now - self.last);
+            }
+            self.first = false;
+            self.last = now;
+        }
+        if !self.life.route.kind.repeatable() {
+            return Some(chunk).filter(|c| !c.is_empty());
+        }
+        if found.complete == 0 {
+            self.held.extend_from_slice(&chunk);
+            return None;
+        }
+        let whole = chunk.slice(..found.complete);
+        let rest = chunk.slice(found.complete..);
+        if self.held.is_empty() {
+            self.held.extend_from_slice(&rest);
+            return Some(whole);
+        }
+        self.held.extend_from_slice(&whole);
+        let out = std::mem::take(&mut self.held).freeze();
+        self.held.extend_from_slice(&rest);
+        Some(out)
+    }
+
+    /// Ends when a stream that may be resumed has brought nothing for too long.
+    async fn stuck(&self) {
+        if !self.life.route.kind.repeatable() || self.life.runs >= self.life.route.attempts {
+            return std::future::pending().await;
+        }
+        let pause = self
+            .life
+            .route
+            .longest_pause
+            .max(Duration::from_millis(200));
+        tokio::time::sleep_until(self.last + pause.mul_f64(STUCK_PAUSES)).await;
+    }
+
+    /// Runs the rest of the stream at another replica.
+    async fn resume(&mut self) -> Option<Run> {
+        self.held.clear();
+        self.scanner.forget_unfinished();
+        loop {
+            if self.tx.is_closed() || !self.life.may_repeat(&self.node) {
+                return None;
+            }
+            let place = self.life.place_again(&self.node).await?;
+            let target = self.node.target(&place.upstream)?;
+            self.life.tried.push(place.upstream.clone());
+            self.life.runs += 1;
+            let after = self.scanner.last_id().map(str::to_owned);
+            let after = after.or_else(|| self.life.call.last_event.clone());
+            let fields = self.life.onward(&self.node, &target, after.as_deref());
+            let sent = exchange::send(
+                &target,
+                &*self.node.dialect,
+                &self.life.call.id,
+                &self.life.head,
+                fields,
+                self.life.body.clone(),
+                true,
+            );
+            let answer = tokio::select! {
+                answer = sent => answer,
+                () = self.tx.closed() => return None,
+            };
+            self.last = Instant::now();
+            self.first = true;
+            match answer {
+                Ok(answer) if answer.head.status.is_success() => {
+                    self.log("resumed", &place.upstream);
+                    return Some(Run {
+                        target,
+                        place,
+                        connection: answer.connection,
+                        body: answer.body,
+                        head: answer.head,
+                    });
+                }
+                Ok(_) => place.end(Outcome::Failed),
+                Err(e) => {
+                    if e == exchange::Failure::NotSent {
+                        self.life.runs -= 1;
+                    }
+                    place.end(Outcome::Failed);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/request.rs
@@ -0,0 +1,592 @@
+//! The life of one request: received, admitted, placed, sent, answered.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Request, Response, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use kingcupfield_decisions::dispatch::{Job, Outcome};
+use kingcupfield_decisions::id::{ServiceId, UpstreamId};
+use rand::RngExt as _;
+use tokio::time::{Instant, sleep_until};
+
+use crate::exchange::{self, Answer, Failure};
+use crate::kind::{Kind, Ran, Refusal};
+use crate::log::Weight;
+use crate::metrics::Timing;
+use crate::node::{Node, Place, Stage, Target};
+use crate::port::{Call, Onward};
+use crate::relay::{self, Body};
+use crate::table::{Organisation, Route, Table};
+
+/// Shortest gap after which callers leave a stream, also before its first event: two seconds, four
+/// times the objective or eight times the longest pause, whichever is longest.
+const PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE_OBJECTIVES: f64 = 4.0;
+const PATIENCE_PAUSES: f64 = 8.0;
+
+/// A request is given up while its caller still waits, so that the refusal arrives.
+const BEFORE_PATIENCE_ENDS: f64 = 0.8;
+
+/// Advice on when to come back: bursts last two to five seconds.
+const COME_BACK_S: std::ops::Range<f64> = 1.0..2.5;
+
+/// Advice where the instance knows no table yet or ends: another one answers the next try.
+const COME_BACK_SOON: Duration = Duration::from_millis(300);
+
+/// Longest time for the body of a request to come in.
+const BODY: Duration = Duration::from_secs(10);
+
+/// A request without an answer for this part of its objective is sent elsewhere, if it may be and
+/// the replica brings nothing to anybody.
+const RESCUE_CHECK: Duration = Duration::from_millis(150);
+
+/// A request of a plain service that may be repeated waits for an answer this many times the
+/// objective's half before another replica is tried.
+const PLAIN_RESCUE: f64 = 0.6;
+
+/// One request and what was decided of it.
+#[derive(Debug)]
+pub struct Life {
+    /// The caller's attempt.
+    pub call: Call,
+    /// Head of the request.
+    pub head: Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// When it had come in.
+    pub received: Instant,
+    /// Time for which the machine had been suspended by then.
+    pub suspended: Duration,
+    /// The route in force when it was admitted.
+    pub route: Rc<Route>,
+    /// Who sent it.
+    pub organisation: Option<Rc<Organisation>>,
+    /// The service that it goes to.
+    pub service: ServiceId,
+    /// Replicas that were tried.
+    pub tried: Vec<UpstreamId>,
+    /// Replicas that may have run it.
+    pub runs: u32,
+    cost: f64,
+}
+
+/// Answers one request of a caller.
+pub async fn serve(node: Rc<Node>, req: Request<Incoming>) -> Response<Body> {
+    node.active.set(node.active.get() + 1);
+    let active = Active(Rc::clone(&node));
+    let received = Instant::now();
+    let (head, body) = req.into_parts();
+    let call = node.dialect.call(&head);
+    let result = match read_body(&node, body).await {
+        Ok(body) => admitted(&node, received, head, call.clone(), body, active).await,
+        Err(refusal) => Err(refusal),
+    };
+    let mut response = match result {
+        Ok(response) => response,
+        Err(refusal) => refuse(&node, &call, &refusal),
+    };
+    if node.stage() != Stage::Serving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// Counts a request for as long as it is answered.
+#[derive(Debug)]
+pub struct Active(Rc<Node>);
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+    }
+}
+
+async fn read_body(node: &Node, body: Incoming) -> Result<Bytes, Refusal> {
+    let most = node.table().map_or(1 << 20, |t| t.limits.body_bytes);
+    let collected = tokio::time::timeout(BODY, Limited::new(body, most).collect()).await;
+    match collected {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            Err(Refusal::new(Kind::TooLarge))
+        }
+        _ => Err(Refusal::new(Kind::BadRequest).with_message("the body did not come in whole")),
+    }
+}
+
+async fn admitted(
+    node: &Rc<Node>,
+    received: Instant,
+    head: Parts,
+    call: Call,
+    body: Bytes,
+    active: Active,
+) -> Result<Response<Body>, Refusal> {
+    let Some(table) = node.table() else {
+        return Err(Refusal::new(Kind::Unavailable).with_retry_after(COME_BACK_SOON));
+    };
+    let (route, organisation) = resolve(&table, &head, &call)?;
+    if call.id.is_empty() {
+        return Err(Refusal::new(Kind::BadRequest).with_message("the request has no id"));
+    }
+    let service = pick_service(&route)
+        .ok_or_else(|| Refusal::new(Kind::Unavailable).with_retry_after(COME_BACK_SOON))?;
+    let cost = charge(node, organisation.as_deref(), &call)?;
+    node.repeats
+        .borrow_mut()
+        .on_request(Instant::now(), &service);
+    let life = Life {
+        call,
+        head,
+        body,
+        received,
+        suspended: node.clock.suspended(),
+        route,
+        organisation,
+        service,
+        tried: Vec::new(),
+        runs: 0,
+        cost,
+    };
+    life.run(Rc::clone(node), active).await
+}
+
+/// Finds the route and the organisation of a request in the table.
+fn resolve(
+    table: &Table,
+    head: &Parts,
+    call: &Call,
+) -> Result<(Rc<Route>, Option<Rc<Organisation>>), Refusal> {
+    let host = head
+        .headers
+        .get(header::HOST)
+        .and_then(|h| h.to_str().ok())
+        .or_else(|| head.uri.host())
+        .unwrap_or_default();
+    let route = table
+        .route(host, head.uri.path())
+        .ok_or_else(|| Refusal::new(Kind::NotFound))?;
+    let organisation = call.key.as_deref().and_then(|k| table.organisation(k));
+    if table.keyed() && !route.public && organisation.is_none() {
+        return Err(Refusal::new(Kind::Unauthorized));
+    }
+    Ok((Rc::clone(route), organisation.cloned()))
+}
+
+fn pick_service(route: &Route) -> Option<ServiceId> {
+    let total: u32 = route.targets.iter().map(|(_, weight)| weight).sum();
+    if total == 0 {
+        return route.targets.first().map(|(service, _)| service.clone());
+    }
+    let mut at = rand::rng().random_range(0..total);
+    for (service, weight) in &route.targets {
+        if at < *weight {
+            return Some(service.clone());
+        }
+        at -= weight;
+    }
+    None
+}
+
+fn charge(node: &Node, organisation: Option<&Organisation>, call: &Call) -> Result<f64, Refusal> {
+    let Some(organisation) = organisation else {
+        return Ok(0.0);
+    };
+    let Some(limit) = organisation.limit else {
+        return Ok(0.0);
+    };
+    let cost = if organisation.in_tokens {
+        let tokens = match (call.prompt_tokens, call.output_tokens) {
+            (None, None) => organisation.plain_tokens,
+            (p, o) => p.unwrap_or(0).saturating_add(o.unwrap_or(0)),
+        };
+        f64::from(tokens)
+    } else {
+        1.0
+    };
+    let now = Instant::now();
+    let part = node.peers.borrow().part(now);
+    let taken = node
+        .allowances
+        .borrow_mut()
+        .take(now, &organisation.name, limit, part, cost);
+    match taken {
+        Ok(()) => Ok(cost),
+        Err(seconds) => {
+            let after = seconds.clamp(0.2, 10.0) * rand::rng().random_range(1.0..1.3);
+            Err(Refusal::new(Kind::Limited).with_retry_after(Duration::from_secs_f64(after)))
+        }
+    }
+}
+
+/// Makes the answer of a refusal and tells the log of it.
+fn refuse(node: &Node, call: &Call, refusal: &Refusal) -> Response<Body> {
+    let kind = refusal.kind.answer().name;
+    node.metrics.count(kind);
+    node.log.line(
+        Weight::Notable,
+        format_args!(
+            "event=refused id={} kind={kind} ran={} retry_after_ms={}",
+            call.id,
+            refusal.ran.as_str(),
+            refusal.retry_after.unwrap_or_default().as_millis()
+        ),
+    );
+    let (status, fields) = node.dialect.refusal(Some(&call.id), refusal);
+    let mut response = Response::new(Body::whole(Bytes::new()));
+    *response.status_mut() = status;
+    *response.headers_mut() = fields;
+    response
+}
+
+/// What to do after one send.
+enum Next {
+    Answer(Box<Response<Body>>),
+    Again,
+    Refuse(Refusal),
+}
+
+impl Life {
+    async fn run(mut self, node: Rc<Node>, active: Active) -> Result<Response<Body>, Refusal> {
+        let mut active = Some(active);
+        loop {
+            let timed_out = timed_out(&node, &self.route, self.received);
+            let placed = tokio::select! {
+                placed = node.place(self.job(&node)) => placed,
+                () = timed_out => Err(crate::node::NoPlace::GivenUp),
+            };
+            let Ok(place) = placed else {
+                return Err(self.give_up(&node));
+            };
+            node.metrics.observe(Timing::Wait, self.received.elapsed());
+            self.recheck(&node)?;
+            let Some(target) = node.target(&place.upstream) else {
+                continue;
+            };
+            match self.send(&node, &target, place, &mut active).await {
+                Next::Answer(response) => return Ok(*response),
+                Next::Refuse(refusal) => return Err(refusal),
+                Next::Again => {}
+            }
+        }
+    }
+
+    fn job(&self, node: &Node) -> Job {
+        let stream = self.route.kind.is_stream();
+        let objective = self.route.objective;
+        let patience = if stream {
+            PATIENCE
+                .max(objective.mul_f64(PATIENCE_OBJECTIVES))
+                .max(self.route.longest_pause.mul_f64(PATIENCE_PAUSES))
+        } else {
+            self.route.timeout
+        };
+        let waits = patience.min(self.call.deadline.unwrap_or(patience));
+        let output = self.call.likely_tokens.or(self.call.output_tokens);
+        let own_rank = self.organisation.as_ref().and_then(|o| o.rank);
+        Job {
+            id: node.new_job(),
+            rank: (own_rank.unwrap_or(self.route.rank), self.route.rank),
+            received: self.received,
+            due: self.received + objective,
+            give_up: self.received + waits.mul_f64(BEFORE_PATIENCE_ENDS),
+            service: self.service.clone(),
+            prompt: f64::from(self.call.prompt_tokens.unwrap_or(0)),
+            output: f64::from(output.unwrap_or(0)),
+            longest_pause: if stream {
+                self.route.longest_pause
+            } else {
+                Duration::ZERO
+            },
+            tried: self.tried.clone(),
+        }
+    }
+
+    /// A request that waited is sent by what the table says now: its key or route may be gone.
+    fn recheck(&mut self, node: &Node) -> Result<(), Refusal> {
+        let Some(table) = node.table() else {
+            return Ok(());
+        };
+        let (route, organisation) = resolve(&table, &self.head, &self.call)?;
+        if !route.targets.iter().any(|(s, _)| *s == self.service) && self.runs == 0 {
+            return Err(Refusal::new(Kind::Unavailable).with_retry_after(COME_BACK_SOON));
+        }
+        self.route = route;
+        self.organisation = organisation;
+        Ok(())
+    }
+
+    /// The final answer to a request that got no place in time.
+    fn give_up(&self, node: &Node) -> Refusal {
+        if self.runs > 0 {
+            return Refusal::new(Kind::UpstreamBroke);
+        }
+        self.uncharge(node);
+        let after = rand::rng().random_range(COME_BACK_S);
+        Refusal::new(Kind::Shed).with_retry_after(Duration::from_secs_f64(after))
+    }
+
+    fn uncharge(&self, node: &Node) {
+        if let Some(organisation) = &self.organisation {
+            node.allowances
+                .borrow_mut()
+                .give_back(&organisation.name, self.cost);
+        }
+    }
+
+    /// Time that the caller still waits, counting the time that the machine stood still.
+    pub fn left(&self, node: &Node) -> Duration {
+        let slept = node.clock.suspended().saturating_sub(self.suspended);
+        let passed = self.received.elapsed() + slept;
+        let deadline = self.call.deadline.unwrap_or(self.route.timeout);
+        deadline.min(self.route.timeout).saturating_sub(passed)
+    }
+
+    /// Head fields for the replica.
+    pub fn onward(&self, node: &Node, target: &Target, last_event: Option<&str>) -> HeaderMap {
+        let onward = Onward {
+            replica: &target.published.id,
+            left: Some(self.left(node)),
+            organisation: self.organisation.as_ref().map(|o| &*o.name),
+            last_event,
+        };
+        node.dialect.onward(&self.head, &onward)
+    }
+
+    /// Whether one more replica may be tried after one that may have run the request.
+    pub fn may_repeat(&self, node: &Node) -> bool {
+        self.route.kind.repeatable()
+            && self.runs < self.route.attempts
+            && self.left(node) > Duration::from_millis(100)
+            && self.take_repeat(node)
+    }
+
+    fn take_repeat(&self, node: &Node) -> bool {
+        let instances = node.peers.borrow().known();
+        node.repeats
+            .borrow_mut()
+            .take(Instant::now(), &self.service, instances)
+    }
+
+    async fn send(
+        &mut self,
+        node: &Rc<Node>,
+        target: &Rc<Target>,
+        place: Place,
+        active: &mut Option<Active>,
+    ) -> Next {
+        if self.left(node).is_zero() {
+            place.end(Outcome::Unknown);
+            return Next::Refuse(self.too_late());
+        }
+        let fields = self.onward(node, target, None);
+        self.tried.push(place.upstream.clone());
+        self.runs += 1;
+        let sent = exchange::send(
+            target,
+            &*node.dialect,
+            &self.call.id,
+            &self.head,
+            fields,
+            self.body.clone(),
+            self.route.kind.repeatable(),
+        );
+        let sent = tokio::select! {
+            sent = sent => sent,
+            () = timed_out(node, &self.route, self.received) => {
+                place.end(Outcome::Unknown);
+                return Next::Refuse(self.too_late());
+            }
+            () = self.rescue(&place) => Err(Failure::Broken),
+        };
+        match sent {
+            Ok(answer) => self.answered(node, target, place, answer, active).await,
+            Err(failure) => self.failed(node, place, failure),
+        }
+    }
+
+    /// Ends when the request had better be sent to another replica; never if it may not.
+    async fn rescue(&self, place: &Place) {
+        if !self.route.kind.repeatable() || self.runs >= self.route.attempts {
+            return std::future::pending().await;
+        }
+        let sent = Instant::now();
+        loop {
+            tokio::time::sleep(RESCUE_CHECK).await;
+            let plain = !self.route.kind.is_stream();
+            let slow = sent.elapsed() > self.route.objective.mul_f64(PLAIN_RESCUE);
+            if place.is_silent() || (plain && slow) {
+                return;
+            }
+        }
+    }
+
+    fn failed(&mut self, node: &Node, place: Place, failure: Failure) -> Next {
+        node.metrics.count(failure.as_str());
+        node.log.line(
+            Weight::Notable,
+            format_args!(
+                "event=send_failed id={} replica={} how={} runs={}",
+                self.call.id,
+                place.upstream,
+                failure.as_str(),
+                self.runs
+            ),
+        );
+        match failure {
+            Failure::NotSent => {
+                self.runs -= 1;
+                place.end(Outcome::Unreachable);
+                Next::Again
+            }
+            Failure::Full | Failure::NotRun => {
+                self.runs -= 1;
+                place.end(if failure == Failure::Full {
+                    Outcome::Full
+                } else {
+                    Outcome::Unknown
+                });
+                if self.take_repeat(node) {
+                    Next::Again
+                } else {
+                    Next::Refuse(self.give_up(node))
+                }
+            }
+            Failure::Broken | Failure::Foreign => {
+                place.end(Outcome::Failed);
+                if self.may_repeat(node) {
+                    Next::Again
+                } else {
+                    Next::Refuse(Refusal::new(Kind::UpstreamBroke).with_ran(Ran::Unknown))
+                }
+            }
+        }
+    }
+
+    async fn answered(
+        &mut self,
+        node: &Rc<Node>,
+        target: &Rc<Target>,
+        place: Place,
+        answer: Answer,
+        active: &mut Option<Active>,
+    ) -> Next {
+        if self.route.kind.is_stream() && answer.head.status.is_success() {
+            node.metrics.observe(Timing::First, self.received.elapsed());
+            let life = self.take();
+            let active = active.take();
+            let response = relay::start(
+                Rc::clone(node),
+                life,
+                Rc::clone(target),
+                place,
+                answer,
+                active,
+            );
+            return Next::Answer(Box::new(response));
+        }
+        let Answer {
+            head,
+            body,
+            connection,
+        } = answer;
+        let body = tokio::select! {
+            body = exchange::whole(body) => body,
+            () = timed_out(node, &self.route, self.received) => {
+                return Next::Refuse(self.too_late());
+            }
+        };
+        let Ok(body) = body else {
+            return self.failed(node, place, Failure::Broken);
+        };
+        target.pool.keep(Instant::now(), connection, &head.headers);
+        let failed = head.status.is_server_error();
+        place.end(if failed {
+            Outcome::Failed
+        } else {
+            Outcome::Served
+        });
+        if failed && self.may_repeat(node) {
+            return Next::Again;
+        }
+        self.log_end(node, &target.published.id, head.status.as_u16());
+        let mut response = Response::new(Body::whole(body));
+        *response.status_mut() = head.status;
+        *response.headers_mut() = node.dialect.answer(&head);
+        Next::Answer(Box::new(response))
+    }
+
+    /// Moves this request's life into a relay.
+    fn take(&mut self) -> Life {
+        Life {
+            call: std::mem::take(&mut self.call),
+            head: self.head.clone(),
+            body: self.body.clone(),
+            received: self.received,
+            suspended: self.suspended,
+            route: Rc::clone(&self.route),
+            organisation: self.organisation.clone(),
+            service: self.service.clone(),
+            tried: std::mem::take(&mut self.tried),
+            runs: self.runs,
+            cost: self.cost,
+        }
+    }
+
+    fn too_late(&self) -> Refusal {
+        let ran = if self.runs > 0 { Ran::Unknown } else { Ran::No };
+        Refusal::new(Kind::Deadline).with_ran(ran)
+    }
+
+    /// Tells the log and the metrics how the request ended.
+    pub fn log_end(&self, node: &Node, replica: &str, status: u16) {
+        let whole = self.received.elapsed();
+        node.metrics.observe(Timing::Whole, whole);
+        node.metrics.count("answered");
+        node.log.line(
+            Weight::Ordinary,
+            format_args!(
+                "event=answered id={} replica={replica} status={status} runs={} whole_ms={}",
+                self.call.id,
+                self.runs,
+                whole.as_millis()
+            ),
+        );
+    }
+
+    /// A place for the rest of a stream that broke off.
+    pub async fn place_again(&self, node: &Rc<Node>) -> Option<Place> {
+        let now = Instant::now();
+        let mut job = self.job(node);
+        job.rank = (0, 0);
+        job.due = now + self.route.longest_pause;
+        job.give_up = now + PATIENCE.mul_f64(BEFORE_PATIENCE_ENDS);
+        node.place(job).await.ok()
+    }
+}
+
+/// Ends when the route's time is over, by what the table says at that moment.
+pub async fn timed_out(node: &Rc<Node>, route: &Route, received: Instant) {
+    let mut version = node.version.subscribe();
+    loop {
+        let timeout = node
+            .table()
+            .and_then(|t| t.route(&route.host, &route.prefix).map(|r| r.timeout))
+            .unwrap_or(route.timeout);
+        tokio::select! {
+            () = sleep_until(received + timeout) => return,
+            _ = version.changed() => {}
+        }
+    }
+}
+
+/// An answer without content.
+pub fn empty(status: http::StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,145 @@
+//! Settings of one entry instance: a JSON file, checked as a whole.
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use kingcupfield_decisions::id::{InstanceId, RegionId, ZoneId};
+use kingcupfield_decisions::repeats::RepeatBounds;
+use serde::Deserialize;
+
+/// A settings file that can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// It can't be read.
+    #[error("settings: {0}")]
+    File(#[from] std::io::Error),
+    /// It is not JSON, lacks a field or has one of another type.
+    #[error("settings: {0}")]
+    Format(#[from] serde_json::Error),
+    /// A field's value makes no sense.
+    #[error("settings: {field}: {reason}")]
+    Value {
+        /// The field.
+        field: &'static str,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+/// Settings of an entry instance that forwards calls as they come.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this instance.
+    pub instance: InstanceId,
+    /// Availability zone in which it runs.
+    pub availability_zone: ZoneId,
+    /// Region of the zone.
+    pub region: RegionId,
+    /// Zones and their regions.
+    pub regions_by_zone: std::collections::BTreeMap<String, String>,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address on which readiness is asked for.
+    pub ready_listen: SocketAddr,
+    /// Address for other instances and for operators.
+    pub peer_listen: SocketAddr,
+    /// First port that is free for messages between instances; all use the same.
+    pub peer_port: u16,
+    /// First contacts among the other instances (their `peer_listen`); they may be stale.
+    pub contacts: Vec<SocketAddr>,
+    /// Address of the directory.
+    pub directory: SocketAddr,
+    /// Seconds between the order to stop and the kill.
+    pub grace_s: f64,
+    /// Bounds on requests that are sent to one more replica.
+    pub repeats: RepeatSettings,
+}
+
+/// Bounds on repeats, as the operator gives them.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RepeatSettings {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Seconds over which both are counted.
+    pub window_s: f64,
+    /// Repeats beside the ratio, for all instances together.
+    pub extra: f64,
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        Self::parse(&fs::read_to_string(path)?)
+    }
+
+    /// Reads and checks a text.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let cfg: Self = serde_json::from_str(text)?;
+        cfg.check()?;
+        Ok(cfg)
+    }
+
+    /// This instance's address, by which the others know it.
+    pub fn address(&self) -> Ipv4Addr {
+        match self.listen {
+            SocketAddr::V4(a) => *a.ip(),
+            SocketAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
+        }
+    }
+
+    /// Time between the order to stop and the kill.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s)
+    }
+
+    /// Bounds on repeats.
+    pub fn repeat_bounds(&self) -> RepeatBounds {
+        RepeatBounds {
+            ratio: self.repeats.ratio,
+            window: Duration::from_secs_f64(self.repeats.window_s),
+            extra: self.repeats.extra,
+        }
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        positive("grace_s", self.grace_s)?;
+        positive("repeats.window_s", self.repeats.window_s)?;
+        at_least_zero("repeats.ratio", self.repeats.ratio)?;
+        at_least_zero("repeats.extra", self.repeats.extra)?;
+        if !self.listen.is_ipv4() {
+            return value("listen", "only IPv4 addresses are used");
+        }
+        if self.peer_port == 0 {
+            return value(
+                "peer_port",
+                "all instances use the same port, so it can't be 0",
+            );
+        }
+        Ok(())
+    }
+}
+
+fn positive(field: &'static str, seconds: f64) -> Result<(), SettingsError> {
+    if seconds.is_finite() && seconds > 0.0 {
+        return Ok(());
+    }
+    value(field, "must be above 0")
+}
+
+fn at_least_zero(field: &'static str, number: f64) -> Result<(), SettingsError> {
+    if number.is_finite() && number >= 0.0 {
+        return Ok(());
+    }
+    value(field, "must not be below 0")
+}
+
+fn value<T>(field: &'static str, reason: &str) -> Result<T, SettingsError> {
+    Err(SettingsError::Value {
+        field,
+        reason: reason.to_owned(),
+    })
+}
