Refuse what cannot end before a stopping process does

Cause: where fewer than half of a zone's instances are ready the balancer goes on sending to one that stops.

Change: once connections are being closed, a request is taken only if its most tokens at a slow replica fit before the end; else 503 with when to come back. Ruled out: closing the listener, which leaves callers without an answer.

--- a/crates/entry/src/life.rs
+++ b/crates/entry/src/life.rs
@@ -96,8 +96,9 @@
         Weight::Notable,
         format_args!("event=stopping active={}", node.active.get()),
     );
-    node.stage.send_replace(Stage::Leaving);
     let last = began + node.cfg.grace().saturating_sub(BEFORE_KILL);
+    node.ends_at.set(Some(last));
+    node.stage.send_replace(Stage::Leaving);
     let closing = (began + BALANCER_NOTICES).min(last);
     sleep_until(closing).await;
     node.stage.send_replace(Stage::Closing);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -93,6 +93,8 @@
     pub stage: watch::Sender<Stage>,
     /// The table's version, for those that wait for a change.
     pub version: watch::Sender<u64>,
+    /// When the process ends, once it was told to.
+    pub ends_at: Cell<Option<Instant>>,
     /// Requests being answered.
     pub active: Cell<usize>,
     /// Wakes the timer of waiting requests.
@@ -131,6 +133,7 @@
             reader: RefCell::new(Reader::default()),
             stage: watch::Sender::new(Stage::Serving),
             version: watch::Sender::new(0),
+            ends_at: Cell::new(None),
             active: Cell::new(0),
             waiting: Notify::new(),
             table: RefCell::new(None),
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -37,6 +37,10 @@
 /// Advice where the instance knows no table yet or ends: another one answers the next try.
 const COME_BACK_SOON: Duration = Duration::from_millis(300);
 
+/// Time of a token at a slow replica that is full, and of everything else of a request.
+const SLOW_TOKEN: Duration = Duration::from_millis(30);
+const SLOW_REST: Duration = Duration::from_secs(1);
+
 /// Longest time for the body of a request to come in.
 const BODY: Duration = Duration::from_secs(10);
 
@@ -133,6 +137,9 @@
     if call.id.is_empty() {
         return Err(Refusal::new(Kind::BadRequest).with_message("the request has no id"));
     }
+    if !ends_in_time(node, &call) {
+        return Err(Refusal::new(Kind::Unavailable).with_retry_after(COME_BACK_SOON));
+    }
     let service = pick_service(&route)
         .ok_or_else(|| Refusal::new(Kind::Unavailable).with_retry_after(COME_BACK_SOON))?;
     let cost = charge(node, organisation.as_deref(), &call)?;
@@ -155,6 +162,18 @@
     life.run(Rc::clone(node), active).await
 }
 
+/// Whether the request can end before the process does.
+///
+/// The balancer goes on sending where few instances of a zone are ready. A stream that is begun
+/// shortly before the end would be cut off; another instance can serve it whole.
+fn ends_in_time(node: &Node, call: &Call) -> bool {
+    let Some(end) = node.ends_at.get().filter(|_| node.stage() == Stage::Closing) else {
+        return true;
+    };
+    let needs = SLOW_REST + SLOW_TOKEN * call.output_tokens.unwrap_or(0);
+    Instant::now() + needs < end
+}
+
 /// Finds the route and the organisation of a request in the table.
 fn resolve(
     table: &Table,
