Watch briefly while the store is in trouble

Change: after a failed call a watch waits 0.2 s, else 4.2 s at most. Ruled out: more frequent watches at all times, which are paid for.

--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -20,9 +20,14 @@
 use crate::port::{Listing, Meaning, SourceError};
 use crate::replica::Published;
 
-/// Longest time that one watch waits. Each call is paid for, and a silent connection is noticed
-/// only after this; peers tell sooner that something was missed.
-const WATCH: Duration = Duration::from_secs(6);
+/// Longest time that one watch waits. Each call is paid for; a store that fell silent on an open
+/// connection is noticed only after this, and it must be before its return is held against us,
+/// four seconds after it.
+const WATCH: Duration = Duration::from_millis(4200);
+
+/// Longest time that a watch waits after a call that failed: one that hangs on a silent store would
+/// outlast the store's return by seconds.
+const PROBE: Duration = Duration::from_millis(200);
 
 /// Shortest and longest pause after a call that failed: long enough for a store that counts its
 /// calls, short enough to keep the operator's bound of three seconds on changes.
@@ -93,8 +98,9 @@
             *failures = 0;
             continue;
         }
+        let wait = if *failures > 0 { PROBE } else { WATCH };
         let listing = tokio::select! {
-            listing = node.source.changes(after, WATCH) => listing,
+            listing = node.source.changes(after, wait) => listing,
             () = node.reread.notified() => {
                 // The process stood still: what it was told meanwhile may be lost.
                 node.relist.set(true);
