Leave unreachable replicas alone for longer and long answers to fast ones

Cause: a crashed replica stays listed for three heartbeats; its address answers as another replica. Long answers at slow replicas ran into their deadline.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -41,13 +41,15 @@
     pub received: Instant,
     /// Until when its answer is on time.
     pub due: Instant,
+    /// When its whole answer must have come.
+    pub deadline: Instant,
     /// When its caller is told to come back.
     pub give_up: Instant,
     /// The service that may run it.
     pub service: ServiceId,
     /// Tokens of its prompt.
     pub prompt: f64,
-    /// Most tokens that it generates.
+    /// Tokens that it likely generates.
     pub output: f64,
     /// Longest pause between events that streams of its kind bear; zero for plain requests.
     pub longest_pause: Duration,
@@ -71,7 +73,7 @@
     Served,
     /// The replica failed.
     Failed,
-    /// No connection could be made.
+    /// No connection could be made, or another replica answered in its place.
     Unreachable,
     /// The replica said that it has no room.
     Full,
@@ -200,6 +202,7 @@
     pub fn on_first(&mut self, now: Instant, upstream: &UpstreamId, job: JobId) {
         if let Some(u) = self.find(upstream) {
             u.heard_at = Some(now);
+            u.missed = 0;
             if let Some(r) = u.running.iter_mut().find(|r| r.job == job) {
                 r.prompt = 0.0;
                 r.heard = true;
@@ -226,6 +229,7 @@
         match outcome {
             Outcome::Served => {
                 u.heard_at = Some(now);
+                u.missed = 0;
                 u.pace.on_outcome(now, false);
                 if let Some(since) = since.filter(|_| !u.replica.engine) {
                     u.pace.on_served(now.saturating_duration_since(since));
@@ -301,6 +305,7 @@
         && u.replica.service == job.service
         && u.total() < u.replica.slots * depth
         && !u.shunned(now)
+        && !u.on_trial()
         && !u.silent(now)
         && !job.tried.contains(&u.replica.id)
 }
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -28,11 +28,19 @@
 /// Milliseconds that one stream weighs which is likely to pause beyond its bound by a new prompt.
 const STALL_MS: f64 = 400.0;
 
+/// An answer may well be this many times as long as its caller guessed.
+const LENGTH_DOUBT: f64 = 2.0;
+
 /// A replica that has answered none of its requests for this long is taken to be dead or stuck.
 const SILENT: Duration = Duration::from_millis(900);
 
-/// How long a replica is left alone after a connection to it failed.
-const UNREACHABLE: Duration = Duration::from_millis(1500);
+/// How long a replica is left alone after a connection to it failed or another one answered in its
+/// place. It grows with each failure in a row: a dead replica stays listed for three of its
+/// heartbeats, and each try costs a caller the time of a connection.
+const UNREACHABLE: Duration = Duration::from_millis(1000);
+
+/// Longest time that an unreachable replica is left alone.
+const LONGEST_UNREACHABLE: Duration = Duration::from_secs(4);
 
 /// How long a replica that said that it is full is left alone.
 const FULL: Duration = Duration::from_millis(150);
@@ -77,6 +85,8 @@
     pub(super) prompt_elsewhere: f64,
     pub(super) heard_at: Option<Instant>,
     pub(super) shunned_until: Option<Instant>,
+    /// Failures to reach it in a row.
+    pub(super) missed: u32,
 }
 
 impl Upstream {
@@ -89,6 +99,7 @@
             prompt_elsewhere: 0.0,
             heard_at: None,
             shunned_until: None,
+            missed: 0,
         }
     }
 
@@ -97,7 +108,14 @@
     }
 
     pub(super) fn shun_unreachable(&mut self, now: Instant) {
-        self.shunned_until = Some(now + UNREACHABLE);
+        let pause = UNREACHABLE * 2_u32.saturating_pow(self.missed.min(4));
+        self.missed += 1;
+        self.shunned_until = Some(now + pause.min(LONGEST_UNREACHABLE));
+    }
+
+    /// Whether it is tried again after it could not be reached: by one request at a time.
+    pub(super) fn on_trial(&self) -> bool {
+        self.missed > 0 && !self.running.is_empty()
     }
 
     pub(super) fn shun_full(&mut self, now: Instant) {
@@ -141,7 +159,14 @@
         let read = prompt_steps(job.prompt) * step;
         let queue = self.queue_ms(job);
         let first = FIRST_TOKEN_STEPS * step + read + self.backlog_ms() + queue;
-        travel + first + failing + self.stall_ms(job)
+        travel + first + failing + self.stall_ms(job) + self.late_end_ms(now, job, first)
+    }
+
+    /// By how much a long answer would end after its deadline here.
+    fn late_end_ms(&self, now: Instant, job: &Job, first: f64) -> f64 {
+        let left = job.deadline.saturating_duration_since(now).as_secs_f64() * 1000.0;
+        let whole = first + job.output * LENGTH_DOUBT * self.pace.step_ms();
+        (whole - left).max(0.0)
     }
 
     fn queue_ms(&self, job: &Job) -> f64 {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -312,6 +312,7 @@
             rank: (own_rank.unwrap_or(self.route.rank), self.route.rank),
             received: self.received,
             due: self.received + objective,
+            deadline: Instant::now() + self.left(node),
             give_up: self.received + waits.mul_f64(BEFORE_PATIENCE_ENDS),
             service: self.service.clone(),
             prompt: f64::from(self.call.prompt_tokens.unwrap_or(0)),
@@ -569,10 +570,13 @@
         node.log.line(
             Weight::Ordinary,
             format_args!(
-                "event=answered id={} replica={replica} status={status} runs={} whole_ms={}",
+                "event=answered id={} replica={replica} status={status} runs={} whole_ms={} prompt={} output={} likely={}",
                 self.call.id,
                 self.runs,
-                whole.as_millis()
+                whole.as_millis(),
+                self.call.prompt_tokens.unwrap_or(0),
+                self.call.output_tokens.unwrap_or(0),
+                self.call.likely_tokens.unwrap_or(0),
             ),
         );
     }
