Let one spare request stand at an engine, late requests behind the next tier

Cause: a free place idled until the news came round; requests already late took places from those that could still be on time.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -26,6 +26,16 @@
 /// Number of a request at this instance.
 pub type JobId = u64;
 
+/// Requests that may stand in an engine beyond its slots: news of a free place takes a tenth of a
+/// second to come round, in which the place would idle.
+const ENGINE_SPARE: u32 = 1;
+
+/// Time from a place to the first event at a usual replica: a request is late when less is left.
+const FIRST_EVENT: Duration = Duration::from_millis(200);
+
+/// What a late request is set back by, in halves of a tier.
+const LATE: u32 = 3;
+
 /// Requests that may stand in a plain service's replica for each of its slots: these serve in
 /// tens of milliseconds, so a short queue there costs less than a slot that idles.
 const PLAIN_DEPTH: u32 = 2;
@@ -141,10 +151,7 @@
 
     /// Adds a request.
     pub fn enqueue(&mut self, job: Job) {
-        let at = self
-            .waiting
-            .partition_point(|w| (w.rank, w.received) <= (job.rank, job.received));
-        self.waiting.insert(at, job);
+        self.waiting.push(job);
     }
 
     /// Takes a request out whose caller went away.
@@ -160,21 +167,15 @@
     /// Places as many waiting requests as there is room for.
     pub fn place(&mut self, now: Instant) -> Vec<Placed> {
         let mut placed = Vec::new();
-        for late in [false, true] {
-            let mut at = 0;
-            while at < self.waiting.len() {
-                let job = &self.waiting[at];
-                let is_late = now >= job.due;
-                if is_late != late && self.waiting.len() > 1 {
-                    at += 1;
-                    continue;
+        self.waiting.sort_by_key(|job| turn(now, job));
+        let mut at = 0;
+        while at < self.waiting.len() {
+            match self.choose(now, &self.waiting[at]) {
+                Some(index) => {
+                    let job = self.waiting.remove(at);
+                    placed.push(self.start(now, &job, index));
                 }
-                let Some(index) = self.choose(now, job) else {
-                    at += 1;
-                    continue;
-                };
-                let job = self.waiting.remove(at);
-                placed.push(self.start(now, &job, index));
+                None => at += 1,
             }
         }
         placed
@@ -299,11 +300,21 @@
     }
 }
 
+/// The order in which requests are placed, the lowest first.
+fn turn(now: Instant, job: &Job) -> (u32, u32, Instant) {
+    let late = now + FIRST_EVENT >= job.due;
+    (job.rank.0 * 2 + LATE * u32::from(late), job.rank.1, job.received)
+}
+
 fn fits(now: Instant, u: &Upstream, job: &Job) -> bool {
-    let depth = if u.replica.engine { 1 } else { PLAIN_DEPTH };
+    let room = if u.replica.engine {
+        u.replica.slots + ENGINE_SPARE
+    } else {
+        u.replica.slots * PLAIN_DEPTH
+    };
     u.replica.usable
         && u.replica.service == job.service
-        && u.total() < u.replica.slots * depth
+        && u.total() < room
         && !u.shunned(now)
         && !u.on_trial()
         && !u.silent(now)
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -108,6 +108,8 @@
         held: BytesMut::new(),
         last: Instant::now(),
         first: true,
+        first_after: Duration::ZERO,
+        longest_pause: Duration::ZERO,
     };
     tokio::task::spawn_local(async move {
         relay.pass(run).await;
@@ -141,6 +143,10 @@
     held: BytesMut,
     last: Instant,
     first: bool,
+    /// When the first event had come, from the request's arrival.
+    first_after: Duration,
+    /// Longest time between two events.
+    longest_pause: Duration,
 }
 
 impl Relay {
@@ -155,7 +161,9 @@
                         .keep(Instant::now(), run.connection, &run.head.headers);
                     run.place.end(Outcome::Served);
                     let status = run.head.status.as_u16();
-                    self.life.log_end(&self.node, &replica, status);
+                    let (first, pause) = (self.first_after, self.longest_pause);
+                    self.life
+                        .log_end(&self.node, &replica, status, first, pause);
                     return;
                 }
                 End::CallerGone => {
@@ -235,7 +243,11 @@
         if found.events > 0 {
             if self.first {
                 run.place.on_first();
+                if self.first_after.is_zero() {
+                    self.first_after = self.life.received.elapsed();
+                }
             } else {
+                self.longest_pause = self.longest_pause.max(now - self.last);
                 run.place.on_events(found.events, now - self.last);
             }
             self.first = false;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -75,6 +75,8 @@
     pub tried: Vec<UpstreamId>,
     /// Replicas that may have run it.
     pub runs: u32,
+    /// How long it waited for its last place.
+    pub waited: Duration,
     cost: f64,
 }
 
@@ -157,6 +159,7 @@
         service,
         tried: Vec::new(),
         runs: 0,
+        waited: Duration::ZERO,
         cost,
     };
     life.run(Rc::clone(node), active).await
@@ -281,7 +284,8 @@
             let Ok(place) = placed else {
                 return Err(self.give_up(&node));
             };
-            node.metrics.observe(Timing::Wait, self.received.elapsed());
+            self.waited = self.received.elapsed();
+            node.metrics.observe(Timing::Wait, self.waited);
             self.recheck(&node)?;
             let Some(target) = node.target(&place.upstream) else {
                 continue;
@@ -533,7 +537,9 @@
         if failed && self.may_repeat(node) {
             return Next::Again;
         }
-        self.log_end(node, &target.published.id, head.status.as_u16());
+        let first = self.received.elapsed();
+        let status = head.status.as_u16();
+        self.log_end(node, &target.published.id, status, first, Duration::ZERO);
         let mut response = Response::new(Body::whole(body));
         *response.status_mut() = head.status;
         *response.headers_mut() = node.dialect.answer(&head);
@@ -553,6 +559,7 @@
             service: self.service.clone(),
             tried: std::mem::take(&mut self.tried),
             runs: self.runs,
+            waited: self.waited,
             cost: self.cost,
         }
     }
@@ -563,19 +570,32 @@
     }
 
     /// Tells the log and the metrics how the request ended.
-    pub fn log_end(&self, node: &Node, replica: &str, status: u16) {
+    ///
+    /// `first` is when the first byte of its body had come, `pause` the longest time between two
+    /// events.
+    pub fn log_end(
+        &self,
+        node: &Node,
+        replica: &str,
+        status: u16,
+        first: Duration,
+        pause: Duration,
+    ) {
         let whole = self.received.elapsed();
         node.metrics.observe(Timing::Whole, whole);
         node.metrics.count("answered");
         node.log.line(
             Weight::Ordinary,
             format_args!(
-                "event=answered id={} replica={replica} status={status} runs={} whole_ms={} prompt={} output={} likely={}",
+                "event=answered id={} replica={replica} status={status} runs={} route={} wait_ms={} first_ms={} pause_ms={} whole_ms={} prompt={} likely={}",
                 self.call.id,
                 self.runs,
+                self.route.name,
+                self.waited.as_millis(),
+                first.as_millis(),
+                pause.as_millis(),
                 whole.as_millis(),
                 self.call.prompt_tokens.unwrap_or(0),
-                self.call.output_tokens.unwrap_or(0),
                 self.call.likely_tokens.unwrap_or(0),
             ),
         );
