Order by the route's tier where organisations' tiers are equal

Cause: all organisations of a site have one tier, so that setting late requests back by organisations' tiers put all of them last.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -303,7 +303,8 @@
 /// The order in which requests are placed, the lowest first.
 fn turn(now: Instant, job: &Job) -> (u32, u32, Instant) {
     let late = now + FIRST_EVENT >= job.due;
-    (job.rank.0 * 2 + LATE * u32::from(late), job.rank.1, job.received)
+    let tier = job.rank.1 * 2 + LATE * u32::from(late);
+    (job.rank.0, tier, job.received)
 }
 
 fn fits(now: Instant, u: &Upstream, job: &Job) -> bool {
