Keep a part of an organisation's limit for its urgent work

Change: a request leaves a quarter of the bucket for each more urgent tier, cheap ones excepted; a new bucket is full.

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -21,9 +21,19 @@
     pub burst: f64,
 }
 
-/// The part of the burst that a new bucket holds: what was spent before a restart is not known, and
-/// a fleet that restarts at once must not hand out every burst a second time.
-const FIRST_PART: f64 = 0.5;
+/// The part of the burst that a new bucket holds. What was spent before a restart is not known; the
+/// users allow a quarter above the limit and a slack beside it, which covers one burst twice.
+const FIRST_PART: f64 = 1.0;
+
+/// What a request leaves in the bucket for each more urgent tier: an organisation beyond its limit
+/// gets its urgent work done first, as at a replica that is full.
+const KEPT_BY_TIER: f64 = 0.25;
+
+/// Tiers for which something is kept.
+const MOST_TIERS: u32 = 3;
+
+/// Part of the bucket below which a request is so cheap that nothing is kept from it.
+const CHEAP: f64 = 0.01;
 
 /// How many seconds of the rate a bucket may lie in debt by late reports of the others.
 const MOST_DEBT_S: f64 = 2.0;
@@ -62,13 +72,15 @@
 
     /// Takes `cost` units of the organisation, or says after how many seconds they are there.
     ///
-    /// `part` is the share of the known instances that are heard now, from 0 to 1.
+    /// `part` is the share of the known instances that are heard now, from 0 to 1; `tier` is 0 for
+    /// the most urgent requests.
     pub fn take(
         &mut self,
         now: Instant,
         organisation: &OrganisationId,
         limit: Limit,
         part: f64,
+        tier: u32,
         cost: f64,
     ) -> Result<(), f64> {
         let bucket = self.bucket(now, organisation, limit);
@@ -76,7 +88,12 @@
         // A request larger than the whole bucket would never pass, though it is within the rate
         // over time: it passes once the bucket is full and leaves it in debt.
         let top = limit.burst.max(limit.rate) * part;
-        let wanted = cost.min(top * 0.9);
+        let kept = if cost < top * CHEAP {
+            0.0
+        } else {
+            top * KEPT_BY_TIER * f64::from(tier.min(MOST_TIERS))
+        };
+        let wanted = cost.min(top * 0.9 - kept) + kept;
         if bucket.level < wanted {
             return Err((wanted - bucket.level) / (limit.rate * part).max(f64::MIN_POSITIVE));
         }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -144,7 +144,7 @@
     }
     let service = pick_service(&route)
         .ok_or_else(|| Refusal::new(Kind::Unavailable).with_retry_after(COME_BACK_SOON))?;
-    let cost = charge(node, organisation.as_deref(), &call)?;
+    let cost = charge(node, organisation.as_deref(), &route, &call)?;
     node.repeats
         .borrow_mut()
         .on_request(Instant::now(), &service);
@@ -170,7 +170,11 @@
 /// The balancer goes on sending where few instances of a zone are ready. A stream that is begun
 /// shortly before the end would be cut off; another instance can serve it whole.
 fn ends_in_time(node: &Node, call: &Call) -> bool {
-    let Some(end) = node.ends_at.get().filter(|_| node.stage() == Stage::Closing) else {
+    let Some(end) = node
+        .ends_at
+        .get()
+        .filter(|_| node.stage() == Stage::Closing)
+    else {
         return true;
     };
     let needs = SLOW_REST + SLOW_TOKEN * call.output_tokens.unwrap_or(0);
@@ -214,7 +218,12 @@
     None
 }
 
-fn charge(node: &Node, organisation: Option<&Organisation>, call: &Call) -> Result<f64, Refusal> {
+fn charge(
+    node: &Node,
+    organisation: Option<&Organisation>,
+    route: &Route,
+    call: &Call,
+) -> Result<f64, Refusal> {
     let Some(organisation) = organisation else {
         return Ok(0.0);
     };
@@ -232,10 +241,10 @@
     };
     let now = Instant::now();
     let part = node.peers.borrow().part(now);
-    let taken = node
-        .allowances
-        .borrow_mut()
-        .take(now, &organisation.name, limit, part, cost);
+    let taken =
+        node.allowances
+            .borrow_mut()
+            .take(now, &organisation.name, limit, part, route.rank, cost);
     match taken {
         Ok(()) => Ok(cost),
         Err(seconds) => {
