Tell the zone of each change at once, and let few instances read the store

Change: instances of one zone are told of each change within 4 ms; other zones every 0.1 s, regions more rarely the more there are; one instance a zone reads the store, the others take what changed from a peer; unreachable replicas are told of; an organisation's debt counts over the window of the limit.

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -35,8 +35,9 @@
 /// Part of the bucket below which a request is so cheap that nothing is kept from it.
 const CHEAP: f64 = 0.01;
 
-/// How many seconds of the rate a bucket may lie in debt by late reports of the others.
-const MOST_DEBT_S: f64 = 2.0;
+/// How many seconds of the rate a bucket may lie in debt by late reports of the others: the span
+/// over which the users count, so that what was spent too much at first is made up for in it.
+const MOST_DEBT_S: f64 = 8.0;
 
 #[derive(Debug)]
 struct Bucket {
--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -140,6 +140,21 @@
         }
     }
 
+    /// Replicas that could not be reached just now.
+    pub fn unreachable(&self, now: Instant) -> impl Iterator<Item = &UpstreamId> {
+        self.upstreams
+            .iter()
+            .filter(move |u| u.missed > 0 && u.shunned(now))
+            .map(|u| &u.replica.id)
+    }
+
+    /// Takes a peer's word that a replica could not be reached.
+    pub fn hint_unreachable(&mut self, now: Instant, upstream: &UpstreamId) {
+        if let Some(u) = self.find(upstream) {
+            u.hint_unreachable(now);
+        }
+    }
+
     /// Own requests, their unread prompt tokens and the learned step of each replica.
     pub fn own_load(&self) -> impl Iterator<Item = (&UpstreamId, u32, f64, Option<f64>)> {
         self.upstreams.iter().map(|u| {
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -39,6 +39,12 @@
 /// heartbeats, and each try costs a caller the time of a connection.
 const UNREACHABLE: Duration = Duration::from_millis(1000);
 
+/// How long a replica is left alone on a peer's word, which is repeated while it holds.
+const HINTED: Duration = Duration::from_millis(600);
+
+/// A replica that was heard here this lately is not left alone on a peer's word.
+const HEARD_HERE: Duration = Duration::from_millis(300);
+
 /// Longest time that an unreachable replica is left alone.
 const LONGEST_UNREACHABLE: Duration = Duration::from_secs(4);
 
@@ -113,6 +119,16 @@
         self.shunned_until = Some(now + pause.min(LONGEST_UNREACHABLE));
     }
 
+    /// Takes a peer's word that it could not be reached, unless it was heard here just now.
+    pub(super) fn hint_unreachable(&mut self, now: Instant) {
+        let heard = self
+            .heard_at
+            .is_some_and(|at| now.saturating_duration_since(at) < HEARD_HERE);
+        if !heard && !self.shunned(now) {
+            self.shunned_until = Some(now + HINTED);
+        }
+    }
+
     /// Whether it is tried again after it could not be reached: by one request at a time.
     pub(super) fn on_trial(&self) -> bool {
         self.missed > 0 && !self.running.is_empty()
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -10,6 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use kingcupfield_decisions::known::Revision;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::gossip::{SNAPSHOT_PATH, Snapshot};
@@ -87,18 +88,21 @@
 /// Answers peers and operators.
 pub async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
     serve_small(node, listener, |node, req| match req.uri().path() {
-        SNAPSHOT_PATH => snapshot(node),
+        SNAPSHOT_PATH => snapshot(node, req.uri().query().unwrap_or_default()),
         METRICS_PATH => text(node.metrics.text()),
         _ => request::empty(StatusCode::NOT_FOUND),
     })
     .await;
 }
 
-fn snapshot(node: &Node) -> Response<Full<Bytes>> {
+fn snapshot(node: &Node, after: &str) -> Response<Full<Bytes>> {
+    let after: Revision = after.parse().unwrap_or(0);
     let known = node.known.borrow();
+    let changed = known.entries().iter().filter(|e| e.revision > after);
     let snapshot = Snapshot {
         upto: known.upto(),
-        entries: known.entries().to_vec(),
+        store_trouble: node.reader.borrow().in_trouble(),
+        entries: changed.cloned().collect(),
     };
     match rmp_serde::to_vec(&snapshot) {
         Ok(bytes) => Response::new(Full::new(bytes.into())),
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -45,8 +45,11 @@
 /// A call that failed this lately means that entries may have lapsed by the store's own trouble.
 const TROUBLE: Duration = Duration::from_secs(4);
 
+/// How often an instance looks whether it has to read the store itself.
+const READER_CHECK: Duration = Duration::from_millis(200);
+
 /// Pause between two calls to peers for the directory.
-const ASK_PAUSE: Duration = Duration::from_millis(300);
+const ASK_PAUSE: Duration = Duration::from_millis(30);
 
 #[derive(Debug)]
 struct Read {
@@ -90,11 +93,15 @@
 /// Reads everything once and then each change; ends with the first failure.
 async fn follow(node: &Rc<Node>, failures: &mut usize) -> Result<Infallible, SourceError> {
     loop {
+        while !node.reads() {
+            sleep(READER_CHECK).await;
+        }
         let after = node.known.borrow().upto();
         if after == 0 || node.relist.get() {
             let listing = node.source.list().await?;
             node.relist.set(false);
             take_list(node, listing);
+            node.on_store_answer();
             *failures = 0;
             continue;
         }
@@ -109,6 +116,7 @@
         };
         match listing {
             Ok(listing) => {
+                node.on_store_answer();
                 take_changes(node, listing);
                 *failures = 0;
             }
@@ -148,6 +156,7 @@
         .take_changes(listing.upto, listing.entries);
     if !changed.is_empty() {
         apply(node);
+        node.changed.notify_one();
     }
 }
 
@@ -176,7 +185,7 @@
         return;
     };
     let peer = SocketAddr::from((address, node.cfg.peer_listen.port()));
-    match gossip::fetch(peer).await {
+    match gossip::fetch(peer, upto).await {
         Ok(snapshot) => {
             node.log.line(
                 Weight::Notable,
@@ -185,6 +194,9 @@
                     snapshot.upto
                 ),
             );
+            if snapshot.store_trouble {
+                node.reader.borrow_mut().failed_at = Some(Instant::now());
+            }
             take_snapshot(node, snapshot.upto, snapshot.entries);
         }
         Err(e) => node.log.line(
@@ -201,8 +213,9 @@
     if upto <= node.known.borrow().upto() {
         return;
     }
-    node.known.borrow_mut().take_list(upto, entries);
+    node.known.borrow_mut().take_changes(upto, entries);
     apply(node);
+    node.changed.notify_one();
 }
 
 /// Puts what is known into force.
@@ -212,9 +225,7 @@
     {
         let known = node.known.borrow();
         let mut reader = node.reader.borrow_mut();
-        let trouble = reader
-            .failed_at
-            .is_some_and(|at| now.saturating_duration_since(at) < TROUBLE);
+        let trouble = reader.in_trouble();
         for entry in known.entries() {
             reader.take(node, now, entry, trouble);
         }
@@ -233,6 +244,11 @@
 }
 
 impl Reader {
+    /// Whether a call to the store has failed lately.
+    pub fn in_trouble(&self) -> bool {
+        self.failed_at.is_some_and(|at| at.elapsed() < TROUBLE)
+    }
+
     fn take(&mut self, node: &Node, now: Instant, entry: &Entry, trouble: bool) {
         let found = self.read.binary_search_by(|r| r.key.cmp(&entry.key));
         if found.is_ok_and(|at| self.read[at].revision >= entry.revision) {
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -9,22 +9,27 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use kingcupfield_decisions::known::Entry;
+use kingcupfield_decisions::known::{Entry, Revision};
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpStream, UdpSocket};
-use tokio::time::{Instant, interval, timeout};
+use tokio::time::{Instant, interval, sleep, timeout};
 
 use crate::directory;
 use crate::log::Weight;
 use crate::node::{Node, Stage};
-use crate::peers::{Digest, Load, short_name};
+use crate::peers::{Digest, Load, Nearness, ShortName, short_name};
 
-/// Time between messages in a small fleet while the load changes: a place at a replica is held
+/// Time between messages to the other zones while the load changes: a place at a replica is held
 /// for about a second, so a count is a tenth of that old.
 const SHORTEST: Duration = Duration::from_millis(100);
 
-/// Instances for each of which the time grows, so that a large fleet does not drown in messages.
-const SMALL_FLEET: usize = 10;
+/// Shortest time between two messages within the zone, whose instances use the same replicas and
+/// are told of each change at once.
+const ZONE_GAP: Duration = Duration::from_millis(4);
+
+/// Instances in other regions for each of which the time grows, so that a large fleet does not
+/// spend its bytes between regions on messages.
+const FEW_FAR: usize = 8;
 
 /// Time between messages at rest.
 const AT_REST: Duration = Duration::from_secs(1);
@@ -42,12 +47,14 @@
 /// Path at which an instance tells what it knows of the directory.
 pub const SNAPSHOT_PATH: &str = "/directory";
 
-/// What an instance tells of the directory.
+/// What an instance tells of the directory, to one that knows it up to a revision.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Snapshot {
     /// Revision up to which it is complete.
     pub upto: u64,
-    /// All entries, also the removed ones.
+    /// Whether the store has failed calls lately, so that entries may have lapsed by its own trouble.
+    pub store_trouble: bool,
+    /// Entries that changed since, also the removed ones.
     pub entries: Vec<Entry>,
 }
 
@@ -57,77 +64,160 @@
     tokio::task::spawn_local(receive(Rc::clone(&node), Rc::clone(&socket)));
     let mut sender = Sender {
         incarnation,
-        last_loads: Vec::new(),
+        zone: short_name(&node.cfg.availability_zone),
+        region: short_name(&node.cfg.region),
+        last_loads: [Vec::new(), Vec::new(), Vec::new()],
+        last_spent: Vec::new(),
         full_at: None,
     };
     let mut ticks = interval(SHORTEST);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut tick = 0_usize;
     loop {
-        ticks.tick().await;
-        tick += 1;
-        node.peers.borrow_mut().forget(Instant::now());
-        take_loads(&node);
-        sender.send(&node, &socket, tick);
+        tokio::select! {
+            _ = ticks.tick() => {
+                tick += 1;
+                node.peers.borrow_mut().forget(Instant::now());
+                take_loads(&node);
+                node.pump();
+                sender.send_tick(&node, &socket, tick);
+            }
+            () = node.changed.notified() => {
+                sender.send(&node, &socket, Nearness::Zone, false);
+                sleep(ZONE_GAP).await;
+            }
+        }
     }
 }
 
 struct Sender {
     incarnation: u64,
-    last_loads: Vec<Load>,
+    zone: ShortName,
+    region: ShortName,
+    /// What each nearness was told last.
+    last_loads: [Vec<Load>; 3],
+    last_spent: Vec<(ShortName, u64)>,
     full_at: Option<Instant>,
 }
 
 impl Sender {
-    fn send(&mut self, node: &Node, socket: &UdpSocket, tick: usize) {
+    fn send_tick(&mut self, node: &Node, socket: &UdpSocket, tick: usize) {
         let now = Instant::now();
-        let known = node.peers.borrow().all().len() + 1;
-        let every = known.div_ceil(SMALL_FLEET);
         let full = self
             .full_at
             .is_none_or(|at| now.saturating_duration_since(at) >= AT_REST);
-        if !tick.is_multiple_of(every) && !full {
-            return;
+        if full {
+            self.full_at = Some(now);
+        }
+        self.send(node, socket, Nearness::Zone, full);
+        self.send(node, socket, Nearness::Region, full);
+        let far = self.receivers(node, now, Nearness::Far, false).len();
+        if full || tick.is_multiple_of(far.div_ceil(FEW_FAR).max(1)) {
+            self.send(node, socket, Nearness::Far, full);
         }
+    }
+
+    /// Tells the instances of one nearness what has changed, or everything.
+    fn send(&mut self, node: &Node, socket: &UdpSocket, nearness: Nearness, full: bool) {
+        let now = Instant::now();
         let loads = own_loads(node);
-        if !full && loads == self.last_loads {
+        if !full && loads == self.last_loads[nearness as usize] {
+            return;
+        }
+        let receivers = self.receivers(node, now, nearness, full);
+        if receivers.is_empty() {
             return;
         }
         let digest = self.digest(node, loads, full);
         let Ok(message) = rmp_serde::to_vec(&digest) else {
             return;
         };
-        self.last_loads = digest.loads;
-        if full {
-            self.full_at = Some(now);
-        }
-        for address in receivers(node, now, full) {
+        self.last_loads[nearness as usize] = digest.loads;
+        for address in receivers {
             let to = SocketAddr::from((address, node.cfg.peer_port));
             // A message that can't be sent now is replaced by the next one.
             let _ = socket.try_send_to(&message, to);
         }
     }
 
-    fn digest(&self, node: &Node, loads: Vec<Load>, full: bool) -> Digest {
+    fn digest(&mut self, node: &Node, loads: Vec<Load>, full: bool) -> Digest {
+        let spent = own_spent(node);
+        let changed = if full {
+            spent.clone()
+        } else {
+            let last = &self.last_spent;
+            spent
+                .iter()
+                .filter(|s| !last.contains(s))
+                .copied()
+                .collect()
+        };
         let mut digest = Digest {
             incarnation: self.incarnation,
+            zone: self.zone,
+            region: self.region,
             upto: node.known.borrow().upto(),
+            store_age_ms: node.store_age().map(|age| age.as_millis() as u32),
             leaving: node.stage() == Stage::Closing,
+            unreachable: own_unreachable(node),
             loads,
-            spent: node
-                .allowances
-                .borrow()
-                .spent()
-                .map(|(name, spent)| (short_name(name), spent))
-                .collect(),
+            spent: changed,
             ..Digest::default()
         };
         if full {
             digest.steps = own_steps(node);
             digest.members = fresh_members(node);
+            self.last_spent = spent;
         }
         digest
     }
+
+    /// Those that are heard, and now and then those that are not, with the first contacts.
+    fn receivers(
+        &self,
+        node: &Node,
+        now: Instant,
+        nearness: Nearness,
+        full: bool,
+    ) -> Vec<Ipv4Addr> {
+        let peers = node.peers.borrow();
+        let mut to: Vec<Ipv4Addr> = peers
+            .all()
+            .iter()
+            .filter(|p| full || p.is_fresh(now))
+            .filter(|p| p.nearness(self.zone, self.region) == nearness)
+            .map(|p| p.address)
+            .collect();
+        let lonely = peers.fresh(now) == 1;
+        if nearness == Nearness::Region && (full || lonely) {
+            for contact in &node.cfg.contacts {
+                if let SocketAddr::V4(a) = contact {
+                    let known = peers.all().iter().any(|p| p.address == *a.ip());
+                    if !known {
+                        to.push(*a.ip());
+                    }
+                }
+            }
+        }
+        to.sort_unstable();
+        to.dedup();
+        to.retain(|a| *a != node.cfg.address());
+        to
+    }
+}
+
+fn own_spent(node: &Node) -> Vec<(ShortName, u64)> {
+    node.allowances
+        .borrow()
+        .spent()
+        .map(|(name, spent)| (short_name(name), spent.max(0.0) as u64))
+        .collect()
+}
+
+fn own_unreachable(node: &Node) -> Vec<ShortName> {
+    let now = Instant::now();
+    let dispatch = node.dispatch.borrow();
+    dispatch.unreachable(now).map(|id| short_name(id)).collect()
 }
 
 fn own_loads(node: &Node) -> Vec<Load> {
@@ -158,28 +248,6 @@
     fresh.map(|p| p.address).collect()
 }
 
-/// Those that are heard, and now and then those that are not, with the first contacts.
-fn receivers(node: &Node, now: Instant, full: bool) -> Vec<Ipv4Addr> {
-    let peers = node.peers.borrow();
-    let mut to: Vec<Ipv4Addr> = peers
-        .all()
-        .iter()
-        .filter(|p| full || p.is_fresh(now))
-        .map(|p| p.address)
-        .collect();
-    if full || to.is_empty() {
-        for contact in &node.cfg.contacts {
-            if let SocketAddr::V4(a) = contact {
-                to.push(*a.ip());
-            }
-        }
-    }
-    to.sort_unstable();
-    to.dedup();
-    to.retain(|a| *a != node.cfg.address());
-    to
-}
-
 async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; 64 * 1024];
     loop {
@@ -203,6 +271,7 @@
     let now = Instant::now();
     let upto = digest.upto;
     let steps = digest.steps.clone();
+    let unreachable = digest.unreachable.clone();
     let heard = node.peers.borrow_mut().on_digest(now, from, digest);
     if heard.is_new {
         node.log.line(
@@ -215,15 +284,30 @@
             if let Some(organisation) = table.organisation_by_short_name(name) {
                 node.allowances
                     .borrow_mut()
-                    .on_spent_elsewhere(organisation, cost);
+                    .on_spent_elsewhere(organisation, cost as f64);
             }
         }
     }
     take_steps(node, &steps);
+    take_unreachable(node, &unreachable);
     take_loads(node);
     node.pump();
     if upto > node.known.borrow().upto() {
-        directory::ask_peers_later(node, BEHIND);
+        let pause = if node.reads() { BEHIND } else { Duration::ZERO };
+        directory::ask_peers_later(node, pause);
+    }
+}
+
+fn take_unreachable(node: &Node, unreachable: &[ShortName]) {
+    if unreachable.is_empty() {
+        return;
+    }
+    let now = Instant::now();
+    for target in node.targets() {
+        let id = &target.published.id;
+        if unreachable.contains(&short_name(id)) {
+            node.dispatch.borrow_mut().hint_unreachable(now, id);
+        }
     }
 }
 
@@ -251,13 +335,13 @@
 }
 
 /// Asks a peer for what it knows of the directory.
-pub async fn fetch(peer: SocketAddr) -> std::io::Result<Snapshot> {
-    timeout(FETCH, fetch_now(peer))
+pub async fn fetch(peer: SocketAddr, after: Revision) -> std::io::Result<Snapshot> {
+    timeout(FETCH, fetch_now(peer, after))
         .await
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?
 }
 
-async fn fetch_now(peer: SocketAddr) -> std::io::Result<Snapshot> {
+async fn fetch_now(peer: SocketAddr, after: Revision) -> std::io::Result<Snapshot> {
     let stream = TcpStream::connect(peer).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
@@ -267,7 +351,9 @@
         let _ = connection.await;
     });
     let mut req = Request::new(Full::<Bytes>::default());
-    *req.uri_mut() = http::Uri::from_static(SNAPSHOT_PATH);
+    *req.uri_mut() = format!("{SNAPSHOT_PATH}?{after}")
+        .parse()
+        .map_err(std::io::Error::other)?;
     let response = sender
         .send_request(req)
         .await
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -16,7 +16,7 @@
 use crate::directory::Reader;
 use crate::log::{Log, Weight};
 use crate::metrics::Metrics;
-use crate::peers::Peers;
+use crate::peers::{Peers, short_name};
 use crate::pool::Pool;
 use crate::port::{Dialect, Source};
 use crate::replica::Published;
@@ -30,6 +30,10 @@
 /// the users, counted as time: both firms pay for them by volume.
 const ROUND_TRIP_REGION: Duration = Duration::from_millis(120);
 
+/// An instance that the store has not answered for this long does not count as one that reads it: a
+/// watch waits for four seconds at most.
+const STORE_LOST: Duration = Duration::from_millis(5500);
+
 /// Where a process stands in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
@@ -85,6 +89,8 @@
     pub dispatch: RefCell<Dispatch>,
     /// Wakes the reader of the directory.
     pub reread: Notify,
+    /// Wakes the sender of messages to the zone.
+    pub changed: Notify,
     /// Whether the directory is to be read whole.
     pub relist: Cell<bool>,
     /// What was read of the directory.
@@ -99,6 +105,7 @@
     pub active: Cell<usize>,
     /// Wakes the timer of waiting requests.
     pub waiting: Notify,
+    store_answered: Cell<Option<Instant>>,
     table: RefCell<Option<Rc<Table>>>,
     targets: RefCell<Vec<Rc<Target>>>,
     waiters: RefCell<Vec<(JobId, oneshot::Sender<Verdict>)>>,
@@ -129,7 +136,9 @@
             peers: RefCell::new(Peers::new(now, cfg.address(), !cfg.contacts.is_empty())),
             dispatch: RefCell::new(Dispatch::new()),
             reread: Notify::new(),
+            changed: Notify::new(),
             relist: Cell::new(false),
+            store_answered: Cell::new(None),
             reader: RefCell::new(Reader::default()),
             stage: watch::Sender::new(Stage::Serving),
             version: watch::Sender::new(0),
@@ -159,6 +168,22 @@
         self.stage() == Stage::Serving && self.table.borrow().is_some()
     }
 
+    /// Notes that the store answered.
+    pub fn on_store_answer(&self) {
+        self.store_answered.set(Some(Instant::now()));
+    }
+
+    /// How long ago the store answered last, if it ever did.
+    pub fn store_age(&self) -> Option<Duration> {
+        self.store_answered.get().map(|at| at.elapsed())
+    }
+
+    /// Whether this instance reads the store itself.
+    pub fn reads(&self) -> bool {
+        let zone = short_name(&self.cfg.availability_zone);
+        self.peers.borrow().reads(Instant::now(), zone, STORE_LOST)
+    }
+
     /// Puts a newer table in force; an older one is ignored.
     pub fn set_table(&self, table: Rc<Table>) {
         let held = self.table.borrow().as_ref().map_or(0, |t| t.version);
@@ -250,6 +275,9 @@
         let now = Instant::now();
         loop {
             let placed = self.dispatch.borrow_mut().place(now);
+            if !placed.is_empty() {
+                self.changed.notify_one();
+            }
             let mut lost = Vec::new();
             for p in placed {
                 if !self.tell(p.job, Ok(p.upstream.clone())) {
@@ -287,6 +315,7 @@
         self.dispatch
             .borrow_mut()
             .on_end(Instant::now(), upstream, job, outcome);
+        self.changed.notify_one();
     }
 
     fn replica(&self, published: &Published) -> Replica {
@@ -360,6 +389,7 @@
     pub fn on_first(&self) {
         let mut dispatch = self.node.dispatch.borrow_mut();
         dispatch.on_first(Instant::now(), &self.upstream, self.job);
+        self.node.changed.notify_one();
     }
 
     /// Notes events of the stream, and the time since the ones before.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -24,6 +24,9 @@
 /// instance that starts behind a cut then spends its share alone.
 const ASSUMED: usize = 7;
 
+/// Instances that read the store at least, in a fleet of one zone.
+const READERS: usize = 2;
+
 /// Short name of a replica or organisation in messages.
 pub type ShortName = u32;
 
@@ -50,12 +53,20 @@
     pub incarnation: u64,
     /// Revision up to which it knows the directory.
     pub upto: Revision,
+    /// Its availability zone.
+    pub zone: ShortName,
+    /// Its region.
+    pub region: ShortName,
+    /// Milliseconds since the store last answered it, if it ever did.
+    pub store_age_ms: Option<u32>,
     /// Whether it is about to end.
     pub leaving: bool,
+    /// Replicas that it could not reach just now.
+    pub unreachable: Vec<ShortName>,
     /// Its load at replicas; those that are missing have none.
     pub loads: Vec<Load>,
-    /// What it has spent of each organisation since it started.
-    pub spent: Vec<(ShortName, f64)>,
+    /// What it has spent of organisations since it started; those that are missing have not changed.
+    pub spent: Vec<(ShortName, u64)>,
     /// Microseconds a step that it has learned of replicas; not in every message.
     pub steps: Vec<(ShortName, u32)>,
     /// Instances that it has heard lately; not in every message.
@@ -75,6 +86,19 @@
     pub told: Option<Instant>,
     /// What it said last.
     pub digest: Digest,
+    /// What it has spent of each organisation in this life.
+    spent: Vec<(ShortName, u64)>,
+}
+
+/// How near another instance is, which decides how often it is told of loads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Nearness {
+    /// In the same availability zone.
+    Zone,
+    /// In another zone of the region, or not known yet.
+    Region,
+    /// In another region.
+    Far,
 }
 
 impl Peer {
@@ -84,6 +108,43 @@
             .is_some_and(|at| now.saturating_duration_since(at) < SILENT)
     }
 
+    /// How near it is to an instance of this zone and region.
+    pub fn nearness(&self, zone: ShortName, region: ShortName) -> Nearness {
+        if self.heard.is_none() {
+            return Nearness::Region;
+        }
+        if self.digest.zone == zone {
+            return Nearness::Zone;
+        }
+        if self.digest.region == region {
+            return Nearness::Region;
+        }
+        Nearness::Far
+    }
+
+    /// Takes totals and returns by how much they have grown.
+    fn take_spent(
+        &mut self,
+        totals: &[(ShortName, u64)],
+        first_word: bool,
+    ) -> Vec<(ShortName, u64)> {
+        let mut more = Vec::new();
+        for (name, total) in totals {
+            let known = match self.spent.binary_search_by(|(n, _)| n.cmp(name)) {
+                Ok(at) => &mut self.spent[at].1,
+                Err(at) => {
+                    self.spent.insert(at, (*name, 0));
+                    &mut self.spent[at].1
+                }
+            };
+            if *total > *known && !first_word {
+                more.push((*name, *total - *known));
+            }
+            *known = *total;
+        }
+        more
+    }
+
     fn is_forgotten(&self, now: Instant) -> bool {
         let last = self.heard.unwrap_or(self.since);
         now.saturating_duration_since(last) >= FORGOTTEN
@@ -94,7 +155,7 @@
 #[derive(Debug, Default)]
 pub struct Heard {
     /// Spending that was not known before.
-    pub spent: Vec<(ShortName, f64)>,
+    pub spent: Vec<(ShortName, u64)>,
     /// Whether the instance is new or started anew, so that it should be answered.
     pub is_new: bool,
 }
@@ -160,6 +221,7 @@
                 since: now,
                 told: None,
                 digest: Digest::default(),
+                spent: Vec::new(),
             };
             self.peers.insert(at, peer);
         }
@@ -184,7 +246,12 @@
         let peer = &mut self.peers[at];
         let same_life = peer.digest.incarnation == digest.incarnation;
         let is_new = !same_life || !peer.is_fresh(now);
-        let spent = more_spent(&peer.digest, &digest, same_life, peer.heard.is_some());
+        // The first word of an instance that has run for long says nothing of now.
+        let first_word = peer.heard.is_none();
+        if !same_life {
+            peer.spent.clear();
+        }
+        let spent = peer.take_spent(&digest.spent, first_word);
         digest.upto = digest.upto.max(peer.digest.upto);
         peer.digest = digest;
         peer.heard = Some(now);
@@ -217,30 +284,32 @@
             .max_by_key(|p| p.digest.upto)
     }
 
+    /// Whether this instance is one of the few that read the store, so that the others need not.
+    ///
+    /// The first of each zone reads, and the first two of all. Whoever hears nobody that reads, reads.
+    pub fn reads(&self, now: Instant, zone: ShortName, lost: Duration) -> bool {
+        let mut before_in_zone = 0;
+        let mut before_in_all = 0;
+        let mut served = 0;
+        for peer in self.peers.iter().filter(|p| p.is_fresh(now)) {
+            let age = peer
+                .digest
+                .store_age_ms
+                .map(|ms| Duration::from_millis(u64::from(ms)));
+            if age.is_none_or(|age| age > lost) {
+                continue;
+            }
+            served += 1;
+            if peer.address < self.own {
+                before_in_all += 1;
+                before_in_zone += usize::from(peer.digest.zone == zone);
+            }
+        }
+        served == 0 || before_in_zone == 0 || before_in_all < READERS
+    }
+
     /// How long this instance has run.
     pub fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.started)
     }
 }
-
-fn more_spent(
-    before: &Digest,
-    digest: &Digest,
-    same_life: bool,
-    heard: bool,
-) -> Vec<(ShortName, f64)> {
-    let mut more = Vec::new();
-    for (name, total) in &digest.spent {
-        let known = before.spent.iter().find(|(n, _)| n == name);
-        let base = match known {
-            Some((_, known)) if same_life => *known,
-            // The first word of an instance that has run for long says nothing of now.
-            _ if !heard => continue,
-            _ => 0.0,
-        };
-        if (*total - base).abs() > f64::EPSILON {
-            more.push((*name, *total - base));
-        }
-    }
-    more
-}
