Greet new instances at once and tell them what is left of limits

Change: who is heard for the first time is told everything at once; a starting instance takes its peers' word on what is left; messages between regions are whole only every 8 s.

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -21,10 +21,6 @@
     pub burst: f64,
 }
 
-/// The part of the burst that a new bucket holds. What was spent before a restart is not known; the
-/// users allow a quarter above the limit and a slack beside it, which covers one burst twice.
-const FIRST_PART: f64 = 1.0;
-
 /// What a request leaves in the bucket for each more urgent tier: an organisation beyond its limit
 /// gets its urgent work done first, as at a replica that is full.
 const KEPT_BY_TIER: f64 = 0.25;
@@ -84,7 +80,7 @@
         tier: u32,
         cost: f64,
     ) -> Result<(), f64> {
-        let bucket = self.bucket(now, organisation, limit);
+        let bucket = self.bucket(now, organisation, limit, part);
         bucket.fill(now, part);
         // A request larger than the whole bucket would never pass, though it is within the rate
         // over time: it passes once the bucket is full and leaves it in debt.
@@ -119,6 +115,26 @@
         }
     }
 
+    /// Takes a peer's word on what is left, at an instance that started just now.
+    ///
+    /// Without it each instance of a rolling restart would begin with a full bucket, and an
+    /// organisation far beyond its limit would spend it once more at each.
+    pub fn adopt(
+        &mut self,
+        now: Instant,
+        organisation: &OrganisationId,
+        limit: Limit,
+        level: f64,
+    ) {
+        let bucket = self.bucket(now, organisation, limit, 1.0);
+        bucket.level = bucket.level.min(level);
+    }
+
+    /// What is left of each organisation's limit, as this instance sees it.
+    pub fn levels(&self) -> impl Iterator<Item = (&OrganisationId, f64)> {
+        self.buckets.iter().map(|b| (&b.organisation, b.level))
+    }
+
     /// What this instance has spent of each organisation since it started.
     pub fn spent(&self) -> impl Iterator<Item = (&OrganisationId, f64)> {
         self.buckets.iter().map(|b| (&b.organisation, b.spent))
@@ -132,7 +148,13 @@
         Some(&mut self.buckets[at])
     }
 
-    fn bucket(&mut self, now: Instant, organisation: &OrganisationId, limit: Limit) -> &mut Bucket {
+    fn bucket(
+        &mut self,
+        now: Instant,
+        organisation: &OrganisationId,
+        limit: Limit,
+        part: f64,
+    ) -> &mut Bucket {
         let found = self
             .buckets
             .binary_search_by(|b| b.organisation.cmp(organisation));
@@ -142,7 +164,7 @@
                 let bucket = Bucket {
                     organisation: organisation.clone(),
                     limit,
-                    level: limit.burst.max(limit.rate) * FIRST_PART,
+                    level: limit.burst.max(limit.rate) * part,
                     at: now,
                     spent: 0.0,
                 };
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -17,6 +17,7 @@
 use crate::directory;
 use crate::log::Weight;
 use crate::node::{Node, Stage};
+use crate::table::Table;
 use crate::peers::{Digest, Load, Nearness, ShortName, short_name};
 
 /// Time between messages to the other zones while the load changes: a place at a replica is held
@@ -31,9 +32,16 @@
 /// spend its bytes between regions on messages.
 const FEW_FAR: usize = 8;
 
+/// Time between messages to other regions that tell everything: who is there and how fast replicas
+/// are changes slowly, and bytes between regions are paid for.
+const FAR_FULL: Duration = Duration::from_secs(8);
+
 /// Time between messages at rest.
 const AT_REST: Duration = Duration::from_secs(1);
 
+/// For this long after its start an instance takes its peers' word on what is left of limits.
+const LEARNS_LEVELS: Duration = Duration::from_secs(2);
+
 /// How long the directory may take to tell what a peer already knows, before the peer is asked.
 const BEHIND: Duration = Duration::from_millis(250);
 
@@ -67,8 +75,9 @@
         zone: short_name(&node.cfg.availability_zone),
         region: short_name(&node.cfg.region),
         last_loads: [Vec::new(), Vec::new(), Vec::new()],
-        last_spent: Vec::new(),
+        last_spent: [Vec::new(), Vec::new(), Vec::new()],
         full_at: None,
+        far_full_at: None,
     };
     let mut ticks = interval(SHORTEST);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -82,8 +91,9 @@
                 node.pump();
                 sender.send_tick(&node, &socket, tick);
             }
+            () = node.greeting.notified() => sender.greet(&node, &socket),
             () = node.changed.notified() => {
-                sender.send(&node, &socket, Nearness::Zone, false);
+                sender.send(&node, &socket, Nearness::Zone, Kind::Change);
                 sleep(ZONE_GAP).await;
             }
         }
@@ -96,11 +106,40 @@
     region: ShortName,
     /// What each nearness was told last.
     last_loads: [Vec<Load>; 3],
-    last_spent: Vec<(ShortName, u64)>,
+    last_spent: [Vec<(ShortName, u64)>; 3],
     full_at: Option<Instant>,
+    far_full_at: Option<Instant>,
+}
+
+/// What a message is sent for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    /// The load has changed.
+    Change,
+    /// To show that the instance lives.
+    Heartbeat,
+    /// To tell everything, also to those that are silent.
+    Full,
 }
 
 impl Sender {
+    /// Tells everything to instances that have just become known: a fleet that starts at once is
+    /// whole after a few round trips instead of some seconds.
+    fn greet(&mut self, node: &Node, socket: &UdpSocket) {
+        let now = Instant::now();
+        let to = std::mem::take(&mut *node.greet.borrow_mut());
+        let digest = self.digest(node, own_loads(node), Nearness::Region, true);
+        let Ok(message) = rmp_serde::to_vec(&digest) else {
+            return;
+        };
+        for address in to {
+            node.peers.borrow_mut().on_told(now, address);
+            let to = SocketAddr::from((address, node.cfg.peer_port));
+            // The next message to everybody reaches it otherwise.
+            let _ = socket.try_send_to(&message, to);
+        }
+    }
+
     fn send_tick(&mut self, node: &Node, socket: &UdpSocket, tick: usize) {
         let now = Instant::now();
         let full = self
@@ -109,26 +148,31 @@
         if full {
             self.full_at = Some(now);
         }
-        self.send(node, socket, Nearness::Zone, full);
-        self.send(node, socket, Nearness::Region, full);
+        let kind = if full { Kind::Full } else { Kind::Change };
+        self.send(node, socket, Nearness::Zone, kind);
+        self.send(node, socket, Nearness::Region, kind);
         let far = self.receivers(node, now, Nearness::Far, false).len();
-        if full || tick.is_multiple_of(far.div_ceil(FEW_FAR).max(1)) {
-            self.send(node, socket, Nearness::Far, full);
+        if full && self.far_full_at.is_none_or(|at| now - at >= FAR_FULL) {
+            self.far_full_at = Some(now);
+            self.send(node, socket, Nearness::Far, Kind::Full);
+        } else if full || tick.is_multiple_of(far.div_ceil(FEW_FAR).max(1)) {
+            let kind = if full { Kind::Heartbeat } else { Kind::Change };
+            self.send(node, socket, Nearness::Far, kind);
         }
     }
 
     /// Tells the instances of one nearness what has changed, or everything.
-    fn send(&mut self, node: &Node, socket: &UdpSocket, nearness: Nearness, full: bool) {
+    fn send(&mut self, node: &Node, socket: &UdpSocket, nearness: Nearness, kind: Kind) {
         let now = Instant::now();
         let loads = own_loads(node);
-        if !full && loads == self.last_loads[nearness as usize] {
+        if kind == Kind::Change && loads == self.last_loads[nearness as usize] {
             return;
         }
-        let receivers = self.receivers(node, now, nearness, full);
+        let receivers = self.receivers(node, now, nearness, kind != Kind::Change);
         if receivers.is_empty() {
             return;
         }
-        let digest = self.digest(node, loads, full);
+        let digest = self.digest(node, loads, nearness, kind == Kind::Full);
         let Ok(message) = rmp_serde::to_vec(&digest) else {
             return;
         };
@@ -140,17 +184,13 @@
         }
     }
 
-    fn digest(&mut self, node: &Node, loads: Vec<Load>, full: bool) -> Digest {
+    fn digest(&mut self, node: &Node, loads: Vec<Load>, nearness: Nearness, full: bool) -> Digest {
         let spent = own_spent(node);
+        let last = std::mem::replace(&mut self.last_spent[nearness as usize], spent.clone());
         let changed = if full {
-            spent.clone()
-        } else {
-            let last = &self.last_spent;
             spent
-                .iter()
-                .filter(|s| !last.contains(s))
-                .copied()
-                .collect()
+        } else {
+            spent.into_iter().filter(|s| !last.contains(s)).collect()
         };
         let mut digest = Digest {
             incarnation: self.incarnation,
@@ -166,8 +206,8 @@
         };
         if full {
             digest.steps = own_steps(node);
+            digest.levels = own_levels(node);
             digest.members = fresh_members(node);
-            self.last_spent = spent;
         }
         digest
     }
@@ -214,6 +254,14 @@
         .collect()
 }
 
+fn own_levels(node: &Node) -> Vec<(ShortName, i64)> {
+    node.allowances
+        .borrow()
+        .levels()
+        .map(|(name, level)| (short_name(name), level as i64))
+        .collect()
+}
+
 fn own_unreachable(node: &Node) -> Vec<ShortName> {
     let now = Instant::now();
     let dispatch = node.dispatch.borrow();
@@ -272,6 +320,7 @@
     let upto = digest.upto;
     let steps = digest.steps.clone();
     let unreachable = digest.unreachable.clone();
+    let levels = digest.levels.clone();
     let heard = node.peers.borrow_mut().on_digest(now, from, digest);
     if heard.is_new {
         node.log.line(
@@ -284,9 +333,16 @@
             if let Some(organisation) = table.organisation_by_short_name(name) {
                 node.allowances
                     .borrow_mut()
-                    .on_spent_elsewhere(organisation, cost as f64);
+                    .on_spent_elsewhere(&organisation.name, cost as f64);
             }
         }
+        if node.peers.borrow().age(now) < LEARNS_LEVELS {
+            take_levels(node, &table, &levels);
+        }
+    }
+    if !heard.greet.is_empty() {
+        node.greet.borrow_mut().extend(heard.greet);
+        node.greeting.notify_one();
     }
     take_steps(node, &steps);
     take_unreachable(node, &unreachable);
@@ -298,6 +354,20 @@
     }
 }
 
+fn take_levels(node: &Node, table: &Table, levels: &[(ShortName, i64)]) {
+    let now = Instant::now();
+    for (name, level) in levels {
+        let Some(organisation) = table.organisation_by_short_name(*name) else {
+            continue;
+        };
+        if let Some(limit) = organisation.limit {
+            node.allowances
+                .borrow_mut()
+                .adopt(now, &organisation.name, limit, *level as f64);
+        }
+    }
+}
+
 fn take_unreachable(node: &Node, unreachable: &[ShortName]) {
     if unreachable.is_empty() {
         return;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,6 +1,7 @@
 //! What one entry instance knows and does, shared by its tasks.
 
 use std::cell::{Cell, RefCell};
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -89,6 +90,10 @@
     pub dispatch: RefCell<Dispatch>,
     /// Wakes the reader of the directory.
     pub reread: Notify,
+    /// Instances that are to be told everything at once.
+    pub greet: RefCell<Vec<Ipv4Addr>>,
+    /// Wakes the sender of messages to new instances.
+    pub greeting: Notify,
     /// Wakes the sender of messages to the zone.
     pub changed: Notify,
     /// Whether the directory is to be read whole.
@@ -136,6 +141,8 @@
             peers: RefCell::new(Peers::new(now, cfg.address(), !cfg.contacts.is_empty())),
             dispatch: RefCell::new(Dispatch::new()),
             reread: Notify::new(),
+            greet: RefCell::new(Vec::new()),
+            greeting: Notify::new(),
             changed: Notify::new(),
             relist: Cell::new(false),
             store_answered: Cell::new(None),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -20,6 +20,9 @@
 /// so that the two sides of a cut never spend the same share.
 const FORGOTTEN: Duration = Duration::from_secs(60);
 
+/// An instance that was told everything this lately is not told again when its first word comes.
+const GREETED: Duration = Duration::from_millis(500);
+
 /// Instances that are assumed while none was ever heard: about what the firms run today. An
 /// instance that starts behind a cut then spends its share alone.
 const ASSUMED: usize = 7;
@@ -69,6 +72,8 @@
     pub spent: Vec<(ShortName, u64)>,
     /// Microseconds a step that it has learned of replicas; not in every message.
     pub steps: Vec<(ShortName, u32)>,
+    /// What it sees as left of organisations' limits; not in every message.
+    pub levels: Vec<(ShortName, i64)>,
     /// Instances that it has heard lately; not in every message.
     pub members: Vec<Ipv4Addr>,
 }
@@ -82,7 +87,7 @@
     pub heard: Option<Instant>,
     /// When it became known.
     pub since: Instant,
-    /// When it was written to last.
+    /// When it was told everything last.
     pub told: Option<Instant>,
     /// What it said last.
     pub digest: Digest,
@@ -156,8 +161,10 @@
 pub struct Heard {
     /// Spending that was not known before.
     pub spent: Vec<(ShortName, u64)>,
-    /// Whether the instance is new or started anew, so that it should be answered.
+    /// Whether the instance is new or started anew.
     pub is_new: bool,
+    /// Instances that should be told everything at once.
+    pub greet: Vec<Ipv4Addr>,
 }
 
 /// The other instances, sorted by address.
@@ -185,11 +192,6 @@
         &self.peers
     }
 
-    /// The other instances, to note that they were written to.
-    pub fn all_mut(&mut self) -> &mut [Peer] {
-        &mut self.peers
-    }
-
     /// Number of instances that are known, with this one.
     pub fn known(&self) -> usize {
         let known = self.peers.len() + 1;
@@ -210,9 +212,11 @@
     }
 
     /// Makes an instance known by its address.
-    pub fn learn(&mut self, now: Instant, address: Ipv4Addr) {
+    ///
+    /// Returns whether it was not known before.
+    pub fn learn(&mut self, now: Instant, address: Ipv4Addr) -> bool {
         if address == self.own {
-            return;
+            return false;
         }
         if let Err(at) = self.peers.binary_search_by(|p| p.address.cmp(&address)) {
             let peer = Peer {
@@ -224,6 +228,15 @@
                 spent: Vec::new(),
             };
             self.peers.insert(at, peer);
+            return true;
+        }
+        false
+    }
+
+    /// Notes that an instance was told everything.
+    pub fn on_told(&mut self, now: Instant, address: Ipv4Addr) {
+        if let Ok(at) = self.peers.binary_search_by(|p| p.address.cmp(&address)) {
+            self.peers[at].told = Some(now);
         }
     }
 
@@ -232,8 +245,11 @@
         if from == self.own {
             return Heard::default();
         }
+        let mut greet = Vec::new();
         for member in std::mem::take(&mut digest.members) {
-            self.learn(now, member);
+            if self.learn(now, member) {
+                greet.push(member);
+            }
         }
         self.learn(now, from);
         let Ok(at) = self.peers.binary_search_by(|p| p.address.cmp(&from)) else {
@@ -255,7 +271,15 @@
         digest.upto = digest.upto.max(peer.digest.upto);
         peer.digest = digest;
         peer.heard = Some(now);
-        Heard { spent, is_new }
+        let told = peer.told.is_some_and(|at| now.saturating_duration_since(at) < GREETED);
+        if is_new && !told {
+            greet.push(from);
+        }
+        Heard {
+            spent,
+            is_new,
+            greet,
+        }
     }
 
     /// Forgets the instances that are gone.
--- a/crates/entry/src/table.rs
+++ b/crates/entry/src/table.rs
@@ -108,7 +108,7 @@
     routes: Vec<Rc<Route>>,
     services: Vec<Service>,
     keys: Vec<(String, Rc<Organisation>)>,
-    short_names: Vec<(ShortName, OrganisationId)>,
+    short_names: Vec<(ShortName, Rc<Organisation>)>,
     keyed: bool,
 }
 
@@ -129,12 +129,11 @@
         let mut short_names = Vec::new();
         for (organisation, held) in organisations.into_iter().flatten() {
             let organisation = Rc::new(organisation);
-            let name = organisation.name.clone();
-            short_names.push((short_name(&name), name));
+            short_names.push((short_name(&organisation.name), Rc::clone(&organisation)));
             keys.extend(held.into_iter().map(|key| (key, Rc::clone(&organisation))));
         }
         keys.sort_by(|a, b| a.0.cmp(&b.0));
-        short_names.sort();
+        short_names.sort_by_key(|(short, _)| *short);
         Self {
             version,
             limits,
@@ -166,7 +165,7 @@
     }
 
     /// The organisation that peers mean by a short name.
-    pub fn organisation_by_short_name(&self, name: ShortName) -> Option<&OrganisationId> {
+    pub fn organisation_by_short_name(&self, name: ShortName) -> Option<&Rc<Organisation>> {
         let at = self
             .short_names
             .binary_search_by(|(short, _)| short.cmp(&name))
