--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -21,6 +21,10 @@
     pub burst: f64,
 }
 
+/// The part of the burst that a new bucket holds: what was spent before a start is not known. The
+/// instances of a fleet that starts at once hear each other within some tenths of a second.
+const FIRST_PART: f64 = 0.6;
+
 /// What a request leaves in the bucket for each more urgent tier: an organisation beyond its limit
 /// gets its urgent work done first, as at a replica that is full.
 const KEPT_BY_TIER: f64 = 0.25;
@@ -80,7 +84,7 @@
         tier: u32,
         cost: f64,
     ) -> Result<(), f64> {
-        let bucket = self.bucket(now, organisation, limit, part);
+        let bucket = self.bucket(now, organisation, limit);
         bucket.fill(now, part);
         // A request larger than the whole bucket would never pass, though it is within the rate
         // over time: it passes once the bucket is full and leaves it in debt.
@@ -119,14 +123,8 @@
     ///
     /// Without it each instance of a rolling restart would begin with a full bucket, and an
     /// organisation far beyond its limit would spend it once more at each.
-    pub fn adopt(
-        &mut self,
-        now: Instant,
-        organisation: &OrganisationId,
-        limit: Limit,
-        level: f64,
-    ) {
-        let bucket = self.bucket(now, organisation, limit, 1.0);
+    pub fn adopt(&mut self, now: Instant, organisation: &OrganisationId, limit: Limit, level: f64) {
+        let bucket = self.bucket(now, organisation, limit);
         bucket.level = bucket.level.min(level);
     }
 
@@ -148,13 +146,7 @@
         Some(&mut self.buckets[at])
     }
 
-    fn bucket(
-        &mut self,
-        now: Instant,
-        organisation: &OrganisationId,
-        limit: Limit,
-        part: f64,
-    ) -> &mut Bucket {
+    fn bucket(&mut self, now: Instant, organisation: &OrganisationId, limit: Limit) -> &mut Bucket {
         let found = self
             .buckets
             .binary_search_by(|b| b.organisation.cmp(organisation));
@@ -164,7 +156,7 @@
                 let bucket = Bucket {
                     organisation: organisation.clone(),
                     limit,
-                    level: limit.burst.max(limit.rate) * part,
+                    level: limit.burst.max(limit.rate) * FIRST_PART,
                     at: now,
                     spent: 0.0,
                 };
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -17,8 +17,8 @@
 use crate::directory;
 use crate::log::Weight;
 use crate::node::{Node, Stage};
-use crate::table::Table;
 use crate::peers::{Digest, Load, Nearness, ShortName, short_name};
+use crate::table::Table;
 
 /// Time between messages to the other zones while the load changes: a place at a replica is held
 /// for about a second, so a count is a tenth of that old.
@@ -206,7 +206,9 @@
         };
         if full {
             digest.steps = own_steps(node);
-            digest.levels = own_levels(node);
+            if node.peers.borrow().age(Instant::now()) > LEARNS_LEVELS {
+                digest.levels = own_levels(node);
+            }
             digest.members = fresh_members(node);
         }
         digest
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -271,7 +271,9 @@
         digest.upto = digest.upto.max(peer.digest.upto);
         peer.digest = digest;
         peer.heard = Some(now);
-        let told = peer.told.is_some_and(|at| now.saturating_duration_since(at) < GREETED);
+        let told = peer
+            .told
+            .is_some_and(|at| now.saturating_duration_since(at) < GREETED);
         if is_new && !told {
             greet.push(from);
         }
