--- /dev/null
+++ b/crates/decisions/tests/allowance.rs
@@ -0,0 +1,135 @@
+//! Limits of organisations over a fleet whose instances tell each other what they spent.
+
+use std::time::Duration;
+
+use kingcupfield_decisions::allowance::{Allowances, Limit};
+use kingcupfield_decisions::id::OrganisationId;
+use tokio::time::Instant;
+use yare::parameterized;
+
+const LIMIT: Limit = Limit {
+    rate: 47_000.0,
+    burst: 65_000.0,
+};
+const COST: f64 = 4_000.0;
+const STEP: Duration = Duration::from_millis(20);
+/// Span over which the users count.
+const WINDOW: Duration = Duration::from_secs(8);
+
+struct Case {
+    instances: usize,
+    /// Requests of the organisation a second at each instance.
+    rate: u32,
+    /// Time between two reports of an instance.
+    report: Duration,
+    /// Whether the instances hear each other.
+    cut: bool,
+}
+
+fn admitted(case: &Case) -> Vec<(Instant, f64)> {
+    let organisation: OrganisationId = "hot".into();
+    let start = Instant::now();
+    let mut fleet: Vec<Allowances> = (0..case.instances).map(|_| Allowances::new()).collect();
+    let mut unreported = vec![0.0; case.instances];
+    let part = if case.cut {
+        1.0 / case.instances as f64
+    } else {
+        1.0
+    };
+    let each = Duration::from_secs(1) / case.rate;
+    let mut admitted = Vec::new();
+    let mut step = 0;
+    while STEP * step < Duration::from_secs(24) {
+        let now = start + STEP * step;
+        for (at, allowances) in fleet.iter_mut().enumerate() {
+            let due = (STEP * step).as_millis() / each.as_millis();
+            let before = (STEP * step.saturating_sub(1)).as_millis() / each.as_millis();
+            if due != before
+                && allowances
+                    .take(now, &organisation, LIMIT, part, 0, COST)
+                    .is_ok()
+            {
+                admitted.push((now, COST));
+                unreported[at] += COST;
+            }
+        }
+        if !case.cut
+            && (STEP * step)
+                .as_millis()
+                .is_multiple_of(case.report.as_millis())
+        {
+            report(&mut fleet, &mut unreported, &organisation);
+        }
+        step += 1;
+    }
+    admitted
+}
+
+fn report(fleet: &mut [Allowances], unreported: &mut [f64], organisation: &OrganisationId) {
+    for from in 0..fleet.len() {
+        let spent = std::mem::take(&mut unreported[from]);
+        for (to, allowances) in fleet.iter_mut().enumerate() {
+            if to != from {
+                allowances.on_spent_elsewhere(organisation, spent);
+            }
+        }
+    }
+}
+
+/// One organisation sends many times its limit through all instances at once. What runs in any
+/// eight seconds stays within a quarter of the limit; if each instance counted for itself the
+/// organisation would get its limit seven times and the others' drafts would be late.
+#[parameterized(
+    heard_at_once = { Case { instances: 7, rate: 10, report: Duration::from_millis(100), cut: false } },
+    heard_late = { Case { instances: 7, rate: 10, report: Duration::from_millis(600), cut: false } },
+    each_cut_off = { Case { instances: 7, rate: 10, report: Duration::from_millis(100), cut: true } },
+    many_instances = { Case { instances: 40, rate: 2, report: Duration::from_millis(400), cut: false } },
+)]
+fn a_hot_organisation_keeps_to_its_limit(case: Case) {
+    let admitted = admitted(&case);
+    let bound = (LIMIT.rate * WINDOW.as_secs_f64() + LIMIT.burst) * 1.25 + 190_000.0;
+    for (from, _) in &admitted {
+        let spent: f64 = admitted
+            .iter()
+            .filter(|(at, _)| at >= from && *at < *from + WINDOW)
+            .map(|(_, cost)| cost)
+            .sum();
+        assert!(spent <= bound, "{spent} in a window, {bound} allowed");
+    }
+    let all: f64 = admitted.iter().map(|(_, cost)| cost).sum();
+    assert!(
+        all > LIMIT.rate * 24.0 * 0.7,
+        "only {all} of the limit was given out"
+    );
+}
+
+/// An organisation beyond its limit sends urgent drafts and cheap briefs in equal parts. The
+/// drafts go first; without that a planner is refused beside a brief that nobody waits for.
+#[test]
+fn urgent_work_goes_first_within_a_limit() {
+    let organisation: OrganisationId = "hot".into();
+    let start = Instant::now();
+    let mut allowances = Allowances::new();
+    let mut admitted = [0_u32; 2];
+    for step in 0..1000 {
+        let now = start + STEP * step;
+        for (at, tier) in [(1, 2), (0, 0)] {
+            let taken = allowances.take(now, &organisation, LIMIT, 1.0, tier, COST);
+            admitted[at] += u32::from(taken.is_ok());
+        }
+    }
+    assert!(admitted[0] > admitted[1] * 3, "{admitted:?}");
+}
+
+/// All instances of a rolling restart start with what their peers say is left. With full buckets
+/// a hot organisation would get its burst once more at each of them.
+#[test]
+fn a_started_instance_takes_its_peers_word() {
+    let organisation: OrganisationId = "hot".into();
+    let now = Instant::now();
+    let mut allowances = Allowances::new();
+    allowances.adopt(now, &organisation, LIMIT, -10_000.0);
+    let taken = allowances.take(now, &organisation, LIMIT, 1.0, 0, COST);
+    let wait = taken.expect_err("nothing is left");
+    assert!((0.2..1.0).contains(&wait), "{wait}");
+}
--- /dev/null
+++ b/crates/decisions/tests/dispatch.rs
@@ -0,0 +1,186 @@
+//! Which request goes next and where, judged by what is placed.
+
+use std::time::Duration;
+
+use kingcupfield_decisions::dispatch::{Dispatch, Job, JobId, Outcome, Replica};
+use tokio::time::Instant;
+use yare::parameterized;
+
+const SLOTS: u32 = 6;
+
+fn replica(id: &str, round_trip: u64) -> Replica {
+    Replica {
+        id: id.into(),
+        born: 1,
+        service: "drafting".into(),
+        slots: SLOTS,
+        round_trip: Duration::from_millis(round_trip),
+        engine: true,
+        tokens_per_event: 2,
+        usable: true,
+    }
+}
+
+fn job(id: JobId, tier: u32, now: Instant) -> Job {
+    Job {
+        id,
+        rank: (1, tier),
+        received: now,
+        due: now + Duration::from_millis(1200),
+        deadline: now + Duration::from_secs(15),
+        give_up: now + Duration::from_secs(4),
+        service: "drafting".into(),
+        prompt: 2000.0,
+        output: 120.0,
+        longest_pause: Duration::from_millis(300),
+        tried: Vec::new(),
+    }
+}
+
+fn learn_step(dispatch: &mut Dispatch, now: Instant, id: &str, step_ms: u64) {
+    for _ in 0..10 {
+        dispatch.on_events(now, &id.into(), 1, Duration::from_millis(step_ms * 2));
+    }
+}
+
+fn fill(dispatch: &mut Dispatch, now: Instant, requests: u64) {
+    for id in 0..requests {
+        dispatch.enqueue(job(1000 + id, 0, now));
+    }
+    dispatch.place(now);
+}
+
+struct Order {
+    /// Tiers of the waiting requests, in order of arrival, and whether each is late by now.
+    waiting: Vec<(u32, bool)>,
+    /// Which of them get the places that come free, one after the other.
+    expected: Vec<JobId>,
+}
+
+/// A burst fills all engines and work of all tiers waits. Urgent work goes first, and a request
+/// whose objective has passed stands behind the next tier's that can still be on time, but before
+/// the tier after that; else a planner's late draft would hold up rotas that are not late yet.
+#[parameterized(
+    urgent_first = { Order { waiting: vec![(2, false), (1, false), (0, false)], expected: vec![2, 1, 0] } },
+    in_order_within_a_tier = { Order { waiting: vec![(1, false), (1, false)], expected: vec![0, 1] } },
+    late_behind_next_tier = { Order { waiting: vec![(0, true), (1, false)], expected: vec![1, 0] } },
+    late_before_lowest = { Order { waiting: vec![(2, false), (0, true)], expected: vec![1, 0] } },
+)]
+fn places_go_in_the_right_order(case: Order) {
+    let now = Instant::now();
+    let mut dispatch = Dispatch::new();
+    dispatch.set_replicas(&[replica("a", 0)]);
+    fill(&mut dispatch, now, u64::from(SLOTS) + 1);
+    for (id, (tier, late)) in case.waiting.iter().enumerate() {
+        let mut job = job(id as JobId, *tier, now + Duration::from_millis(id as u64));
+        if *late {
+            job.due = now;
+        }
+        dispatch.enqueue(job);
+    }
+    let mut order = Vec::new();
+    for ended in 0..case.expected.len() as u64 {
+        let later = now + Duration::from_millis(10 + ended);
+        dispatch.on_end(later, &"a".into(), 1000 + ended, Outcome::Served);
+        order.extend(dispatch.place(later).into_iter().map(|p| p.job));
+    }
+    assert_eq!(order, case.expected);
+}
+
+struct Choice {
+    /// Milliseconds a token step of the replicas `a` and `b`.
+    steps: [u64; 2],
+    /// Requests that others have there.
+    elsewhere: [u32; 2],
+    prompt: f64,
+    output: f64,
+    expected: &'static str,
+}
+
+/// Two thirds of the engines are four times as fast as the rest. Sent by numbers alone, a long
+/// prompt stops the streams of a slow engine for longer than their callers bear, and a long answer
+/// ends after its deadline there.
+#[parameterized(
+    faster_when_equal = { Choice { steps: [5, 23], elsewhere: [0, 0], prompt: 1000.0, output: 100.0, expected: "a" } },
+    slow_when_fast_is_full = { Choice { steps: [5, 23], elsewhere: [7, 0], prompt: 1000.0, output: 100.0, expected: "b" } },
+    less_loaded_when_equal = { Choice { steps: [5, 5], elsewhere: [6, 2], prompt: 1000.0, output: 100.0, expected: "b" } },
+    long_prompt_to_fast = { Choice { steps: [23, 5], elsewhere: [2, 6], prompt: 30_000.0, output: 100.0, expected: "b" } },
+    long_answer_to_fast = { Choice { steps: [23, 5], elsewhere: [0, 6], prompt: 500.0, output: 900.0, expected: "b" } },
+)]
+fn a_request_goes_where_it_is_served_best(case: Choice) {
+    let now = Instant::now();
+    let mut dispatch = Dispatch::new();
+    dispatch.set_replicas(&[replica("a", 0), replica("b", 0)]);
+    for (at, id) in ["a", "b"].into_iter().enumerate() {
+        learn_step(&mut dispatch, now, id, case.steps[at]);
+        dispatch.set_elsewhere(&id.into(), case.elsewhere[at], 0.0);
+    }
+    let mut job = job(1, 0, now);
+    job.prompt = case.prompt;
+    job.output = case.output;
+    dispatch.enqueue(job);
+    let placed = dispatch.place(now);
+    assert_eq!(&*placed[0].upstream, case.expected);
+}
+
+/// A crashed replica stays listed for seconds, and each request that is sent there costs its caller
+/// the time of a connection. After the first failure it is left alone, then tried by one request
+/// at a time, and it is used again as soon as that one is answered.
+#[test]
+fn an_unreachable_replica_is_tried_by_one_at_a_time() {
+    let now = Instant::now();
+    let mut dispatch = Dispatch::new();
+    dispatch.set_replicas(&[replica("a", 0)]);
+    dispatch.enqueue(job(1, 0, now));
+    assert_eq!(dispatch.place(now).len(), 1);
+    dispatch.on_end(now, &"a".into(), 1, Outcome::Unreachable);
+    dispatch.enqueue(job(2, 0, now));
+    dispatch.enqueue(job(3, 0, now));
+    assert!(dispatch.place(now + Duration::from_millis(500)).is_empty());
+    let later = now + Duration::from_millis(1100);
+    assert_eq!(dispatch.place(later).len(), 1);
+    dispatch.on_first(later, &"a".into(), 2);
+    assert_eq!(dispatch.place(later).len(), 1);
+}
+
+/// A replica takes requests and answers none. Its requests can't be told from slow ones at first;
+/// once it has brought nothing for a second it gets no more.
+#[test]
+fn a_silent_replica_gets_no_more_work() {
+    let now = Instant::now();
+    let mut dispatch = Dispatch::new();
+    dispatch.set_replicas(&[replica("a", 0), replica("b", 120)]);
+    dispatch.enqueue(job(1, 0, now));
+    assert_eq!(&*dispatch.place(now)[0].upstream, "a");
+    let later = now + Duration::from_secs(2);
+    assert!(dispatch.is_silent(later, &"a".into()));
+    dispatch.enqueue(job(2, 0, later));
+    assert_eq!(&*dispatch.place(later)[0].upstream, "b");
+}
+
+/// A replica that is leaving finishes what it has and gets nothing new, though its entry is there.
+#[test]
+fn a_leaving_replica_gets_nothing_new() {
+    let now = Instant::now();
+    let mut dispatch = Dispatch::new();
+    let mut leaving = replica("a", 0);
+    leaving.usable = false;
+    dispatch.set_replicas(&[leaving]);
+    dispatch.enqueue(job(1, 0, now));
+    assert!(dispatch.place(now).is_empty());
+    assert_eq!(dispatch.give_up(now + Duration::from_secs(4)), [1]);
+}
+
+/// A replica is killed and starts again under its name. What was learned and counted of its former
+/// life says nothing of the new one.
+#[test]
+fn a_new_life_starts_without_load() {
+    let now = Instant::now();
+    let mut dispatch = Dispatch::new();
+    dispatch.set_replicas(&[replica("a", 0)]);
+    fill(&mut dispatch, now, 20);
+    let mut again = replica("a", 0);
+    again.born = 2;
+    dispatch.set_replicas(&[again]);
+    assert_eq!(dispatch.place(now).len(), SLOTS as usize + 1);
+}
