--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -37,7 +37,7 @@
 /// How long a replica is left alone after a connection to it failed or another one answered in its
 /// place. It grows with each failure in a row: a dead replica stays listed for three of its
 /// heartbeats, and each try costs a caller the time of a connection.
-const UNREACHABLE: Duration = Duration::from_millis(1000);
+const UNREACHABLE: Duration = Duration::from_secs(1);
 
 /// How long a replica is left alone on a peer's word, which is repeated while it holds.
 const HINTED: Duration = Duration::from_millis(600);
--- a/crates/decisions/src/known.rs
+++ b/crates/decisions/src/known.rs
@@ -60,11 +60,11 @@
     }
 
     /// Takes changes that follow what is known, up to `upto`; returns the keys that changed.
-    pub fn take_changes(&mut self, upto: Revision, changes: Vec<Entry>) -> Vec<String> {
+    pub fn take_changes(&mut self, upto: Revision, entries: Vec<Entry>) -> Vec<String> {
         let mut changed = Vec::new();
-        for change in changes {
-            if self.take(change.clone()) {
-                changed.push(change.key);
+        for entry in entries {
+            if self.take(entry.clone()) {
+                changed.push(entry.key);
             }
         }
         self.upto = self.upto.max(upto);
--- a/crates/decisions/tests/allowance.rs
+++ b/crates/decisions/tests/allowance.rs
@@ -66,8 +66,8 @@
 }
 
 fn report(fleet: &mut [Allowances], unreported: &mut [f64], organisation: &OrganisationId) {
-    for from in 0..fleet.len() {
-        let spent = std::mem::take(&mut unreported[from]);
+    for (from, unreported) in unreported.iter_mut().enumerate() {
+        let spent = std::mem::take(unreported);
         for (to, allowances) in fleet.iter_mut().enumerate() {
             if to != from {
                 allowances.on_spent_elsewhere(organisation, spent);
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -86,7 +86,7 @@
         };
         let req = request(head, fields.clone(), body.clone());
         match connection.sender.try_send_request(req).await {
-            Ok(response) => return judge(dialect, id, response, connection).await,
+            Ok(response) => return judge(dialect, id, response, connection),
             // The connection was closed before anything was written: a new one is tried.
             Err(mut e) => match e.take_message() {
                 Some(_) if was_kept => {}
@@ -105,7 +105,7 @@
         .map_err(|_| Failure::Broken)
 }
 
-async fn judge(
+fn judge(
     dialect: &dyn Dialect,
     id: &str,
     response: Response<Incoming>,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -18,7 +18,7 @@
 
 /// An instance that was not heard for this long is gone: longer than any cut that the users see,
 /// so that the two sides of a cut never spend the same share.
-const FORGOTTEN: Duration = Duration::from_secs(60);
+const FORGOTTEN: Duration = Duration::from_mins(1);
 
 /// An instance that was told everything this lately is not told again when its first word comes.
 const GREETED: Duration = Duration::from_millis(500);
@@ -172,7 +172,7 @@
 pub struct Peers {
     own: Ipv4Addr,
     has_contacts: bool,
-    peers: Vec<Peer>,
+    others: Vec<Peer>,
     started: Instant,
 }
 
@@ -182,19 +182,19 @@
         Self {
             own,
             has_contacts,
-            peers: Vec::new(),
+            others: Vec::new(),
             started: now,
         }
     }
 
     /// The other instances that are known.
     pub fn all(&self) -> &[Peer] {
-        &self.peers
+        &self.others
     }
 
     /// Number of instances that are known, with this one.
     pub fn known(&self) -> usize {
-        let known = self.peers.len() + 1;
+        let known = self.others.len() + 1;
         if known == 1 && self.has_contacts {
             return ASSUMED;
         }
@@ -203,7 +203,7 @@
 
     /// Number of instances that are heard now, with this one.
     pub fn fresh(&self, now: Instant) -> usize {
-        self.peers.iter().filter(|p| p.is_fresh(now)).count() + 1
+        self.others.iter().filter(|p| p.is_fresh(now)).count() + 1
     }
 
     /// Share of the known instances that are heard now.
@@ -218,7 +218,7 @@
         if address == self.own {
             return false;
         }
-        if let Err(at) = self.peers.binary_search_by(|p| p.address.cmp(&address)) {
+        if let Err(at) = self.others.binary_search_by(|p| p.address.cmp(&address)) {
             let peer = Peer {
                 address,
                 heard: None,
@@ -227,7 +227,7 @@
                 digest: Digest::default(),
                 spent: Vec::new(),
             };
-            self.peers.insert(at, peer);
+            self.others.insert(at, peer);
             return true;
         }
         false
@@ -235,8 +235,8 @@
 
     /// Notes that an instance was told everything.
     pub fn on_told(&mut self, now: Instant, address: Ipv4Addr) {
-        if let Ok(at) = self.peers.binary_search_by(|p| p.address.cmp(&address)) {
-            self.peers[at].told = Some(now);
+        if let Ok(at) = self.others.binary_search_by(|p| p.address.cmp(&address)) {
+            self.others[at].told = Some(now);
         }
     }
 
@@ -252,14 +252,14 @@
             }
         }
         self.learn(now, from);
-        let Ok(at) = self.peers.binary_search_by(|p| p.address.cmp(&from)) else {
+        let Ok(at) = self.others.binary_search_by(|p| p.address.cmp(&from)) else {
             return Heard::default();
         };
         if digest.leaving {
-            self.peers.remove(at);
+            self.others.remove(at);
             return Heard::default();
         }
-        let peer = &mut self.peers[at];
+        let peer = &mut self.others[at];
         let same_life = peer.digest.incarnation == digest.incarnation;
         let is_new = !same_life || !peer.is_fresh(now);
         // The first word of an instance that has run for long says nothing of now.
@@ -286,14 +286,14 @@
 
     /// Forgets the instances that are gone.
     pub fn forget(&mut self, now: Instant) {
-        self.peers.retain(|p| !p.is_forgotten(now));
+        self.others.retain(|p| !p.is_forgotten(now));
     }
 
     /// Requests of the others at a replica and their unread prompt tokens.
     pub fn load_at(&self, now: Instant, replica: ShortName) -> (u32, f64) {
         let mut running = 0;
         let mut prompt = 0.0;
-        for peer in self.peers.iter().filter(|p| p.is_fresh(now)) {
+        for peer in self.others.iter().filter(|p| p.is_fresh(now)) {
             for load in peer.digest.loads.iter().filter(|l| l.replica == replica) {
                 running += u32::from(load.running);
                 prompt += f64::from(load.prompt);
@@ -304,7 +304,7 @@
 
     /// An instance that knows the directory further than `upto`.
     pub fn ahead(&self, now: Instant, upto: Revision) -> Option<&Peer> {
-        self.peers
+        self.others
             .iter()
             .filter(|p| p.is_fresh(now) && p.digest.upto > upto)
             .max_by_key(|p| p.digest.upto)
@@ -317,7 +317,7 @@
         let mut before_in_zone = 0;
         let mut before_in_all = 0;
         let mut served = 0;
-        for peer in self.peers.iter().filter(|p| p.is_fresh(now)) {
+        for peer in self.others.iter().filter(|p| p.is_fresh(now)) {
             let age = peer
                 .digest
                 .store_age_ms
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -181,13 +181,12 @@
             drop(run.connection);
             drop(run.body);
             run.place.end(Outcome::Failed);
-            match self.resume().await {
-                Some(next) => run = next,
-                None => {
-                    let _ = self.tx.send(Err(BrokenOff)).await;
-                    return;
-                }
-            }
+            let Some(next) = self.resume().await else {
+                // The caller may be gone as well.
+                let _ = self.tx.send(Err(BrokenOff)).await;
+                return;
+            };
+            run = next;
         }
     }
 
