--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -17,6 +17,8 @@
 
 use tokio::time::Instant;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::id::{ServiceId, UpstreamId};
 
 use upstream::{Running, Upstream};
@@ -36,6 +38,13 @@
 /// What a late request is set back by, in halves of a tier.
 const LATE: u32 = 3;
 
+/// Round trip from which a replica's load is known too late to choose by it alone.
+const FAR: Duration = Duration::from_millis(20);
+
+/// Far replicas that one request looks at. All instances of the other regions see the same place
+/// come free and would send there at once; of a few picked at random the best is nearly as good.
+const FAR_CHOICES: u64 = 3;
+
 /// Requests that may stand in a plain service's replica for each of its slots: these serve in
 /// tens of milliseconds, so a short queue there costs less than a slot that idles.
 const PLAIN_DEPTH: u32 = 2;
@@ -65,6 +74,8 @@
     pub longest_pause: Duration,
     /// Replicas that it was sent to already.
     pub tried: Vec<UpstreamId>,
+    /// A random number of its own, by which it picks among far replicas.
+    pub salt: u64,
 }
 
 /// A request and the replica that it goes to.
@@ -284,9 +295,10 @@
 
     fn choose(&self, now: Instant, job: &Job) -> Option<usize> {
         let usual = self.usual_failing(now, &job.service);
+        let far = self.upstreams.iter().filter(|u| is_far(u, job)).count() as u64;
         let mut best: Option<(f64, usize)> = None;
         for (index, u) in self.upstreams.iter().enumerate() {
-            if !fits(now, u, job) {
+            if !fits(now, u, job) || (is_far(u, job) && !is_picked(index, job, far)) {
                 continue;
             }
             let cost = u.cost_ms(now, job, usual);
@@ -322,6 +334,17 @@
     (job.rank.0, tier, job.received)
 }
 
+/// Whether a replica stands so far off that its load is known late.
+fn is_far(u: &Upstream, job: &Job) -> bool {
+    u.replica.round_trip >= FAR && u.replica.service == job.service
+}
+
+/// Whether a far replica is among the few that this request looks at.
+fn is_picked(index: usize, job: &Job, far: u64) -> bool {
+    let key = [job.salt, index as u64].map(u64::to_le_bytes).concat();
+    xxh3_64(&key) % far.max(1) < FAR_CHOICES
+}
+
 fn fits(now: Instant, u: &Upstream, job: &Job) -> bool {
     let room = if u.replica.engine {
         u.replica.slots + ENGINE_SPARE
--- a/crates/decisions/tests/dispatch.rs
+++ b/crates/decisions/tests/dispatch.rs
@@ -34,6 +34,7 @@
         output: 120.0,
         longest_pause: Duration::from_millis(300),
         tried: Vec::new(),
+        salt: id,
     }
 }
 
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -336,6 +336,7 @@
                 Duration::ZERO
             },
             tried: self.tried.clone(),
+            salt: rand::rng().random(),
         }
     }
 
