Move admission out of the life of a request

Change: size, route, key, service and limit are judged in admission.rs; whole answers have a function of their own. Behaviour is as before.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! of [`port`]; everything that is decided, known and recovered stands here and in
 //! `kingcupfield-decisions`.
 
+pub mod admission;
 pub mod callers;
 pub mod clock;
 pub mod directory;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -6,13 +6,14 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use kingcupfield_decisions::dispatch::{Job, Outcome};
 use kingcupfield_decisions::id::{ServiceId, UpstreamId};
 use rand::RngExt as _;
 use tokio::time::{Instant, sleep_until};
 
+use crate::admission::{COME_BACK_SOON, charge, ends_in_time, pick_service, read_body, resolve};
 use crate::exchange::{self, Answer, Failure};
 use crate::kind::{Kind, Ran, Refusal};
 use crate::log::Weight;
@@ -20,7 +21,7 @@
 use crate::node::{Node, Place, Stage, Target};
 use crate::port::{Call, Onward};
 use crate::relay::{self, Body};
-use crate::table::{Organisation, Route, Table};
+use crate::table::{Organisation, Route};
 
 /// Shortest gap after which callers leave a stream, also before its first event: two seconds, four
 /// times the objective or eight times the longest pause, whichever is longest.
@@ -34,16 +35,6 @@
 /// Advice on when to come back: bursts last two to five seconds.
 const COME_BACK_S: std::ops::Range<f64> = 1.0..2.5;
 
-/// Advice where the instance knows no table yet or ends: another one answers the next try.
-const COME_BACK_SOON: Duration = Duration::from_millis(300);
-
-/// Time of a token at a slow replica that is full, and of everything else of a request.
-const SLOW_TOKEN: Duration = Duration::from_millis(30);
-const SLOW_REST: Duration = Duration::from_secs(1);
-
-/// Longest time for the body of a request to come in.
-const BODY: Duration = Duration::from_secs(10);
-
 /// A request without an answer for this part of its objective is sent elsewhere, if it may be and
 /// the replica brings nothing to anybody.
 const RESCUE_CHECK: Duration = Duration::from_millis(150);
@@ -112,18 +103,6 @@
     }
 }
 
-async fn read_body(node: &Node, body: Incoming) -> Result<Bytes, Refusal> {
-    let most = node.table().map_or(1 << 20, |t| t.limits.body_bytes);
-    let collected = tokio::time::timeout(BODY, Limited::new(body, most).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::new(Kind::TooLarge))
-        }
-        _ => Err(Refusal::new(Kind::BadRequest).with_message("the body did not come in whole")),
-    }
-}
-
 async fn admitted(
     node: &Rc<Node>,
     received: Instant,
@@ -165,95 +144,6 @@
     life.run(Rc::clone(node), active).await
 }
 
-/// Whether the request can end before the process does.
-///
-/// The balancer goes on sending where few instances of a zone are ready. A stream that is begun
-/// shortly before the end would be cut off; another instance can serve it whole.
-fn ends_in_time(node: &Node, call: &Call) -> bool {
-    let Some(end) = node
-        .ends_at
-        .get()
-        .filter(|_| node.stage() == Stage::Closing)
-    else {
-        return true;
-    };
-    let needs = SLOW_REST + SLOW_TOKEN * call.output_tokens.unwrap_or(0);
-    Instant::now() + needs < end
-}
-
-/// Finds the route and the organisation of a request in the table.
-fn resolve(
-    table: &Table,
-    head: &Parts,
-    call: &Call,
-) -> Result<(Rc<Route>, Option<Rc<Organisation>>), Refusal> {
-    let host = head
-        .headers
-        .get(header::HOST)
-        .and_then(|h| h.to_str().ok())
-        .or_else(|| head.uri.host())
-        .unwrap_or_default();
-    let route = table
-        .route(host, head.uri.path())
-        .ok_or_else(|| Refusal::new(Kind::NotFound))?;
-    let organisation = call.key.as_deref().and_then(|k| table.organisation(k));
-    if table.keyed() && !route.public && organisation.is_none() {
-        return Err(Refusal::new(Kind::Unauthorized));
-    }
-    Ok((Rc::clone(route), organisation.cloned()))
-}
-
-fn pick_service(route: &Route) -> Option<ServiceId> {
-    let total: u32 = route.targets.iter().map(|(_, weight)| weight).sum();
-    if total == 0 {
-        return route.targets.first().map(|(service, _)| service.clone());
-    }
-    let mut at = rand::rng().random_range(0..total);
-    for (service, weight) in &route.targets {
-        if at < *weight {
-            return Some(service.clone());
-        }
-        at -= weight;
-    }
-    None
-}
-
-fn charge(
-    node: &Node,
-    organisation: Option<&Organisation>,
-    route: &Route,
-    call: &Call,
-) -> Result<f64, Refusal> {
-    let Some(organisation) = organisation else {
-        return Ok(0.0);
-    };
-    let Some(limit) = organisation.limit else {
-        return Ok(0.0);
-    };
-    let cost = if organisation.in_tokens {
-        let tokens = match (call.prompt_tokens, call.output_tokens) {
-            (None, None) => organisation.plain_tokens,
-            (p, o) => p.unwrap_or(0).saturating_add(o.unwrap_or(0)),
-        };
-        f64::from(tokens)
-    } else {
-        1.0
-    };
-    let now = Instant::now();
-    let part = node.peers.borrow().part(now);
-    let taken =
-        node.allowances
-            .borrow_mut()
-            .take(now, &organisation.name, limit, part, route.rank, cost);
-    match taken {
-        Ok(()) => Ok(cost),
-        Err(seconds) => {
-            let after = seconds.clamp(0.2, 10.0) * rand::rng().random_range(1.0..1.3);
-            Err(Refusal::new(Kind::Limited).with_retry_after(Duration::from_secs_f64(after)))
-        }
-    }
-}
-
 /// Makes the answer of a refusal and tells the log of it.
 fn refuse(node: &Node, call: &Call, refusal: &Refusal) -> Response<Body> {
     let kind = refusal.kind.answer().name;
@@ -523,6 +413,17 @@
             );
             return Next::Answer(Box::new(response));
         }
+        self.answered_whole(node, target, place, answer).await
+    }
+
+    /// Passes an answer on that is held until all of it is there.
+    async fn answered_whole(
+        &mut self,
+        node: &Rc<Node>,
+        target: &Rc<Target>,
+        place: Place,
+        answer: Answer,
+    ) -> Next {
         let Answer {
             head,
             body,
--- a/crates/entry/tests/events.rs
+++ b/crates/entry/tests/events.rs
@@ -21,7 +21,7 @@
     cut_before_the_blank_line = { Case { chunks: &["id: 1\n\nid: 2\ndata: b\n"], events: 1, last_id: Some("1"), in_event: true } },
     with_carriage_returns = { Case { chunks: &["id: 7\r\ndata: a\r\n\r\n"], events: 1, last_id: Some("7"), in_event: false } },
     without_id = { Case { chunks: &["data: a\n\n"], events: 1, last_id: None, in_event: false } },
-    another_field_first = { Case { chunks: &["weight-versions: 2\nid: 3\ndata: a\n\n"], events: 1, last_id: Some("3"), in_event: false } },
+    another_field_first = { Case { chunks: &["generation: 2\nid: 3\ndata: a\n\n"], events: 1, last_id: Some("3"), in_event: false } },
     blank_lines_alone = { Case { chunks: &["\n\n\n"], events: 0, last_id: None, in_event: false } },
     id_in_the_data = { Case { chunks: &["id: 1\ndata: id: 9\n\n"], events: 1, last_id: Some("1"), in_event: false } },
 )]
