--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -21,8 +21,8 @@
 use crate::replica::Published;
 
 /// Longest time that one watch waits. Each call is paid for; a store that fell silent on an open
-/// connection is noticed only after this, and it must be before its return is held against us,
-/// four seconds after it.
+/// connection is noticed only after this, and the users' bounds hold again four seconds after its
+/// return.
 const WATCH: Duration = Duration::from_millis(4200);
 
 /// Longest time that a watch waits after a call that failed: one that hangs on a silent store would
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -23,8 +23,8 @@
 use crate::relay::{self, Body};
 use crate::table::{Organisation, Route};
 
-/// Shortest gap after which callers leave a stream, also before its first event: two seconds, four
-/// times the objective or eight times the longest pause, whichever is longest.
+/// Callers leave a stream, also before its first event, after two seconds, four times the objective
+/// or eight times the longest pause, whichever is longest.
 const PATIENCE: Duration = Duration::from_secs(2);
 const PATIENCE_OBJECTIVES: f64 = 4.0;
 const PATIENCE_PAUSES: f64 = 8.0;
@@ -35,12 +35,12 @@
 /// Advice on when to come back: bursts last two to five seconds.
 const COME_BACK_S: std::ops::Range<f64> = 1.0..2.5;
 
-/// A request without an answer for this part of its objective is sent elsewhere, if it may be and
-/// the replica brings nothing to anybody.
+/// How often a request that may be repeated looks whether its replica still brings anything to
+/// anybody; a seventh of the shortest objective of the users' streams.
 const RESCUE_CHECK: Duration = Duration::from_millis(150);
 
-/// A request of a plain service that may be repeated waits for an answer this many times the
-/// objective's half before another replica is tried.
+/// A request of a plain service that may be repeated waits for this part of its objective before
+/// another replica is tried: the rest is enough for a usual answer.
 const PLAIN_RESCUE: f64 = 0.6;
 
 /// One request and what was decided of it.
