--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -220,11 +220,6 @@
         gone
     }
 
-    /// The next moment at which a waiting request is given up.
-    pub fn next_give_up(&self) -> Option<Instant> {
-        self.waiting.iter().map(|w| w.give_up).min()
-    }
-
     /// Notes that the replica has begun to answer.
     pub fn on_first(&mut self, now: Instant, upstream: &UpstreamId, job: JobId) {
         if let Some(u) = self.find(upstream) {
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -132,12 +132,10 @@
         let Ok(message) = rmp_serde::to_vec(&digest) else {
             return;
         };
-        for address in to {
-            node.peers.borrow_mut().on_told(now, address);
-            let to = SocketAddr::from((address, node.cfg.peer_port));
-            // The next message to everybody reaches it otherwise.
-            let _ = socket.try_send_to(&message, to);
+        for address in &to {
+            node.peers.borrow_mut().on_told(now, *address);
         }
+        send_to_all(node, socket, &message, &to);
     }
 
     fn send_tick(&mut self, node: &Node, socket: &UdpSocket, tick: usize) {
@@ -177,11 +175,7 @@
             return;
         };
         self.last_loads[nearness as usize] = digest.loads;
-        for address in receivers {
-            let to = SocketAddr::from((address, node.cfg.peer_port));
-            // A message that can't be sent now is replaced by the next one.
-            let _ = socket.try_send_to(&message, to);
-        }
+        send_to_all(node, socket, &message, &receivers);
     }
 
     fn digest(&mut self, node: &Node, loads: Vec<Load>, nearness: Nearness, full: bool) -> Digest {
@@ -248,6 +242,14 @@
     }
 }
 
+fn send_to_all(node: &Node, socket: &UdpSocket, message: &[u8], receivers: &[Ipv4Addr]) {
+    for address in receivers {
+        let to = SocketAddr::from((*address, node.cfg.peer_port));
+        // A message that can't be sent now is replaced by the next one.
+        let _ = socket.try_send_to(message, to);
+    }
+}
+
 fn own_spent(node: &Node) -> Vec<(ShortName, u64)> {
     node.allowances
         .borrow()
