Leave an address alone that another replica took

Cause: a send that came back as meant for another replica told the dispatcher nothing, so the next request went to the same address, each time at the cost of a repeat. A resumed stream that a replica refused without running it counted as a run and as a failure of the replica.

Ruled out: the adapter; it tells 421 apart, but the port had one word for all that was not run.

Conclusion: what a failed send tells about its replica, and whether it may have run, stands once at the kinds of failure and serves the first send and the resumption alike.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use kingcupfield_decisions::dispatch::Outcome;
 use tokio::time::Instant;
 
 use crate::node::Target;
@@ -28,6 +29,8 @@
     NotSent,
     /// The replica says that it has no room and did not run the request.
     Full,
+    /// Another replica answered, which did not run the request.
+    Another,
     /// The replica says that it did not run the request.
     NotRun,
     /// It may have run.
@@ -42,11 +45,27 @@
         match self {
             Self::NotSent => "not_sent",
             Self::Full => "full",
+            Self::Another => "another",
             Self::NotRun => "not_run",
             Self::Broken => "broken",
             Self::Foreign => "foreign",
         }
     }
+
+    /// Whether the replica may have run the request.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Self::Broken | Self::Foreign)
+    }
+
+    /// What it tells about the replica.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Self::NotSent | Self::Another => Outcome::Unreachable,
+            Self::Full => Outcome::Full,
+            Self::NotRun => Outcome::Unknown,
+            Self::Broken | Self::Foreign => Outcome::Failed,
+        }
+    }
 }
 
 /// A replica's answer whose body is still to come.
@@ -119,6 +138,7 @@
             connection,
         }),
         Reply::Full => Err(Failure::Full),
+        Reply::Another => Err(Failure::Another),
         Reply::NotRun => Err(Failure::NotRun),
         Reply::Foreign => Err(Failure::Foreign),
     }
--- a/crates/entry/src/port.rs
+++ b/crates/entry/src/port.rs
@@ -52,7 +52,9 @@
     Ran,
     /// The replica did not run the request, for want of room.
     Full,
-    /// The replica did not run the request for another reason: it is another one, or leaves.
+    /// Another replica stands at the address and did not run the request.
+    Another,
+    /// The replica did not run the request for another reason.
     NotRun,
     /// An answer to another request, or one that lacks what a replica's answer must have.
     Foreign,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -327,10 +327,10 @@
                 }
                 Ok(_) => place.end(Outcome::Failed),
                 Err(e) => {
-                    if e == exchange::Failure::NotSent {
+                    if !e.may_have_run() {
                         self.life.runs -= 1;
                     }
-                    place.end(Outcome::Failed);
+                    place.end(e.outcome());
                 }
             }
         }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -361,33 +361,20 @@
                 self.runs
             ),
         );
-        match failure {
-            Failure::NotSent => {
-                self.runs -= 1;
-                place.end(Outcome::Unreachable);
+        place.end(failure.outcome());
+        if failure.may_have_run() {
+            return if self.may_repeat(node) {
                 Next::Again
-            }
-            Failure::Full | Failure::NotRun => {
-                self.runs -= 1;
-                place.end(if failure == Failure::Full {
-                    Outcome::Full
-                } else {
-                    Outcome::Unknown
-                });
-                if self.take_repeat(node) {
-                    Next::Again
-                } else {
-                    Next::Refuse(self.give_up(node))
-                }
-            }
-            Failure::Broken | Failure::Foreign => {
-                place.end(Outcome::Failed);
-                if self.may_repeat(node) {
-                    Next::Again
-                } else {
-                    Next::Refuse(Refusal::new(Kind::UpstreamBroke).with_ran(Ran::Unknown))
-                }
-            }
+            } else {
+                Next::Refuse(Refusal::new(Kind::UpstreamBroke).with_ran(Ran::Unknown))
+            };
+        }
+        self.runs -= 1;
+        // A connection that could not be made reached no replica, so it draws on no budget.
+        if failure == Failure::NotSent || self.take_repeat(node) {
+            Next::Again
+        } else {
+            Next::Refuse(self.give_up(node))
         }
     }
 
