--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -133,6 +133,14 @@
         self.buckets.iter().map(|b| (&b.organisation, b.level))
     }
 
+    /// What is left of one organisation's limit, as this instance sees it.
+    pub fn level(&self, organisation: &OrganisationId) -> f64 {
+        let found = self
+            .buckets
+            .binary_search_by(|b| b.organisation.cmp(organisation));
+        found.map_or(0.0, |at| self.buckets[at].level)
+    }
+
     /// What this instance has spent of each organisation since it started.
     pub fn spent(&self) -> impl Iterator<Item = (&OrganisationId, f64)> {
         self.buckets.iter().map(|b| (&b.organisation, b.spent))
--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -28,10 +28,6 @@
 /// Number of a request at this instance.
 pub type JobId = u64;
 
-/// Requests that may stand in an engine beyond its slots: news of a free place takes a tenth of a
-/// second to come round, in which the place would idle.
-const ENGINE_SPARE: u32 = 1;
-
 /// Time from a place to the first event at a usual replica: a request is late when less is left.
 const FIRST_EVENT: Duration = Duration::from_millis(200);
 
@@ -45,10 +41,6 @@
 /// come free and would send there at once; of a few picked at random the best is nearly as good.
 const FAR_CHOICES: u64 = 3;
 
-/// Requests that may stand in a plain service's replica for each of its slots: these serve in
-/// tens of milliseconds, so a short queue there costs less than a slot that idles.
-const PLAIN_DEPTH: u32 = 2;
-
 /// A request that waits for a replica.
 #[derive(Debug, Clone)]
 pub struct Job {
@@ -79,12 +71,53 @@
 }
 
 /// A request and the replica that it goes to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Placed {
     /// The request.
     pub job: JobId,
     /// The replica.
     pub upstream: UpstreamId,
+    /// What decided for the replica.
+    pub why: Why,
+}
+
+/// What decided for a replica, for those who ask later.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Why {
+    /// What the place was reckoned to cost, in milliseconds; the least of those with room.
+    pub cost_ms: f64,
+    /// Replicas that had room.
+    pub with_room: u32,
+    /// Own requests that stood there already.
+    pub own: u32,
+    /// Requests of other instances there, by their last word.
+    pub elsewhere: u32,
+}
+
+/// Places at a replica.
+#[derive(Debug, Clone, Copy)]
+pub struct Places<'a> {
+    /// The replica.
+    pub upstream: &'a UpstreamId,
+    /// Own requests that stand there.
+    pub own: u32,
+    /// Requests of other instances, by their last word.
+    pub elsewhere: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// How the replicas of a service stand, for those who ask why a request got no place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Standing {
+    /// Replicas that may get work.
+    pub usable: u32,
+    /// Those of them that are left alone after a failure, on trial or silent.
+    pub left_alone: u32,
+    /// Those of the others that are full.
+    pub full: u32,
+    /// Requests that wait here for the service.
+    pub waiting: u32,
 }
 
 /// What became of a request at a replica.
@@ -166,6 +199,16 @@
         }
     }
 
+    /// Places at each replica.
+    pub fn places(&self) -> impl Iterator<Item = Places<'_>> {
+        self.upstreams.iter().map(|u| Places {
+            upstream: &u.replica.id,
+            own: u.running.len() as u32,
+            elsewhere: u.elsewhere,
+            slots: u.replica.slots,
+        })
+    }
+
     /// Own requests, their unread prompt tokens and the learned step of each replica.
     pub fn own_load(&self) -> impl Iterator<Item = (&UpstreamId, u32, f64, Option<f64>)> {
         self.upstreams.iter().map(|u| {
@@ -197,9 +240,9 @@
         let mut at = 0;
         while at < self.waiting.len() {
             match self.choose(now, &self.waiting[at]) {
-                Some(index) => {
+                Some((index, why)) => {
                     let job = self.waiting.remove(at);
-                    placed.push(self.start(now, &job, index));
+                    placed.push(self.start(now, &job, index, why));
                 }
                 None => at += 1,
             }
@@ -207,6 +250,26 @@
         placed
     }
 
+    /// How the replicas of a service stand now.
+    pub fn standing(&self, now: Instant, service: &ServiceId) -> Standing {
+        let mut standing = Standing::default();
+        let usable = self
+            .upstreams
+            .iter()
+            .filter(|u| u.replica.usable && u.replica.service == *service);
+        for u in usable {
+            standing.usable += 1;
+            if !u.takes_work(now) {
+                standing.left_alone += 1;
+            } else if !u.has_room() {
+                standing.full += 1;
+            }
+        }
+        let waiting = self.waiting.iter().filter(|w| w.service == *service);
+        standing.waiting = waiting.count() as u32;
+        standing
+    }
+
     /// Takes out the requests whose time to wait is over.
     pub fn give_up(&mut self, now: Instant) -> Vec<JobId> {
         let mut gone = Vec::new();
@@ -274,7 +337,7 @@
             .is_ok_and(|at| self.upstreams[at].silent(now))
     }
 
-    fn start(&mut self, now: Instant, job: &Job, index: usize) -> Placed {
+    fn start(&mut self, now: Instant, job: &Job, index: usize, why: Why) -> Placed {
         let u = &mut self.upstreams[index];
         u.running.push(Running {
             job: job.id,
@@ -285,23 +348,32 @@
         Placed {
             job: job.id,
             upstream: u.replica.id.clone(),
+            why,
         }
     }
 
-    fn choose(&self, now: Instant, job: &Job) -> Option<usize> {
+    fn choose(&self, now: Instant, job: &Job) -> Option<(usize, Why)> {
         let usual = self.usual_failing(now, &job.service);
         let far = self.upstreams.iter().filter(|u| is_far(u, job)).count() as u64;
-        let mut best: Option<(f64, usize)> = None;
+        let mut best: Option<(usize, Why)> = None;
+        let mut with_room = 0;
         for (index, u) in self.upstreams.iter().enumerate() {
             if !fits(now, u, job) || (is_far(u, job) && !is_picked(index, job, far)) {
                 continue;
             }
-            let cost = u.cost_ms(now, job, usual);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, index));
+            with_room += 1;
+            let cost_ms = u.cost_ms(now, job, usual);
+            if best.is_none_or(|(_, least)| cost_ms < least.cost_ms) {
+                let why = Why {
+                    cost_ms,
+                    with_room,
+                    own: u.running.len() as u32,
+                    elsewhere: u.elsewhere,
+                };
+                best = Some((index, why));
             }
         }
-        best.map(|(_, index)| index)
+        best.map(|(index, why)| (index, Why { with_room, ..why }))
     }
 
     /// The least share of failures among a service's replicas: what is due to the requests.
@@ -341,16 +413,9 @@
 }
 
 fn fits(now: Instant, u: &Upstream, job: &Job) -> bool {
-    let room = if u.replica.engine {
-        u.replica.slots + ENGINE_SPARE
-    } else {
-        u.replica.slots * PLAIN_DEPTH
-    };
     u.replica.usable
         && u.replica.service == job.service
-        && u.total() < room
-        && !u.shunned(now)
-        && !u.on_trial()
-        && !u.silent(now)
+        && u.has_room()
+        && u.takes_work(now)
         && !job.tried.contains(&u.replica.id)
 }
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -51,6 +51,14 @@
 /// How long a replica that said that it is full is left alone.
 const FULL: Duration = Duration::from_millis(150);
 
+/// Requests that may stand in an engine beyond its slots: news of a free place takes a tenth of a
+/// second to come round, in which the place would idle.
+const ENGINE_SPARE: u32 = 1;
+
+/// Requests that may stand in a plain service's replica for each of its slots: these serve in
+/// tens of milliseconds, so a short queue there costs less than a slot that idles.
+const PLAIN_DEPTH: u32 = 2;
+
 /// What is published of a replica.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Replica {
@@ -113,6 +121,21 @@
         self.running.len() as u32 + self.elsewhere
     }
 
+    /// Whether one more request may stand there.
+    pub(super) fn has_room(&self) -> bool {
+        let room = if self.replica.engine {
+            self.replica.slots + ENGINE_SPARE
+        } else {
+            self.replica.slots * PLAIN_DEPTH
+        };
+        self.total() < room
+    }
+
+    /// Whether nothing that happened there lately keeps requests away.
+    pub(super) fn takes_work(&self, now: Instant) -> bool {
+        !self.shunned(now) && !self.on_trial() && !self.silent(now)
+    }
+
     pub(super) fn shun_unreachable(&mut self, now: Instant) {
         let pause = UNREACHABLE * 2_u32.saturating_pow(self.missed.min(4));
         self.missed += 1;
--- a/crates/decisions/src/repeats.rs
+++ b/crates/decisions/src/repeats.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Takes other bounds from the operator; what was spent stays spent.
+    pub fn set_bounds(&mut self, bounds: RepeatBounds) {
+        self.bounds = bounds;
+    }
+
     /// Notes a request that a caller sent for the service.
     pub fn on_request(&mut self, now: Instant, service: &ServiceId) {
         let window = self.bounds.window;
--- /dev/null
+++ b/crates/entry/src/account.rs
@@ -0,0 +1,181 @@
+//! What the log tells of a request: one line for each decision on it, with its id, what decided it
+//! and how old that was.
+//!
+//! Lines of failures carry their cause themselves, because the lines of what went well before are
+//! the first that are left out under load.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcupfield_decisions::id::UpstreamId;
+use tokio::time::Instant;
+
+use crate::exchange::Failure;
+use crate::kind::Refusal;
+use crate::log::Weight;
+use crate::metrics::Timing;
+use crate::node::{Node, Place};
+use crate::port::Call;
+use crate::request::Life;
+
+/// A request was given a place and goes to a replica.
+pub fn sent(node: &Node, life: &Life, place: &Place) {
+    let why = place.why;
+    let organisation = life.organisation.as_ref().map_or("-", |o| &*o.name);
+    node.log.line(
+        Weight::Ordinary,
+        format_args!(
+            "event=sent id={} replica={} service={} route={} organisation={organisation} table={} wait_ms={} try={} cost_ms={:.0} with_room={} own={} elsewhere={} elsewhere_age_ms={}",
+            life.call.id,
+            place.upstream,
+            life.service,
+            life.route.name,
+            node.table_version(),
+            life.waited.as_millis(),
+            life.tried.len() + 1,
+            why.cost_ms,
+            why.with_room,
+            why.own,
+            why.elsewhere,
+            node.peers.borrow().oldest_word(Instant::now()).as_millis(),
+        ),
+    );
+}
+
+/// A send brought no answer of the replica.
+pub fn send_failed(node: &Node, life: &Life, replica: &UpstreamId, failure: Failure) {
+    node.metrics.count(failure.as_str());
+    node.log.line(
+        Weight::Notable,
+        format_args!(
+            "event=send_failed id={} replica={replica} how={} runs={} after_ms={}",
+            life.call.id,
+            failure.as_str(),
+            life.runs,
+            life.received.elapsed().as_millis(),
+        ),
+    );
+}
+
+/// The instance gives its own answer.
+pub fn refused(node: &Node, call: &Call, received: Instant, refusal: &Refusal) {
+    let kind = refusal.kind.answer().name;
+    node.metrics.count(kind);
+    node.log.line(
+        Weight::Notable,
+        format_args!(
+            "event=refused id={} kind={kind} ran={} retry_after_ms={} after_ms={} table={} reason={:?}",
+            call.id,
+            refusal.ran.as_str(),
+            refusal.retry_after.unwrap_or_default().as_millis(),
+            received.elapsed().as_millis(),
+            node.table_version(),
+            refusal.message,
+        ),
+    );
+}
+
+/// A replica's answer went out whole.
+///
+/// `first` is when the first byte of its body had come, `pause` the longest time between two events.
+pub fn answered(
+    node: &Node,
+    life: &Life,
+    replica: &str,
+    status: u16,
+    first: Duration,
+    pause: Duration,
+) {
+    let whole = life.received.elapsed();
+    node.metrics.observe(Timing::Whole, whole);
+    node.metrics.count("answered");
+    // A replica's own failure is what its caller complains about.
+    let weight = if status >= 500 {
+        Weight::Notable
+    } else {
+        Weight::Ordinary
+    };
+    node.log.line(
+        weight,
+        format_args!(
+            "event=answered id={} replica={replica} status={status} runs={} route={} wait_ms={} first_ms={} pause_ms={} whole_ms={} prompt={} likely={}",
+            life.call.id,
+            life.runs,
+            life.route.name,
+            life.waited.as_millis(),
+            first.as_millis(),
+            pause.as_millis(),
+            whole.as_millis(),
+            life.call.prompt_tokens.unwrap_or(0),
+            life.call.likely_tokens.unwrap_or(0),
+        ),
+    );
+}
+
+/// A stream did not end whole at a replica, or goes on at another one.
+pub fn stream_ended(
+    node: &Node,
+    life: &Life,
+    replica: &str,
+    how: &'static str,
+    last_event: Option<&str>,
+) {
+    node.metrics.count(how);
+    node.log.line(
+        Weight::Notable,
+        format_args!(
+            "event=stream_ended id={} how={how} replica={replica} after_ms={} runs={} last_event={last_event:?}",
+            life.call.id,
+            life.received.elapsed().as_millis(),
+            life.runs,
+        ),
+    );
+}
+
+/// Notices that a caller closes its connection before it was answered: the task that answers it is
+/// dropped then, in the middle of whatever it waits for.
+#[derive(Debug)]
+pub struct Unanswered {
+    node: Rc<Node>,
+    id: String,
+    received: Instant,
+    /// Where the request stands, if it was sent.
+    pub replica: Option<UpstreamId>,
+    answered: bool,
+}
+
+impl Unanswered {
+    /// Starts to watch.
+    pub fn new(node: &Rc<Node>, id: &str, received: Instant) -> Self {
+        Self {
+            node: Rc::clone(node),
+            id: id.to_owned(),
+            received,
+            replica: None,
+            answered: false,
+        }
+    }
+
+    /// The request has its answer.
+    pub fn end(mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        self.node.metrics.count("caller_left");
+        let replica = self.replica.as_deref().unwrap_or("-");
+        self.node.log.line(
+            Weight::Notable,
+            format_args!(
+                "event=caller_left id={} replica={replica} after_ms={}",
+                self.id,
+                self.received.elapsed().as_millis(),
+            ),
+        );
+    }
+}
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -68,12 +68,17 @@
         .and_then(|h| h.to_str().ok())
         .or_else(|| head.uri.host())
         .unwrap_or_default();
-    let route = table
-        .route(host, head.uri.path())
-        .ok_or_else(|| Refusal::new(Kind::NotFound))?;
+    let route = table.route(host, head.uri.path()).ok_or_else(|| {
+        let reason = format!("no route for {host:?} {:?}", head.uri.path());
+        Refusal::new(Kind::NotFound).with_message(reason)
+    })?;
     let organisation = call.key.as_deref().and_then(|k| table.organisation(k));
     if table.keyed() && !route.public && organisation.is_none() {
-        return Err(Refusal::new(Kind::Unauthorized));
+        let reason = match call.key {
+            Some(_) => "the table has no such key",
+            None => "no key",
+        };
+        return Err(Refusal::new(Kind::Unauthorized).with_message(reason));
     }
     Ok((Rc::clone(route), organisation.cloned()))
 }
@@ -126,7 +131,17 @@
         Ok(()) => Ok(cost),
         Err(seconds) => {
             let after = seconds.clamp(0.2, 10.0) * rand::rng().random_range(1.0..1.3);
-            Err(Refusal::new(Kind::Limited).with_retry_after(Duration::from_secs_f64(after)))
+            let reason = format!(
+                "limit of {}: {cost:.0} wanted in tier {}, {:.0} left of {:.0}, {:.2} of the instances heard",
+                organisation.name,
+                route.rank,
+                node.allowances.borrow().level(&organisation.name),
+                limit.burst.max(limit.rate),
+                part,
+            );
+            Err(Refusal::new(Kind::Limited)
+                .with_message(reason)
+                .with_retry_after(Duration::from_secs_f64(after)))
         }
     }
 }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -89,7 +89,7 @@
 pub async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
     serve_small(node, listener, |node, req| match req.uri().path() {
         SNAPSHOT_PATH => snapshot(node, req.uri().query().unwrap_or_default()),
-        METRICS_PATH => text(node.metrics.text()),
+        METRICS_PATH => text(node.metrics.text(node)),
         _ => request::empty(StatusCode::NOT_FOUND),
     })
     .await;
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -100,9 +100,8 @@
         if after == 0 || node.relist.get() {
             let listing = node.source.list().await?;
             node.relist.set(false);
+            regained(node, failures);
             take_list(node, listing);
-            node.on_store_answer();
-            *failures = 0;
             continue;
         }
         let wait = if *failures > 0 { PROBE } else { WATCH };
@@ -116,9 +115,8 @@
         };
         match listing {
             Ok(listing) => {
-                node.on_store_answer();
+                regained(node, failures);
                 take_changes(node, listing);
-                *failures = 0;
             }
             Err(SourceError::HistoryGone) => {
                 node.log.line(
@@ -132,6 +130,18 @@
     }
 }
 
+/// Notes an answer of the store, and tells of it after failures.
+fn regained(node: &Node, failures: &mut usize) {
+    node.on_store_answer();
+    if *failures > 0 {
+        node.log.line(
+            Weight::Notable,
+            format_args!("event=directory_regained failures={failures}"),
+        );
+    }
+    *failures = 0;
+}
+
 fn take_list(node: &Rc<Node>, listing: Listing) {
     let entries = listing.entries.len();
     let changed = node
@@ -184,7 +194,7 @@
     let Some(address) = ahead else {
         return;
     };
-    let peer = SocketAddr::from((address, node.cfg.peer_listen.port()));
+    let peer = SocketAddr::from((address, node.settings().peer_listen.port()));
     match gossip::fetch(peer, upto).await {
         Ok(snapshot) => {
             node.log.line(
@@ -287,6 +297,9 @@
         return;
     };
     let id: &UpstreamId = &replica.id;
+    if !replica.leaving {
+        node.metrics.count_lapsed();
+    }
     node.log.line(
         Weight::Notable,
         format_args!("event=replica_gone replica={id} store_trouble={trouble}"),
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, interval, sleep, timeout};
 
 use crate::directory;
-use crate::log::Weight;
+use crate::log::{self, Weight};
 use crate::node::{Node, Stage};
 use crate::peers::{Digest, Load, Nearness, ShortName, short_name};
 use crate::table::Table;
@@ -72,8 +72,8 @@
     tokio::task::spawn_local(receive(Rc::clone(&node), Rc::clone(&socket)));
     let mut sender = Sender {
         incarnation,
-        zone: short_name(&node.cfg.availability_zone),
-        region: short_name(&node.cfg.region),
+        zone: short_name(&node.settings().availability_zone),
+        region: short_name(&node.settings().region),
         last_loads: [Vec::new(), Vec::new(), Vec::new()],
         last_spent: [Vec::new(), Vec::new(), Vec::new()],
         full_at: None,
@@ -86,7 +86,7 @@
         tokio::select! {
             _ = ticks.tick() => {
                 tick += 1;
-                node.peers.borrow_mut().forget(Instant::now());
+                notice_silence(&node);
                 take_loads(&node);
                 node.pump();
                 sender.send_tick(&node, &socket, tick);
@@ -204,6 +204,7 @@
                 digest.levels = own_levels(node);
             }
             digest.members = fresh_members(node);
+            digest.time_ms = u64::try_from(log::now_ms()).ok();
         }
         digest
     }
@@ -226,7 +227,7 @@
             .collect();
         let lonely = peers.fresh(now) == 1;
         if nearness == Nearness::Region && (full || lonely) {
-            for contact in &node.cfg.contacts {
+            for contact in &node.settings().contacts {
                 if let SocketAddr::V4(a) = contact {
                     let known = peers.all().iter().any(|p| p.address == *a.ip());
                     if !known {
@@ -237,14 +238,14 @@
         }
         to.sort_unstable();
         to.dedup();
-        to.retain(|a| *a != node.cfg.address());
+        to.retain(|a| *a != node.settings().address());
         to
     }
 }
 
 fn send_to_all(node: &Node, socket: &UdpSocket, message: &[u8], receivers: &[Ipv4Addr]) {
     for address in receivers {
-        let to = SocketAddr::from((*address, node.cfg.peer_port));
+        let to = SocketAddr::from((*address, node.settings().peer_port));
         // A message that can't be sent now is replaced by the next one.
         let _ = socket.try_send_to(message, to);
     }
@@ -325,6 +326,7 @@
     let steps = digest.steps.clone();
     let unreachable = digest.unreachable.clone();
     let levels = digest.levels.clone();
+    let time_ms = digest.time_ms;
     let heard = node.peers.borrow_mut().on_digest(now, from, digest);
     if heard.is_new {
         node.log.line(
@@ -332,6 +334,9 @@
             format_args!("event=peer_heard peer={from}"),
         );
     }
+    if let Some(time_ms) = time_ms {
+        take_clock(node, from, time_ms);
+    }
     if let Some(table) = node.table() {
         for (name, cost) in heard.spent {
             if let Some(organisation) = table.organisation_by_short_name(name) {
@@ -358,6 +363,31 @@
     }
 }
 
+/// Tells of the instances that have fallen silent, and forgets those that are gone.
+fn notice_silence(node: &Node) {
+    let now = Instant::now();
+    let mut peers = node.peers.borrow_mut();
+    for peer in peers.fallen_silent(now) {
+        node.log.line(
+            Weight::Notable,
+            format_args!("event=peer_silent peer={peer}"),
+        );
+    }
+    peers.forget(now);
+}
+
+/// Tells how another instance's time of day differs, which those need who read several logs.
+fn take_clock(node: &Node, from: Ipv4Addr, time_ms: u64) {
+    let own = u64::try_from(log::now_ms()).unwrap_or(u64::MAX);
+    let ahead_ms = time_ms.cast_signed().saturating_sub(own.cast_signed());
+    if node.peers.borrow_mut().on_clock(from, ahead_ms) {
+        node.log.line(
+            Weight::Notable,
+            format_args!("event=peer_clock peer={from} ahead_ms={ahead_ms}"),
+        );
+    }
+}
+
 fn take_levels(node: &Node, table: &Table, levels: &[(ShortName, i64)]) {
     let now = Instant::now();
     for (name, level) in levels {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! of [`port`]; everything that is decided, known and recovered stands here and in
 //! `kingcupfield-decisions`.
 
+pub mod account;
 pub mod admission;
 pub mod callers;
 pub mod clock;
@@ -20,6 +21,7 @@
 pub mod pool;
 pub mod port;
 pub mod relay;
+pub mod reload;
 pub mod replica;
 pub mod request;
 pub mod settings;
--- a/crates/entry/src/life.rs
+++ b/crates/entry/src/life.rs
@@ -1,10 +1,11 @@
 //! The life of a process: start, signals, and an end that cuts nothing.
 
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 use tokio::time::{Instant, interval, sleep, sleep_until};
 
@@ -12,7 +13,7 @@
 use crate::node::{Node, Stage};
 use crate::port::{Dialect, Source};
 use crate::settings::Settings;
-use crate::{callers, directory, gossip};
+use crate::{callers, directory, gossip, reload};
 
 /// How long connections stay open after the order to stop: the balancer notices after two of its
 /// questions, a second apart.
@@ -28,16 +29,24 @@
 const HOUSEKEEPING: Duration = Duration::from_secs(1);
 
 /// Runs an instance until it is told to stop.
-pub fn run(cfg: Settings, dialect: Rc<dyn Dialect>, source: Rc<dyn Source>) -> std::io::Result<()> {
+///
+/// `path` is the file that the settings came from; it may change meanwhile.
+pub fn run(
+    cfg: Settings,
+    path: PathBuf,
+    dialect: Rc<dyn Dialect>,
+    source: Rc<dyn Source>,
+) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     let local = LocalSet::new();
-    local.block_on(&runtime, live(cfg, dialect, source))
+    local.block_on(&runtime, live(cfg, path, dialect, source))
 }
 
 async fn live(
     cfg: Settings,
+    path: PathBuf,
     dialect: Rc<dyn Dialect>,
     source: Rc<dyn Source>,
 ) -> std::io::Result<()> {
@@ -53,7 +62,7 @@
         Weight::Notable,
         format_args!(
             "event=start instance={} listen={} ready_listen={} peer_listen={}",
-            node.cfg.instance,
+            node.settings().instance,
             callers.local_addr()?,
             ready.local_addr()?,
             peers.local_addr()?
@@ -72,7 +81,7 @@
     spawn(Box::pin(watch_waiting(Rc::clone(&node))));
     spawn(Box::pin(keep_house(Rc::clone(&node))));
     spawn(Box::pin(flush_log(Rc::clone(&node))));
-    spawn(Box::pin(hang_ups(Rc::clone(&node), hup)));
+    spawn(Box::pin(reload::run(Rc::clone(&node), path, hup)));
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
@@ -96,7 +105,7 @@
         Weight::Notable,
         format_args!("event=stopping active={}", node.active.get()),
     );
-    let last = began + node.cfg.grace().saturating_sub(BEFORE_KILL);
+    let last = began + node.settings().grace().saturating_sub(BEFORE_KILL);
     node.ends_at.set(Some(last));
     node.stage.send_replace(Stage::Leaving);
     let closing = (began + BALANCER_NOTICES).min(last);
@@ -152,14 +161,6 @@
     let mut ticks = interval(log::COLLECT);
     loop {
         ticks.tick().await;
-        node.log.flush();
-    }
-}
-
-/// Settings of a running process do not change; the signal must not end it.
-async fn hang_ups(node: Rc<Node>, mut hup: Signal) {
-    while hup.recv().await.is_some() {
-        node.log
-            .line(Weight::Notable, format_args!("event=reload changed=false"));
+        node.metrics.count_dropped(node.log.flush());
     }
 }
--- a/crates/entry/src/log.rs
+++ b/crates/entry/src/log.rs
@@ -83,28 +83,30 @@
             state.dropped += 1;
             return;
         }
-        let at = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        let _ = writeln!(state.buf, "time_ms={} {pairs}", at.as_millis());
+        let _ = writeln!(state.buf, "time_ms={} {pairs}", now_ms());
     }
 
-    /// Hands the collected lines to the writing thread.
-    pub fn flush(&self) {
+    /// Hands the collected lines to the writing thread; returns how many were left out since the
+    /// last call.
+    pub fn flush(&self) -> u64 {
         let mut state = self.state.borrow_mut();
-        if state.dropped > 0 {
-            let dropped = state.dropped;
-            state.dropped = 0;
-            let _ = writeln!(state.buf, "event=log_dropped lines={dropped}");
+        let dropped = std::mem::take(&mut state.dropped);
+        if dropped > 0 {
+            let _ = writeln!(
+                state.buf,
+                "time_ms={} event=log_dropped lines={dropped}",
+                now_ms()
+            );
         }
         if state.buf.is_empty() {
-            return;
+            return dropped;
         }
         let batch = std::mem::take(&mut state.buf);
         let lines = batch.lines().count() as u64;
         if self.tx.try_send(batch).is_err() {
             state.dropped += lines;
         }
+        dropped
     }
 }
 
@@ -114,6 +116,14 @@
     }
 }
 
+/// Time of day in milliseconds; it may differ between machines.
+pub fn now_ms() -> u128 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis()
+}
+
 impl State {
     fn admits(&mut self, weight: Weight) -> bool {
         if self.second.elapsed() >= Duration::from_secs(1) {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::allowance::Allowances;
-use kingcupfield_decisions::dispatch::{Dispatch, Job, JobId, Outcome, Replica};
+use kingcupfield_decisions::dispatch::{Dispatch, Job, JobId, Outcome, Replica, Why};
 use kingcupfield_decisions::id::UpstreamId;
 use kingcupfield_decisions::known::Known;
 use kingcupfield_decisions::repeats::Repeats;
@@ -62,12 +62,11 @@
     GivenUp,
 }
 
-type Verdict = Result<UpstreamId, NoPlace>;
+type Verdict = Result<(UpstreamId, Why), NoPlace>;
 
 /// Everything that the tasks of an instance share.
 pub struct Node {
-    /// Its settings.
-    pub cfg: Settings,
+    cfg: RefCell<Rc<Settings>>,
     /// Words of callers and upstreams.
     pub dialect: Rc<dyn Dialect>,
     /// The published directory.
@@ -156,15 +155,33 @@
             targets: RefCell::new(Vec::new()),
             waiters: RefCell::new(Vec::new()),
             next_job: Cell::new(1),
-            cfg,
+            cfg: RefCell::new(Rc::new(cfg)),
         })
     }
 
+    /// The settings in force.
+    pub fn settings(&self) -> Rc<Settings> {
+        Rc::clone(&self.cfg.borrow())
+    }
+
+    /// Takes from newer settings what takes effect while the process runs.
+    pub fn adjust(&self, newer: &Settings) {
+        let mut cfg = Settings::clone(&self.settings());
+        cfg.adjust(newer);
+        self.repeats.borrow_mut().set_bounds(cfg.repeat_bounds());
+        *self.cfg.borrow_mut() = Rc::new(cfg);
+    }
+
     /// The table in force.
     pub fn table(&self) -> Option<Rc<Table>> {
         self.table.borrow().clone()
     }
 
+    /// Version of the table in force, 0 while there is none.
+    pub fn table_version(&self) -> u64 {
+        self.table.borrow().as_ref().map_or(0, |t| t.version)
+    }
+
     /// Where the process stands in its life.
     pub fn stage(&self) -> Stage {
         *self.stage.borrow()
@@ -187,13 +204,13 @@
 
     /// Whether this instance reads the store itself.
     pub fn reads(&self) -> bool {
-        let zone = short_name(&self.cfg.availability_zone);
+        let zone = short_name(&self.settings().availability_zone);
         self.peers.borrow().reads(Instant::now(), zone, STORE_LOST)
     }
 
     /// Puts a newer table in force; an older one is ignored.
     pub fn set_table(&self, table: Rc<Table>) {
-        let held = self.table.borrow().as_ref().map_or(0, |t| t.version);
+        let held = self.table_version();
         if held >= table.version && held != 0 {
             return;
         }
@@ -269,9 +286,10 @@
         self.pump();
         self.waiting.notify_one();
         let verdict = (&mut waiting.rx).await.unwrap_or(Err(NoPlace::GivenUp));
-        verdict.map(|upstream| Place {
+        verdict.map(|(upstream, why)| Place {
             node: Rc::clone(self),
             upstream,
+            why,
             job: id,
             ended: false,
         })
@@ -287,7 +305,7 @@
             }
             let mut lost = Vec::new();
             for p in placed {
-                if !self.tell(p.job, Ok(p.upstream.clone())) {
+                if !self.tell(p.job, Ok((p.upstream.clone(), p.why))) {
                     lost.push(p);
                 }
             }
@@ -343,11 +361,12 @@
     }
 
     fn round_trip(&self, zone: &str) -> Duration {
-        if zone == &*self.cfg.availability_zone {
+        let cfg = self.settings();
+        if zone == &*cfg.availability_zone {
             return Duration::ZERO;
         }
-        let region = self.cfg.regions_by_zone.get(zone);
-        if region.is_some_and(|r| **r == *self.cfg.region) {
+        let region = cfg.regions_by_zone.get(zone);
+        if region.is_some_and(|r| **r == *cfg.region) {
             return ROUND_TRIP_ZONE;
         }
         ROUND_TRIP_REGION
@@ -374,7 +393,7 @@
             .retain(|(id, _)| *id != self.job);
         self.node.dispatch.borrow_mut().withdraw(self.job);
         // A place that was given but not taken would stay occupied for good.
-        if let Ok(Ok(upstream)) = self.rx.try_recv() {
+        if let Ok(Ok((upstream, _))) = self.rx.try_recv() {
             self.node.end(&upstream, self.job, Outcome::Unknown);
             self.node.pump();
         }
@@ -387,6 +406,8 @@
     node: Rc<Node>,
     /// The replica.
     pub upstream: UpstreamId,
+    /// What decided for it.
+    pub why: Why,
     job: JobId,
     ended: bool,
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -27,6 +27,10 @@
 /// instance that starts behind a cut then spends its share alone.
 const ASSUMED: usize = 7;
 
+/// A change of the difference between two clocks that is told again: above the time that messages
+/// take between regions.
+const CLOCK_NEWS_MS: i64 = 100;
+
 /// Instances that read the store at least, in a fleet of one zone.
 const READERS: usize = 2;
 
@@ -51,6 +55,7 @@
 
 /// A message from one instance to another.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Digest {
     /// Distinguishes the lives of the instance.
     pub incarnation: u64,
@@ -76,6 +81,8 @@
     pub levels: Vec<(ShortName, i64)>,
     /// Instances that it has heard lately; not in every message.
     pub members: Vec<Ipv4Addr>,
+    /// Its time of day in milliseconds; not in every message.
+    pub time_ms: Option<u64>,
 }
 
 /// What is known of one other instance.
@@ -93,6 +100,10 @@
     pub digest: Digest,
     /// What it has spent of each organisation in this life.
     spent: Vec<(ShortName, u64)>,
+    /// By how many milliseconds its time of day was ahead when that was told last.
+    ahead_ms: Option<i64>,
+    /// Whether its silence was told.
+    silence_told: bool,
 }
 
 /// How near another instance is, which decides how often it is told of loads.
@@ -206,6 +217,14 @@
         self.others.iter().filter(|p| p.is_fresh(now)).count() + 1
     }
 
+    /// How long ago the most silent of those that are heard spoke last: so old the counts of the
+    /// others may be.
+    pub fn oldest_word(&self, now: Instant) -> Duration {
+        let heard = self.others.iter().filter(|p| p.is_fresh(now));
+        let oldest = heard.filter_map(|p| p.heard).min();
+        oldest.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
     /// Share of the known instances that are heard now.
     pub fn part(&self, now: Instant) -> f64 {
         self.fresh(now) as f64 / self.known() as f64
@@ -226,6 +245,8 @@
                 told: None,
                 digest: Digest::default(),
                 spent: Vec::new(),
+                ahead_ms: None,
+                silence_told: false,
             };
             self.others.insert(at, peer);
             return true;
@@ -271,6 +292,7 @@
         digest.upto = digest.upto.max(peer.digest.upto);
         peer.digest = digest;
         peer.heard = Some(now);
+        peer.silence_told = false;
         let told = peer
             .told
             .is_some_and(|at| now.saturating_duration_since(at) < GREETED);
@@ -284,6 +306,31 @@
         }
     }
 
+    /// Instances that have fallen silent since the last call.
+    pub fn fallen_silent(&mut self, now: Instant) -> Vec<Ipv4Addr> {
+        let mut silent = Vec::new();
+        for peer in &mut self.others {
+            if peer.heard.is_some() && !peer.is_fresh(now) && !peer.silence_told {
+                peer.silence_told = true;
+                silent.push(peer.address);
+            }
+        }
+        silent
+    }
+
+    /// Notes by how much an instance's time of day is ahead; returns whether that is news.
+    pub fn on_clock(&mut self, from: Ipv4Addr, ahead_ms: i64) -> bool {
+        let Ok(at) = self.others.binary_search_by(|p| p.address.cmp(&from)) else {
+            return false;
+        };
+        let told = &mut self.others[at].ahead_ms;
+        let news = told.is_none_or(|told| (ahead_ms - told).abs() >= CLOCK_NEWS_MS);
+        if news {
+            *told = Some(ahead_ms);
+        }
+        news
+    }
+
     /// Forgets the instances that are gone.
     pub fn forget(&mut self, now: Instant) {
         self.others.retain(|p| !p.is_forgotten(now));
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -17,9 +17,10 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::account;
 use crate::events::Scanner;
 use crate::exchange::{self, Answer};
-use crate::log::Weight;
+use crate::metrics::Timing;
 use crate::node::{Node, Place, Target};
 use crate::pool::Connection;
 use crate::request::{Active, Life, timed_out};
@@ -162,8 +163,7 @@
                     run.place.end(Outcome::Served);
                     let status = run.head.status.as_u16();
                     let (first, pause) = (self.first_after, self.longest_pause);
-                    self.life
-                        .log_end(&self.node, &replica, status, first, pause);
+                    account::answered(&self.node, &self.life, &replica, status, first, pause);
                     return;
                 }
                 End::CallerGone => {
@@ -191,16 +191,8 @@
     }
 
     fn log(&self, how: &'static str, replica: &str) {
-        self.node.metrics.count(how);
-        self.node.log.line(
-            Weight::Notable,
-            format_args!(
-                "event=stream_ended id={} how={how} replica={replica} after_ms={} last_event={:?}",
-                self.life.call.id,
-                self.life.received.elapsed().as_millis(),
-                self.scanner.last_id()
-            ),
-        );
+        let last_event = self.scanner.last_id();
+        account::stream_ended(&self.node, &self.life, replica, how, last_event);
     }
 
     async fn pass_run(&mut self, run: &mut Run) -> End {
@@ -223,11 +215,13 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             if let Some(chunk) = self.take(run, chunk) {
+                let came = Instant::now();
                 tokio::select! {
                     sent = self.tx.send(Ok(chunk)) => {
                         if sent.is_err() {
                             return End::CallerGone;
                         }
+                        node.metrics.observe(Timing::Pass, came.elapsed());
                     }
                     () = &mut over => return End::TimedOut,
                 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -13,10 +13,10 @@
 use rand::RngExt as _;
 use tokio::time::{Instant, sleep_until};
 
+use crate::account::{self, Unanswered};
 use crate::admission::{COME_BACK_SOON, charge, ends_in_time, pick_service, read_body, resolve};
 use crate::exchange::{self, Answer, Failure};
 use crate::kind::{Kind, Ran, Refusal};
-use crate::log::Weight;
 use crate::metrics::Timing;
 use crate::node::{Node, Place, Stage, Target};
 use crate::port::{Call, Onward};
@@ -84,7 +84,7 @@
     };
     let mut response = match result {
         Ok(response) => response,
-        Err(refusal) => refuse(&node, &call, &refusal),
+        Err(refusal) => refuse(&node, &call, received, &refusal),
     };
     if node.stage() != Stage::Serving {
         let close = HeaderValue::from_static("close");
@@ -112,17 +112,17 @@
     active: Active,
 ) -> Result<Response<Body>, Refusal> {
     let Some(table) = node.table() else {
-        return Err(Refusal::new(Kind::Unavailable).with_retry_after(COME_BACK_SOON));
+        return Err(unavailable("no table is known yet"));
     };
     let (route, organisation) = resolve(&table, &head, &call)?;
     if call.id.is_empty() {
         return Err(Refusal::new(Kind::BadRequest).with_message("the request has no id"));
     }
     if !ends_in_time(node, &call) {
-        return Err(Refusal::new(Kind::Unavailable).with_retry_after(COME_BACK_SOON));
+        return Err(unavailable("this instance ends before the request could"));
     }
-    let service = pick_service(&route)
-        .ok_or_else(|| Refusal::new(Kind::Unavailable).with_retry_after(COME_BACK_SOON))?;
+    let service =
+        pick_service(&route).ok_or_else(|| unavailable("the route leads to no service"))?;
     let cost = charge(node, organisation.as_deref(), &route, &call)?;
     node.repeats
         .borrow_mut()
@@ -144,19 +144,16 @@
     life.run(Rc::clone(node), active).await
 }
 
+/// Another instance, or this one a moment later, can serve the request.
+fn unavailable(reason: &str) -> Refusal {
+    Refusal::new(Kind::Unavailable)
+        .with_message(reason)
+        .with_retry_after(COME_BACK_SOON)
+}
+
 /// Makes the answer of a refusal and tells the log of it.
-fn refuse(node: &Node, call: &Call, refusal: &Refusal) -> Response<Body> {
-    let kind = refusal.kind.answer().name;
-    node.metrics.count(kind);
-    node.log.line(
-        Weight::Notable,
-        format_args!(
-            "event=refused id={} kind={kind} ran={} retry_after_ms={}",
-            call.id,
-            refusal.ran.as_str(),
-            refusal.retry_after.unwrap_or_default().as_millis()
-        ),
-    );
+fn refuse(node: &Node, call: &Call, received: Instant, refusal: &Refusal) -> Response<Body> {
+    account::refused(node, call, received, refusal);
     let (status, fields) = node.dialect.refusal(Some(&call.id), refusal);
     let mut response = Response::new(Body::whole(Bytes::new()));
     *response.status_mut() = status;
@@ -173,23 +170,38 @@
 
 impl Life {
     async fn run(mut self, node: Rc<Node>, active: Active) -> Result<Response<Body>, Refusal> {
+        let mut unanswered = Unanswered::new(&node, &self.call.id, self.received);
+        let result = self.run_watched(&node, active, &mut unanswered).await;
+        unanswered.end();
+        result
+    }
+
+    async fn run_watched(
+        &mut self,
+        node: &Rc<Node>,
+        active: Active,
+        unanswered: &mut Unanswered,
+    ) -> Result<Response<Body>, Refusal> {
         let mut active = Some(active);
         loop {
-            let timed_out = timed_out(&node, &self.route, self.received);
+            unanswered.replica = None;
+            let timed_out = timed_out(node, &self.route, self.received);
             let placed = tokio::select! {
-                placed = node.place(self.job(&node)) => placed,
+                placed = node.place(self.job(node)) => placed,
                 () = timed_out => Err(crate::node::NoPlace::GivenUp),
             };
             let Ok(place) = placed else {
-                return Err(self.give_up(&node));
+                return Err(self.give_up(node));
             };
             self.waited = self.received.elapsed();
             node.metrics.observe(Timing::Wait, self.waited);
-            self.recheck(&node)?;
+            self.recheck(node)?;
             let Some(target) = node.target(&place.upstream) else {
                 continue;
             };
-            match self.send(&node, &target, place, &mut active).await {
+            account::sent(node, self, &place);
+            unanswered.replica = Some(place.upstream.clone());
+            match self.send(node, &target, place, &mut active).await {
                 Next::Answer(response) => return Ok(*response),
                 Next::Refuse(refusal) => return Err(refusal),
                 Next::Again => {}
@@ -235,9 +247,15 @@
         let Some(table) = node.table() else {
             return Ok(());
         };
-        let (route, organisation) = resolve(&table, &self.head, &self.call)?;
+        let resolved = resolve(&table, &self.head, &self.call);
+        let (route, organisation) = resolved.inspect_err(|_| {
+            if self.runs == 0 {
+                self.uncharge(node);
+            }
+        })?;
         if !route.targets.iter().any(|(s, _)| *s == self.service) && self.runs == 0 {
-            return Err(Refusal::new(Kind::Unavailable).with_retry_after(COME_BACK_SOON));
+            self.uncharge(node);
+            return Err(unavailable("the route leads to other services now"));
         }
         self.route = route;
         self.organisation = organisation;
@@ -250,8 +268,23 @@
             return Refusal::new(Kind::UpstreamBroke);
         }
         self.uncharge(node);
+        let standing = node
+            .dispatch
+            .borrow()
+            .standing(Instant::now(), &self.service);
+        let reason = format!(
+            "no room for {} in {} ms: {} replicas usable, {} of them left alone, {} full, {} requests waiting",
+            self.service,
+            self.received.elapsed().as_millis(),
+            standing.usable,
+            standing.left_alone,
+            standing.full,
+            standing.waiting,
+        );
         let after = rand::rng().random_range(COME_BACK_S);
-        Refusal::new(Kind::Shed).with_retry_after(Duration::from_secs_f64(after))
+        Refusal::new(Kind::Shed)
+            .with_message(reason)
+            .with_retry_after(Duration::from_secs_f64(after))
     }
 
     fn uncharge(&self, node: &Node) {
@@ -350,23 +383,13 @@
     }
 
     fn failed(&mut self, node: &Node, place: Place, failure: Failure) -> Next {
-        node.metrics.count(failure.as_str());
-        node.log.line(
-            Weight::Notable,
-            format_args!(
-                "event=send_failed id={} replica={} how={} runs={}",
-                self.call.id,
-                place.upstream,
-                failure.as_str(),
-                self.runs
-            ),
-        );
+        account::send_failed(node, self, &place.upstream, failure);
         place.end(failure.outcome());
         if failure.may_have_run() {
             return if self.may_repeat(node) {
                 Next::Again
             } else {
-                Next::Refuse(Refusal::new(Kind::UpstreamBroke).with_ran(Ran::Unknown))
+                Next::Refuse(self.broke(failure))
             };
         }
         self.runs -= 1;
@@ -437,7 +460,14 @@
         }
         let first = self.received.elapsed();
         let status = head.status.as_u16();
-        self.log_end(node, &target.published.id, status, first, Duration::ZERO);
+        account::answered(
+            node,
+            self,
+            &target.published.id,
+            status,
+            first,
+            Duration::ZERO,
+        );
         let mut response = Response::new(Body::whole(body));
         *response.status_mut() = head.status;
         *response.headers_mut() = node.dialect.answer(&head);
@@ -464,39 +494,31 @@
 
     fn too_late(&self) -> Refusal {
         let ran = if self.runs > 0 { Ran::Unknown } else { Ran::No };
-        Refusal::new(Kind::Deadline).with_ran(ran)
+        let reason = format!(
+            "the route's {} ms or the caller's {} are over after {} ms",
+            self.route.timeout.as_millis(),
+            self.call
+                .deadline
+                .map_or_else(|| "-".to_owned(), |d| d.as_millis().to_string()),
+            self.received.elapsed().as_millis(),
+        );
+        Refusal::new(Kind::Deadline)
+            .with_ran(ran)
+            .with_message(reason)
     }
 
-    /// Tells the log and the metrics how the request ended.
-    ///
-    /// `first` is when the first byte of its body had come, `pause` the longest time between two
-    /// events.
-    pub fn log_end(
-        &self,
-        node: &Node,
-        replica: &str,
-        status: u16,
-        first: Duration,
-        pause: Duration,
-    ) {
-        let whole = self.received.elapsed();
-        node.metrics.observe(Timing::Whole, whole);
-        node.metrics.count("answered");
-        node.log.line(
-            Weight::Ordinary,
-            format_args!(
-                "event=answered id={} replica={replica} status={status} runs={} route={} wait_ms={} first_ms={} pause_ms={} whole_ms={} prompt={} likely={}",
-                self.call.id,
-                self.runs,
-                self.route.name,
-                self.waited.as_millis(),
-                first.as_millis(),
-                pause.as_millis(),
-                whole.as_millis(),
-                self.call.prompt_tokens.unwrap_or(0),
-                self.call.likely_tokens.unwrap_or(0),
-            ),
-        );
+    /// The replica may have run the request, and no other one may try.
+    fn broke(&self, failure: Failure) -> Refusal {
+        let why = if !self.route.kind.repeatable() {
+            "the route allows one run"
+        } else if self.runs >= self.route.attempts {
+            "all runs of the route are used"
+        } else {
+            "no time or no budget for another run"
+        };
+        Refusal::new(Kind::UpstreamBroke)
+            .with_ran(Ran::Unknown)
+            .with_message(format!("{}; {why}", failure.as_str()))
     }
 
     /// A place for the rest of a stream that broke off.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -59,7 +59,7 @@
 }
 
 /// Bounds on repeats, as the operator gives them.
-#[derive(Debug, Clone, Copy, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RepeatSettings {
     /// Repeats for each request.
@@ -71,6 +71,49 @@
 }
 
 impl Settings {
+    /// Fields that take effect while the process runs.
+    pub const ADJUSTABLE: [&'static str; 3] = ["contacts", "grace_s", "repeats"];
+
+    /// Names of the fields in which `other` differs.
+    pub fn differences(&self, other: &Self) -> Vec<&'static str> {
+        let differs = |(_, same): &(&'static str, bool)| !same;
+        self.compared(other)
+            .into_iter()
+            .filter(differs)
+            .map(|(field, _)| field)
+            .collect()
+    }
+
+    fn compared(&self, other: &Self) -> [(&'static str, bool); 12] {
+        [
+            ("instance", self.instance == other.instance),
+            (
+                "availability_zone",
+                self.availability_zone == other.availability_zone,
+            ),
+            ("region", self.region == other.region),
+            (
+                "regions_by_zone",
+                self.regions_by_zone == other.regions_by_zone,
+            ),
+            ("listen", self.listen == other.listen),
+            ("ready_listen", self.ready_listen == other.ready_listen),
+            ("peer_listen", self.peer_listen == other.peer_listen),
+            ("peer_port", self.peer_port == other.peer_port),
+            ("directory", self.directory == other.directory),
+            ("contacts", self.contacts == other.contacts),
+            ("grace_s", self.grace_s.total_cmp(&other.grace_s).is_eq()),
+            ("repeats", self.repeats == other.repeats),
+        ]
+    }
+
+    /// Takes from `other` what takes effect while the process runs.
+    pub fn adjust(&mut self, other: &Self) {
+        self.contacts.clone_from(&other.contacts);
+        self.grace_s = other.grace_s;
+        self.repeats = other.repeats;
+    }
+
     /// Reads and checks a file.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
         Self::parse(&fs::read_to_string(path)?)
--- a/src/bin/kingcup/error.rs
+++ b/src/bin/kingcup/error.rs
@@ -5,6 +5,7 @@
 use kingcupfield::client::ClientError;
 use kingcupfield::load::MixError;
 use kingcupfield::load::plot::PlotError;
+use kingcupfield::logbook::LogError;
 use kingcupfield::table::TableError;
 use thiserror::Error;
 
@@ -53,6 +54,12 @@
         /// The first of them.
         first: String,
     },
+    /// A saved log can't be read.
+    #[error(transparent)]
+    Log(#[from] LogError),
+    /// No saved log names the request.
+    #[error("no log given names request {0}")]
+    NotLogged(String),
     /// No instance asked remembers the request.
     #[error("no instance asked remembers request {0}")]
     Forgotten(String),
@@ -68,7 +75,7 @@
     /// The exit code, as `--help` documents it.
     pub fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
-            Self::Usage(_) | Self::Table(_) | Self::Mix(_) => BAD_INPUT,
+            Self::Usage(_) | Self::Table(_) | Self::Mix(_) | Self::Log(_) => BAD_INPUT,
             _ => FAILED,
         })
     }
@@ -96,6 +103,11 @@
                 "ask the admin address of the instance named in the id; a request is remembered \
                  for about two thousand later ones and lost when its instance restarts",
             ),
+            Self::Log(_) => Some("give the paths of readable files"),
+            Self::NotLogged(_) => Some(
+                "give the logs of all instances; under load lines of answers that went well are \
+                 left out and counted as event=log_dropped",
+            ),
             Self::Instance { .. } => Some("see the instance's log, or kingcup dump ADDR"),
             Self::PromiseBroken => Some("report it with the seed that the table names"),
             Self::Demo(_) | Self::Plot(_) | Self::Output(_) | Self::Form(_) => None,
--- a/src/bin/kingcup/help.rs
+++ b/src/bin/kingcup/help.rs
@@ -13,7 +13,8 @@
   kingcup table from-csv FILE.csv   print the table for the platform
   kingcup status ADDR.. [--watch]   the fleet at a glance, from admin addresses;
                                     --ready: exit code 1 unless all are ready
-  kingcup explain REQUEST-ID ADDR.. a request's life and why it was refused
+  kingcup explain REQUEST-ID ADDR.. a request's life and why it was refused, or
+                                    from logs: --logs FILE.. [--ids FILE]
   kingcup dump ADDR                 the state of all services of an instance
   kingcup drain ADDR                let an instance leave and cut no request
   kingcup load --mix FILE [--rate R --seconds S] [--seed N] [--svg F] ADDR..
--- a/src/bin/kingcup/operate.rs
+++ b/src/bin/kingcup/operate.rs
@@ -1,11 +1,13 @@
 //! The commands that ask running instances: `status`, `dump`, `explain` and `drain`.
 
 use std::io::{IsTerminal, stdout};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use http::Method;
 use kingcupfield::client::{Answer, Client};
 use kingcupfield::explain::{self, Explanation};
+use kingcupfield::logbook::{Coverage, LogError, Logbook, Story};
 use kingcupfield::status::{self, Status};
 use pico_args::Arguments;
 use serde_json::Value;
@@ -92,8 +94,11 @@
     })
 }
 
-/// `kingcup explain REQUEST-ID ADDR..`
+/// `kingcup explain REQUEST-ID ADDR..`, or from saved logs
 pub fn explain(mut args: Arguments, form: Form) -> Result<(), CliError> {
+    if args.contains("--logs") {
+        return explain_logs(args, form);
+    }
     let request = args::word(
         &mut args,
         "the request id (Kingcup-Request-Id of the answer)",
@@ -103,6 +108,32 @@
     output::print(form, &found, Explanation::text)
 }
 
+/// `kingcup explain REQUEST-ID --logs FILE..` and `kingcup explain --logs --ids FILE FILE..`
+fn explain_logs(mut args: Arguments, form: Form) -> Result<(), CliError> {
+    let ids: Option<PathBuf> = args.opt_value_from_str("--ids")?;
+    let request = match ids {
+        Some(_) => None,
+        None => Some(args::word(&mut args, "the request id")?),
+    };
+    let mut logs = vec![args::path(&mut args, "a log file")?];
+    while let Some(log) = args.opt_free_from_str::<PathBuf>()? {
+        logs.push(log);
+    }
+    args::finish(args)?;
+    let book = Logbook::read(&logs)?;
+    let Some(request) = request else {
+        let path = ids.unwrap_or_default();
+        let text = std::fs::read_to_string(&path).map_err(|reason| LogError { path, reason })?;
+        return output::print(
+            form,
+            &book.coverage(text.split_whitespace()),
+            Coverage::text,
+        );
+    };
+    let story = book.story(&request).ok_or(CliError::NotLogged(request))?;
+    output::print(form, &story, Story::text)
+}
+
 async fn find(request: &str, addresses: &[String]) -> Result<Explanation, CliError> {
     let client = Client::new();
     let mut failed = None;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod keys;
 pub mod limits;
 pub mod load;
+pub mod logbook;
 pub mod logging;
 pub mod members;
 pub mod message;
--- a/tests/client_fleet.rs
+++ b/tests/client_fleet.rs
@@ -63,8 +63,17 @@
 async fn explain(fleet: &Fleet, reply: &Reply) -> (Explanation, String) {
     let id = reply.request_id().to_owned();
     assert!(!id.is_empty(), "{}", reply.body);
-    let json = on_all(fleet, &["explain", "--json", &id]).await;
-    let explanation = serde_json::from_slice(&json.stdout).expect("JSON");
+    let mut explanation = None;
+    // The answer may reach its caller a moment before its instance notes how the request ended.
+    wait_for("the end of the request is noted", async || {
+        let json = on_all(fleet, &["explain", "--json", &id]).await;
+        let told: Explanation = serde_json::from_slice(&json.stdout).expect("JSON");
+        let ended = told.outcome != "running";
+        explanation = ended.then_some(told);
+        ended
+    })
+    .await;
+    let explanation = explanation.expect("waited for");
     (explanation, text(&on_all(fleet, &["explain", &id]).await))
 }
 
