Keep the load of other instances as sums, and look only at replicas with room

Change: crates/decisions/src/elsewhere.rs keeps sums and changes those of the replicas that a message names; place() looks at replicas with room only; a peer that is asked for the directory is one of the nearest that know more, picked at random, where all asked the same one before.

Ruled out: hyper, the log (sent lines are 1 %), the store's calls.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -236,13 +236,20 @@
     /// Places as many waiting requests as there is room for.
     pub fn place(&mut self, now: Instant) -> Vec<Placed> {
         let mut placed = Vec::new();
+        if self.waiting.is_empty() {
+            return placed;
+        }
+        let mut open = self.open(now);
         self.waiting.sort_by_key(|job| turn(now, job));
         let mut at = 0;
-        while at < self.waiting.len() {
-            match self.choose(now, &self.waiting[at]) {
+        while at < self.waiting.len() && !open.is_empty() {
+            match self.choose(now, &self.waiting[at], &open) {
                 Some((index, why)) => {
                     let job = self.waiting.remove(at);
                     placed.push(self.start(now, &job, index, why));
+                    if !self.upstreams[index].is_open(now) {
+                        open.retain(|i| *i != index);
+                    }
                 }
                 None => at += 1,
             }
@@ -250,6 +257,16 @@
         placed
     }
 
+    /// The replicas that can take one more request now. When all are full, which is when most
+    /// requests wait, nothing else is looked at.
+    fn open(&self, now: Instant) -> Vec<usize> {
+        let upstreams = self.upstreams.iter().enumerate();
+        upstreams
+            .filter(|(_, u)| u.is_open(now))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
     /// How the replicas of a service stand now.
     pub fn standing(&self, now: Instant, service: &ServiceId) -> Standing {
         let mut standing = Standing::default();
@@ -352,13 +369,14 @@
         }
     }
 
-    fn choose(&self, now: Instant, job: &Job) -> Option<(usize, Why)> {
+    fn choose(&self, now: Instant, job: &Job, open: &[usize]) -> Option<(usize, Why)> {
         let usual = self.usual_failing(now, &job.service);
         let far = self.upstreams.iter().filter(|u| is_far(u, job)).count() as u64;
         let mut best: Option<(usize, Why)> = None;
         let mut with_room = 0;
-        for (index, u) in self.upstreams.iter().enumerate() {
-            if !fits(now, u, job) || (is_far(u, job) && !is_picked(index, job, far)) {
+        for &index in open {
+            let u = &self.upstreams[index];
+            if !fits(u, job) || (is_far(u, job) && !is_picked(index, job, far)) {
                 continue;
             }
             with_room += 1;
@@ -412,10 +430,6 @@
     xxh3_64(&key) % far.max(1) < FAR_CHOICES
 }
 
-fn fits(now: Instant, u: &Upstream, job: &Job) -> bool {
-    u.replica.usable
-        && u.replica.service == job.service
-        && u.has_room()
-        && u.takes_work(now)
-        && !job.tried.contains(&u.replica.id)
+fn fits(u: &Upstream, job: &Job) -> bool {
+    u.replica.service == job.service && !job.tried.contains(&u.replica.id)
 }
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -136,6 +136,11 @@
         !self.shunned(now) && !self.on_trial() && !self.silent(now)
     }
 
+    /// Whether it can take one more request now.
+    pub(super) fn is_open(&self, now: Instant) -> bool {
+        self.replica.usable && self.has_room() && self.takes_work(now)
+    }
+
     pub(super) fn shun_unreachable(&mut self, now: Instant) {
         let pause = UNREACHABLE * 2_u32.saturating_pow(self.missed.min(4));
         self.missed += 1;
--- /dev/null
+++ b/crates/decisions/src/elsewhere.rs
@@ -0,0 +1,87 @@
+//! What the other instances have at each replica, kept as sums.
+//!
+//! Load pattern: sixty instances that tell each other of each change, before a hundred and more
+//! replicas. Adding all words up anew at each message took seven tenths of an instance's processor
+//! time, so that small machines fell behind in everything else, the operator's table included. Here
+//! a message changes the sums of the replicas that it names and no others.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::ShortName;
+
+/// What an instance has at one replica.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// The replica.
+    pub replica: ShortName,
+    /// Requests of the instance there.
+    pub running: u16,
+    /// Their prompt tokens that are still to be read.
+    pub prompt: u32,
+}
+
+/// What all other instances have at one replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Sum {
+    /// Requests there.
+    pub running: u32,
+    /// Their prompt tokens that are still to be read.
+    pub prompt: u64,
+}
+
+/// Sums by replica, and which of them have changed since somebody looked.
+#[derive(Debug, Default)]
+pub struct Elsewhere {
+    sums: Vec<(ShortName, Sum)>,
+    changed: Vec<ShortName>,
+}
+
+impl Elsewhere {
+    /// Nobody has anything anywhere.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Replaces what one instance had by what it has. Most of it stays from message to message.
+    pub fn replace(&mut self, before: &[Load], after: &[Load]) {
+        for load in before.iter().filter(|l| !after.contains(l)) {
+            let sum = self.change(load.replica);
+            sum.running -= u32::from(load.running);
+            sum.prompt -= u64::from(load.prompt);
+        }
+        for load in after.iter().filter(|l| !before.contains(l)) {
+            let sum = self.change(load.replica);
+            sum.running += u32::from(load.running);
+            sum.prompt += u64::from(load.prompt);
+        }
+    }
+
+    /// What the others have at a replica.
+    pub fn at(&self, replica: ShortName) -> Sum {
+        let found = self.sums.binary_search_by(|(r, _)| r.cmp(&replica));
+        found.map_or_else(|_| Sum::default(), |at| self.sums[at].1)
+    }
+
+    /// All replicas at which the others have or had something.
+    pub fn all(&self) -> &[(ShortName, Sum)] {
+        &self.sums
+    }
+
+    /// The replicas whose sums have changed since the last call.
+    pub fn take_changed(&mut self) -> Vec<ShortName> {
+        let mut changed = std::mem::take(&mut self.changed);
+        changed.sort_unstable();
+        changed.dedup();
+        changed
+    }
+
+    fn change(&mut self, replica: ShortName) -> &mut Sum {
+        self.changed.push(replica);
+        let found = self.sums.binary_search_by(|(r, _)| r.cmp(&replica));
+        let at = found.unwrap_or_else(|at| {
+            self.sums.insert(at, (replica, Sum::default()));
+            at
+        });
+        &mut self.sums[at].1
+    }
+}
--- a/crates/decisions/src/id.rs
+++ b/crates/decisions/src/id.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 /// Name of an entry instance, as published in the list of instances.
 pub type InstanceId = Arc<str>;
 /// Name of an upstream replica, as published in the list of instances.
@@ -19,6 +21,14 @@
 /// Name of a request: the receiving instance, its incarnation and a counter.
 pub type RequestId = Arc<str>;
 
+/// Short name of a replica, an organisation or a zone in messages between instances.
+pub type ShortName = u32;
+
+/// The short name of `name`.
+pub fn short_name(name: &str) -> ShortName {
+    xxh3_64(name.as_bytes()) as ShortName
+}
+
 /// Position of a tier; 0 is the highest.
 pub type Rank = u8;
 /// Distinguishes the lives of a restarted instance; a later life has a larger number.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod configuration;
 pub mod dispatch;
 pub mod drain;
+pub mod elsewhere;
 pub mod fairness;
 pub mod health;
 pub mod holder;
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use kingcupfield_decisions::id::UpstreamId;
+use kingcupfield_decisions::id::{UpstreamId, short_name};
 use kingcupfield_decisions::known::{Entry, Revision};
 use rand::RngExt as _;
 use tokio::time::{Instant, sleep};
@@ -186,10 +186,13 @@
 
 async fn ask_peers(node: &Rc<Node>) {
     let upto = node.known.borrow().upto();
+    let cfg = node.settings();
+    let place = (short_name(&cfg.availability_zone), short_name(&cfg.region));
+    let salt = rand::rng().random();
     let ahead = node
         .peers
         .borrow()
-        .ahead(Instant::now(), upto)
+        .ahead(Instant::now(), upto, place, salt)
         .map(|p| p.address);
     let Some(address) = ahead else {
         return;
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -9,6 +9,8 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use kingcupfield_decisions::elsewhere::Load;
+use kingcupfield_decisions::id::{ShortName, short_name};
 use kingcupfield_decisions::known::{Entry, Revision};
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpStream, UdpSocket};
@@ -17,7 +19,7 @@
 use crate::directory;
 use crate::log::{self, Weight};
 use crate::node::{Node, Stage};
-use crate::peers::{Digest, Load, Nearness, ShortName, short_name};
+use crate::peers::{Digest, Nearness};
 use crate::table::Table;
 
 /// Time between messages to the other zones while the load changes: a place at a replica is held
@@ -367,7 +369,7 @@
 fn notice_silence(node: &Node) {
     let now = Instant::now();
     let mut peers = node.peers.borrow_mut();
-    for peer in peers.fallen_silent(now) {
+    for peer in peers.silence(now) {
         node.log.line(
             Weight::Notable,
             format_args!("event=peer_silent peer={peer}"),
@@ -403,38 +405,29 @@
 }
 
 fn take_unreachable(node: &Node, unreachable: &[ShortName]) {
-    if unreachable.is_empty() {
-        return;
-    }
     let now = Instant::now();
-    for target in node.targets() {
-        let id = &target.published.id;
-        if unreachable.contains(&short_name(id)) {
-            node.dispatch.borrow_mut().hint_unreachable(now, id);
+    for name in unreachable {
+        if let Some(id) = node.replica_by_short_name(*name) {
+            node.dispatch.borrow_mut().hint_unreachable(now, &id);
         }
     }
 }
 
-fn take_steps(node: &Node, steps: &[(u32, u32)]) {
-    for target in node.targets() {
-        let name = short_name(&target.published.id);
-        if let Some((_, us)) = steps.iter().find(|(n, _)| *n == name) {
+fn take_steps(node: &Node, steps: &[(ShortName, u32)]) {
+    for (name, us) in steps {
+        if let Some(id) = node.replica_by_short_name(*name) {
             let step_ms = f64::from(*us) / 1000.0;
-            node.dispatch
-                .borrow_mut()
-                .hint_step(&target.published.id, step_ms);
+            node.dispatch.borrow_mut().hint_step(&id, step_ms);
         }
     }
 }
 
+/// Takes the changes of what the others have at replicas.
 fn take_loads(node: &Node) {
-    let now = Instant::now();
-    for target in node.targets() {
-        let name = short_name(&target.published.id);
-        let (running, prompt) = node.peers.borrow().load_at(now, name);
-        node.dispatch
-            .borrow_mut()
-            .set_elsewhere(&target.published.id, running, prompt);
+    let changed = node.peers.borrow_mut().take_changed_loads();
+    for name in changed {
+        let sum = node.peers.borrow().load_at(name);
+        node.set_elsewhere(name, sum);
     }
 }
 
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -7,7 +7,8 @@
 
 use kingcupfield_decisions::allowance::Allowances;
 use kingcupfield_decisions::dispatch::{Dispatch, Job, JobId, Outcome, Replica, Why};
-use kingcupfield_decisions::id::UpstreamId;
+use kingcupfield_decisions::elsewhere::Sum;
+use kingcupfield_decisions::id::{ShortName, UpstreamId, short_name};
 use kingcupfield_decisions::known::Known;
 use kingcupfield_decisions::repeats::Repeats;
 use tokio::sync::{Notify, oneshot, watch};
@@ -17,7 +18,7 @@
 use crate::directory::Reader;
 use crate::log::{Log, Weight};
 use crate::metrics::Metrics;
-use crate::peers::{Peers, short_name};
+use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::port::{Dialect, Source};
 use crate::replica::Published;
@@ -112,6 +113,8 @@
     store_answered: Cell<Option<Instant>>,
     table: RefCell<Option<Rc<Table>>>,
     targets: RefCell<Vec<Rc<Target>>>,
+    /// Replicas by their short names.
+    short_names: RefCell<Vec<(ShortName, UpstreamId)>>,
     waiters: RefCell<Vec<(JobId, oneshot::Sender<Verdict>)>>,
     next_job: Cell<JobId>,
 }
@@ -153,6 +156,7 @@
             waiting: Notify::new(),
             table: RefCell::new(None),
             targets: RefCell::new(Vec::new()),
+            short_names: RefCell::new(Vec::new()),
             waiters: RefCell::new(Vec::new()),
             next_job: Cell::new(1),
             cfg: RefCell::new(Rc::new(cfg)),
@@ -237,8 +241,15 @@
             });
         }
         targets.sort_by(|a, b| a.published.id.cmp(&b.published.id));
+        let ids = targets.iter().map(|t| &t.published.id);
+        let mut short_names: Vec<_> = ids.map(|id| (short_name(id), id.clone())).collect();
+        short_names.sort_unstable();
         *self.targets.borrow_mut() = targets;
+        *self.short_names.borrow_mut() = short_names;
         self.refresh_replicas();
+        for (name, sum) in self.peers.borrow().loads() {
+            self.set_elsewhere(*name, *sum);
+        }
         self.pump();
     }
 
@@ -253,6 +264,22 @@
         self.dispatch.borrow_mut().set_replicas(&replicas);
     }
 
+    /// The replica that peers mean by a short name.
+    pub fn replica_by_short_name(&self, name: ShortName) -> Option<UpstreamId> {
+        let names = self.short_names.borrow();
+        let at = names.binary_search_by(|(short, _)| short.cmp(&name)).ok()?;
+        Some(names[at].1.clone())
+    }
+
+    /// Takes what the other instances have at a replica.
+    pub fn set_elsewhere(&self, name: ShortName, sum: Sum) {
+        if let Some(id) = self.replica_by_short_name(name) {
+            let prompt = sum.prompt as f64;
+            let mut dispatch = self.dispatch.borrow_mut();
+            dispatch.set_elsewhere(&id, sum.running, prompt);
+        }
+    }
+
     /// A replica by its name.
     pub fn target(&self, id: &UpstreamId) -> Option<Rc<Target>> {
         let targets = self.targets.borrow();
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -7,10 +7,11 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use kingcupfield_decisions::elsewhere::{Elsewhere, Load, Sum};
+use kingcupfield_decisions::id::ShortName;
 use kingcupfield_decisions::known::Revision;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// An instance that was not heard for this long may be cut off: its load is no longer counted,
 /// and its share of the organisations' limits is left to it. Three of the slowest messages.
@@ -34,25 +35,6 @@
 /// Instances that read the store at least, in a fleet of one zone.
 const READERS: usize = 2;
 
-/// Short name of a replica or organisation in messages.
-pub type ShortName = u32;
-
-/// The short name of `name`.
-pub fn short_name(name: &str) -> ShortName {
-    xxh3_64(name.as_bytes()) as ShortName
-}
-
-/// What an instance has at one replica.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Load {
-    /// The replica.
-    pub replica: ShortName,
-    /// Requests of the instance there.
-    pub running: u16,
-    /// Their prompt tokens that are still to be read.
-    pub prompt: u32,
-}
-
 /// A message from one instance to another.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -102,8 +84,8 @@
     spent: Vec<(ShortName, u64)>,
     /// By how many milliseconds its time of day was ahead when that was told last.
     ahead_ms: Option<i64>,
-    /// Whether its silence was told.
-    silence_told: bool,
+    /// Whether its load is counted: it was heard and has not fallen silent since.
+    counted: bool,
 }
 
 /// How near another instance is, which decides how often it is told of loads.
@@ -161,6 +143,22 @@
         more
     }
 
+    /// Counts its load, in place of what was counted before.
+    fn count(&mut self, elsewhere: &mut Elsewhere, loads: &[Load]) {
+        let before: &[Load] = if self.counted {
+            &self.digest.loads
+        } else {
+            &[]
+        };
+        elsewhere.replace(before, loads);
+        self.counted = true;
+    }
+
+    fn count_nothing(&mut self, elsewhere: &mut Elsewhere) {
+        self.count(elsewhere, &[]);
+        self.counted = false;
+    }
+
     fn is_forgotten(&self, now: Instant) -> bool {
         let last = self.heard.unwrap_or(self.since);
         now.saturating_duration_since(last) >= FORGOTTEN
@@ -184,6 +182,7 @@
     own: Ipv4Addr,
     has_contacts: bool,
     others: Vec<Peer>,
+    elsewhere: Elsewhere,
     started: Instant,
 }
 
@@ -194,6 +193,7 @@
             own,
             has_contacts,
             others: Vec::new(),
+            elsewhere: Elsewhere::new(),
             started: now,
         }
     }
@@ -246,7 +246,7 @@
                 digest: Digest::default(),
                 spent: Vec::new(),
                 ahead_ms: None,
-                silence_told: false,
+                counted: false,
             };
             self.others.insert(at, peer);
             return true;
@@ -277,9 +277,11 @@
             return Heard::default();
         };
         if digest.leaving {
-            self.others.remove(at);
+            let mut leaver = self.others.remove(at);
+            leaver.count_nothing(&mut self.elsewhere);
             return Heard::default();
         }
+        self.silence(now);
         let peer = &mut self.others[at];
         let same_life = peer.digest.incarnation == digest.incarnation;
         let is_new = !same_life || !peer.is_fresh(now);
@@ -290,9 +292,9 @@
         }
         let spent = peer.take_spent(&digest.spent, first_word);
         digest.upto = digest.upto.max(peer.digest.upto);
+        peer.count(&mut self.elsewhere, &digest.loads);
         peer.digest = digest;
         peer.heard = Some(now);
-        peer.silence_told = false;
         let told = peer
             .told
             .is_some_and(|at| now.saturating_duration_since(at) < GREETED);
@@ -306,12 +308,12 @@
         }
     }
 
-    /// Instances that have fallen silent since the last call.
-    pub fn fallen_silent(&mut self, now: Instant) -> Vec<Ipv4Addr> {
+    /// Stops to count the load of instances that have fallen silent, and names them.
+    pub fn silence(&mut self, now: Instant) -> Vec<Ipv4Addr> {
         let mut silent = Vec::new();
         for peer in &mut self.others {
-            if peer.heard.is_some() && !peer.is_fresh(now) && !peer.silence_told {
-                peer.silence_told = true;
+            if peer.counted && !peer.is_fresh(now) {
+                peer.count_nothing(&mut self.elsewhere);
                 silent.push(peer.address);
             }
         }
@@ -336,25 +338,44 @@
         self.others.retain(|p| !p.is_forgotten(now));
     }
 
-    /// Requests of the others at a replica and their unread prompt tokens.
-    pub fn load_at(&self, now: Instant, replica: ShortName) -> (u32, f64) {
-        let mut running = 0;
-        let mut prompt = 0.0;
-        for peer in self.others.iter().filter(|p| p.is_fresh(now)) {
-            for load in peer.digest.loads.iter().filter(|l| l.replica == replica) {
-                running += u32::from(load.running);
-                prompt += f64::from(load.prompt);
-            }
-        }
-        (running, prompt)
+    /// What the others have at a replica.
+    pub fn load_at(&self, replica: ShortName) -> Sum {
+        self.elsewhere.at(replica)
     }
 
-    /// An instance that knows the directory further than `upto`.
-    pub fn ahead(&self, now: Instant, upto: Revision) -> Option<&Peer> {
-        self.others
+    /// All replicas at which the others have or had something.
+    pub fn loads(&self) -> &[(ShortName, Sum)] {
+        self.elsewhere.all()
+    }
+
+    /// The replicas at which the others' load has changed since the last call.
+    pub fn take_changed_loads(&mut self) -> Vec<ShortName> {
+        self.elsewhere.take_changed()
+    }
+
+    /// An instance that knows the directory further than `upto`: one of the nearest, which one by
+    /// `salt`, the asker's own.
+    ///
+    /// A fleet that asked the one that is furthest ahead would ask the same one all at once, and a
+    /// large table takes a small machine's link a tenth of a second for each asker.
+    pub fn ahead(
+        &self,
+        now: Instant,
+        upto: Revision,
+        place: (ShortName, ShortName),
+        salt: u64,
+    ) -> Option<&Peer> {
+        let (zone, region) = place;
+        let ahead = |p: &&Peer| p.is_fresh(now) && p.digest.upto > upto;
+        let nearness = |p: &Peer| p.nearness(zone, region) as u8;
+        let nearest = self.others.iter().filter(ahead).map(nearness).min()?;
+        let candidates: Vec<&Peer> = self
+            .others
             .iter()
-            .filter(|p| p.is_fresh(now) && p.digest.upto > upto)
-            .max_by_key(|p| p.digest.upto)
+            .filter(ahead)
+            .filter(|p| nearness(p) == nearest)
+            .collect();
+        Some(candidates[salt as usize % candidates.len()])
     }
 
     /// Whether this instance is one of the few that read the store, so that the others need not.
--- a/crates/entry/src/table.rs
+++ b/crates/entry/src/table.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::allowance::Limit;
-use kingcupfield_decisions::id::{OrganisationId, ServiceId, Version};
-
-use crate::peers::{ShortName, short_name};
+use kingcupfield_decisions::id::{OrganisationId, ServiceId, ShortName, Version, short_name};
 
 /// What may be repeated of a route's requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -3,7 +3,8 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use kingcupfield_entry::peers::{Digest, Load, Nearness, Peers};
+use kingcupfield_decisions::elsewhere::{Load, Sum};
+use kingcupfield_entry::peers::{Digest, Nearness, Peers};
 use proptest::prelude::*;
 use tokio::time::Instant;
 use yare::parameterized;
@@ -65,10 +66,12 @@
     let mut peers = Peers::new(now, OWN, true);
     peers.on_digest(now, address(1), digest(1, 0));
     peers.on_digest(now, address(2), digest(1, 0));
-    assert_eq!(peers.load_at(now, 4), (6, 1000.0));
+    let load = |running, prompt| Sum { running, prompt };
+    assert_eq!(peers.load_at(4), load(6, 1000));
     let later = now + Duration::from_secs(3);
     peers.on_digest(later, address(2), digest(1, 0));
-    assert_eq!(peers.load_at(later, 4), (3, 500.0));
+    assert_eq!(peers.load_at(4), load(3, 500));
+    assert_eq!(peers.take_changed_loads(), [4]);
     assert!((peers.part(later) - 2.0 / 3.0).abs() < 1e-9);
     peers.forget(now + Duration::from_secs(61));
     assert_eq!(peers.known(), 2);
