Leave replicas alone that drop requests at once, and abandon none that merely waits its turn

A request that stood behind others in an engine for 0.9 s was taken for a sign of death, given up, and ended as a failure where no repeat was left.

Ruled out: queues of engines that overflow (14 answers said full); answers lost after a run, which end after 45 ms and more.

Change: a connection that ends within 25 ms and the way there counts as unreachable, which peers hear of; a request behind others waits its turn; none is given up without a repeat in hand. Differences between clocks are told only when a better reading comes (4,341 lines before).

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -356,11 +356,17 @@
 
     fn start(&mut self, now: Instant, job: &Job, index: usize, why: Why) -> Placed {
         let u = &mut self.upstreams[index];
+        let turn = if u.replica.engine {
+            u.longest_turn(job)
+        } else {
+            Duration::ZERO
+        };
         u.running.push(Running {
             job: job.id,
             prompt: if u.replica.engine { job.prompt } else { 0.0 },
             since: now,
             heard: false,
+            turn,
         });
         Placed {
             job: job.id,
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -31,6 +31,10 @@
 /// An answer may well be this many times as long as its caller guessed.
 const LENGTH_DOUBT: f64 = 2.0;
 
+/// A request that stands behind others gets its turn in this many times the usual time: answers
+/// differ in length by far more than their mean.
+const TURN_DOUBT: f64 = 8.0;
+
 /// A replica that has answered none of its requests for this long is taken to be dead or stuck.
 const SILENT: Duration = Duration::from_millis(900);
 
@@ -87,6 +91,8 @@
     pub(super) prompt: f64,
     pub(super) since: Instant,
     pub(super) heard: bool,
+    /// How much longer than usual it may wait for its first event, as it stands behind others.
+    pub(super) turn: Duration,
 }
 
 /// A replica with what is known of its load.
@@ -178,7 +184,7 @@
             .running
             .iter()
             .filter(|r| !r.heard)
-            .any(|r| now.saturating_duration_since(r.since) > patience);
+            .any(|r| now.saturating_duration_since(r.since) > patience + r.turn);
         let quiet = self
             .heard_at
             .is_none_or(|at| now.saturating_duration_since(at) > patience);
@@ -213,6 +219,11 @@
         (whole - left).max(0.0)
     }
 
+    /// How long a request may stand behind others here before its turn.
+    pub(super) fn longest_turn(&self, job: &Job) -> Duration {
+        Duration::from_secs_f64(self.queue_ms(job) * TURN_DOUBT / 1e3)
+    }
+
     fn queue_ms(&self, job: &Job) -> f64 {
         let over = (self.total() + 1).saturating_sub(self.replica.slots);
         let turn =
--- a/crates/decisions/tests/dispatch.rs
+++ b/crates/decisions/tests/dispatch.rs
@@ -159,6 +159,23 @@
     assert_eq!(&*dispatch.place(later)[0].upstream, "b");
 }
 
+/// All slots of a replica are taken by other instances' requests, and one of ours stands behind them.
+/// It hears nothing for a second because it waits its turn. Taken for a sign of death, it would be
+/// abandoned and run again elsewhere, and under load each instance would do so at replica after
+/// replica.
+#[test]
+fn a_request_behind_others_is_no_sign_of_silence() {
+    let now = Instant::now();
+    let mut dispatch = Dispatch::new();
+    dispatch.set_replicas(&[replica("a", 0)]);
+    dispatch.set_elsewhere(&"a".into(), SLOTS, 0.0);
+    dispatch.enqueue(job(1, 0, now));
+    assert_eq!(dispatch.place(now).len(), 1);
+    let id = "a".into();
+    assert!(!dispatch.is_silent(now + Duration::from_millis(1500), &id));
+    assert!(dispatch.is_silent(now + Duration::from_millis(4000), &id));
+}
+
 /// A replica that is leaving finishes what it has and gets nothing new, though its entry is there.
 #[test]
 fn a_leaving_replica_gets_nothing_new() {
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -33,8 +33,13 @@
     Another,
     /// The replica says that it did not run the request.
     NotRun,
+    /// The connection ended as soon as the request had come, as at a replica that has died; it may
+    /// have run.
+    Dropped,
     /// It may have run.
     Broken,
+    /// It was given up here, as the replica brought nothing to anybody, and a repeat is taken for it.
+    Abandoned,
     /// What came is not the answer to this request, which may have run.
     Foreign,
 }
@@ -47,23 +52,28 @@
             Self::Full => "full",
             Self::Another => "another",
             Self::NotRun => "not_run",
+            Self::Dropped => "dropped",
             Self::Broken => "broken",
+            Self::Abandoned => "abandoned",
             Self::Foreign => "foreign",
         }
     }
 
     /// Whether the replica may have run the request.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Self::Broken | Self::Foreign)
+        matches!(
+            self,
+            Self::Dropped | Self::Broken | Self::Abandoned | Self::Foreign
+        )
     }
 
     /// What it tells about the replica.
     pub fn outcome(self) -> Outcome {
         match self {
-            Self::NotSent | Self::Another => Outcome::Unreachable,
+            Self::NotSent | Self::Another | Self::Dropped => Outcome::Unreachable,
             Self::Full => Outcome::Full,
             Self::NotRun => Outcome::Unknown,
-            Self::Broken | Self::Foreign => Outcome::Failed,
+            Self::Broken | Self::Abandoned | Self::Foreign => Outcome::Failed,
         }
     }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -387,7 +387,8 @@
         }
     }
 
-    fn round_trip(&self, zone: &str) -> Duration {
+    /// Time of a message to a zone and back, with what the way costs the users counted as time.
+    pub fn round_trip(&self, zone: &str) -> Duration {
         let cfg = self.settings();
         if zone == &*cfg.availability_zone {
             return Duration::ZERO;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -28,9 +28,12 @@
 /// instance that starts behind a cut then spends its share alone.
 const ASSUMED: usize = 7;
 
-/// A change of the difference between two clocks that is told again: above the time that messages
-/// take between regions.
-const CLOCK_NEWS_MS: i64 = 100;
+/// A reading of the difference between two clocks that is better by this is told again: the lines
+/// that are put in order by it lie some milliseconds apart.
+const CLOCK_NEWS_MS: i64 = 20;
+
+/// A reading that is worse by this is told as well: messages are held up for less.
+const CLOCK_SET_BACK_MS: i64 = 1000;
 
 /// Instances that read the store at least, in a fleet of one zone.
 const READERS: usize = 2;
@@ -326,7 +329,11 @@
             return false;
         };
         let told = &mut self.others[at].ahead_ms;
-        let news = told.is_none_or(|told| (ahead_ms - told).abs() >= CLOCK_NEWS_MS);
+        // A message that was held up makes the other clock look late, so only a better reading is
+        // news, or a clock that was set back by far.
+        let news = told.is_none_or(|told| {
+            ahead_ms >= told + CLOCK_NEWS_MS || ahead_ms <= told - CLOCK_SET_BACK_MS
+        });
         if news {
             *told = Some(ahead_ms);
         }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -39,6 +39,11 @@
 /// anybody; a seventh of the shortest objective of the users' streams.
 const RESCUE_CHECK: Duration = Duration::from_millis(150);
 
+/// A connection that ends this soon after a request was written, beside the time on the way, is that
+/// of a replica which runs nothing: it fails each request at once, looks idle and draws more. Usual
+/// first answers take 60 ms and more.
+const AT_ONCE: Duration = Duration::from_millis(25);
+
 /// A request of a plain service that may be repeated waits for this part of its objective before
 /// another replica is tried: the rest is enough for a usual answer.
 const PLAIN_RESCUE: f64 = 0.6;
@@ -340,6 +345,8 @@
             place.end(Outcome::Unknown);
             return Next::Refuse(self.too_late());
         }
+        let at_once = AT_ONCE + node.round_trip(&target.published.zone);
+        let began = Instant::now();
         let fields = self.onward(node, target, None);
         self.tried.push(place.upstream.clone());
         self.runs += 1;
@@ -353,12 +360,15 @@
             self.route.kind.repeatable(),
         );
         let sent = tokio::select! {
-            sent = sent => sent,
+            sent = sent => sent.map_err(|e| match e {
+                Failure::Broken if began.elapsed() < at_once => Failure::Dropped,
+                e => e,
+            }),
             () = timed_out(node, &self.route, self.received) => {
                 place.end(Outcome::Unknown);
                 return Next::Refuse(self.too_late());
             }
-            () = self.rescue(&place) => Err(Failure::Broken),
+            () = self.rescue(node, &place) => Err(Failure::Abandoned),
         };
         match sent {
             Ok(answer) => self.answered(node, target, place, answer, active).await,
@@ -366,8 +376,9 @@
         }
     }
 
-    /// Ends when the request had better be sent to another replica; never if it may not.
-    async fn rescue(&self, place: &Place) {
+    /// Ends when the request had better be sent to another replica, with a repeat taken for it; never
+    /// if it may not. A request that is given up with nothing in its place helps nobody.
+    async fn rescue(&self, node: &Node, place: &Place) {
         if !self.route.kind.repeatable() || self.runs >= self.route.attempts {
             return std::future::pending().await;
         }
@@ -376,7 +387,7 @@
             tokio::time::sleep(RESCUE_CHECK).await;
             let plain = !self.route.kind.is_stream();
             let slow = sent.elapsed() > self.route.objective.mul_f64(PLAIN_RESCUE);
-            if place.is_silent() || (plain && slow) {
+            if (place.is_silent() || (plain && slow)) && self.may_repeat(node) {
                 return;
             }
         }
@@ -386,7 +397,7 @@
         account::send_failed(node, self, &place.upstream, failure);
         place.end(failure.outcome());
         if failure.may_have_run() {
-            return if self.may_repeat(node) {
+            return if failure == Failure::Abandoned || self.may_repeat(node) {
                 Next::Again
             } else {
                 Next::Refuse(self.broke(failure))
