Give a place that comes free to one instance of the zone, the most urgent request first

Change: instances of a zone tell the most urgent class that waits; a place belongs to the most urgent, among equals to the one that all compute alike, and is anybody's after 15 ms; instances of other zones leave it to the replica's zone for as long as news takes. A fifth of the time a request goes by its own queue, so that nothing starves.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -12,6 +12,7 @@
 
 pub mod pace;
 mod upstream;
+mod urgency;
 
 use std::time::Duration;
 
@@ -24,16 +25,11 @@
 use upstream::{Running, Upstream};
 
 pub use upstream::Replica;
+pub use urgency::{Class, Contender};
 
 /// Number of a request at this instance.
 pub type JobId = u64;
 
-/// Time from a place to the first event at a usual replica: a request is late when less is left.
-const FIRST_EVENT: Duration = Duration::from_millis(200);
-
-/// What a late request is set back by, in halves of a tier.
-const LATE: u32 = 3;
-
 /// Round trip from which a replica's load is known too late to choose by it alone.
 const FAR: Duration = Duration::from_millis(20);
 
@@ -140,6 +136,10 @@
 pub struct Dispatch {
     upstreams: Vec<Upstream>,
     waiting: Vec<Job>,
+    /// What waits at the other instances of the zone.
+    contenders: Vec<Contender>,
+    /// This instance, by a number that all give it alike.
+    key: u32,
 }
 
 impl Dispatch {
@@ -148,18 +148,24 @@
         Self::default()
     }
 
+    /// Gives the instance the number by which the others know it.
+    pub fn with_key(mut self, key: u32) -> Self {
+        self.key = key;
+        self
+    }
+
     /// Takes the published replicas; what was learned of those that stay is kept.
     pub fn set_replicas(&mut self, replicas: &[Replica]) {
-        let mut old = std::mem::take(&mut self.upstreams);
+        let old = std::mem::take(&mut self.upstreams);
+        let ids: Vec<UpstreamId> = old.iter().map(|u| u.replica.id.clone()).collect();
+        let mut old: Vec<Option<Upstream>> = old.into_iter().map(Some).collect();
         for replica in replicas {
-            let known = old
-                .iter()
-                .position(|u| u.replica.id == replica.id && u.replica.born == replica.born);
-            let upstream = match known {
-                Some(at) => {
-                    let mut upstream = old.swap_remove(at);
-                    upstream.replica = replica.clone();
-                    upstream
+            let known = ids.binary_search(&replica.id).ok();
+            let known = known.and_then(|at| old[at].take());
+            let upstream = match known.filter(|u| u.replica.born == replica.born) {
+                Some(mut known) => {
+                    known.replica = replica.clone();
+                    known
                 }
                 None => Upstream::new(replica.clone()),
             };
@@ -177,6 +183,24 @@
         }
     }
 
+    /// Takes what waits at the other instances of the zone.
+    pub fn set_contenders(&mut self, contenders: Vec<Contender>) {
+        self.contenders = contenders;
+    }
+
+    /// The most urgent class that waits here, by service.
+    pub fn urgent(&self, now: Instant) -> Vec<(ServiceId, Class)> {
+        let mut urgent: Vec<(ServiceId, Class)> = Vec::new();
+        for job in &self.waiting {
+            let class = urgency::class(now, job);
+            match urgent.binary_search_by(|(s, _)| s.cmp(&job.service)) {
+                Ok(at) => urgent[at].1 = urgent[at].1.min(class),
+                Err(at) => urgent.insert(at, (job.service.clone(), class)),
+            }
+        }
+        urgent
+    }
+
     /// Takes a peer's word on how fast a replica is.
     pub fn hint_step(&mut self, upstream: &UpstreamId, step_ms: f64) {
         if let Some(u) = self.find(upstream) {
@@ -236,18 +260,19 @@
     /// Places as many waiting requests as there is room for.
     pub fn place(&mut self, now: Instant) -> Vec<Placed> {
         let mut placed = Vec::new();
+        let mut open = self.open(now);
         if self.waiting.is_empty() {
             return placed;
         }
-        let mut open = self.open(now);
-        self.waiting.sort_by_key(|job| turn(now, job));
+        self.waiting
+            .sort_by_key(|job| (urgency::class(now, job), job.received));
         let mut at = 0;
         while at < self.waiting.len() && !open.is_empty() {
             match self.choose(now, &self.waiting[at], &open) {
                 Some((index, why)) => {
                     let job = self.waiting.remove(at);
                     placed.push(self.start(now, &job, index, why));
-                    if !self.upstreams[index].is_open(now) {
+                    if !self.upstreams[index].note_room(now) {
                         open.retain(|i| *i != index);
                     }
                 }
@@ -259,11 +284,10 @@
 
     /// The replicas that can take one more request now. When all are full, which is when most
     /// requests wait, nothing else is looked at.
-    fn open(&self, now: Instant) -> Vec<usize> {
-        let upstreams = self.upstreams.iter().enumerate();
+    fn open(&mut self, now: Instant) -> Vec<usize> {
+        let upstreams = self.upstreams.iter_mut().enumerate();
         upstreams
-            .filter(|(_, u)| u.is_open(now))
-            .map(|(index, _)| index)
+            .filter_map(|(index, u)| u.note_room(now).then_some(index))
             .collect()
     }
 
@@ -382,7 +406,10 @@
         let mut with_room = 0;
         for &index in open {
             let u = &self.upstreams[index];
-            if !fits(u, job) || (is_far(u, job) && !is_picked(index, job, far)) {
+            if !fits(u, job)
+                || !self.may_take(now, u, job)
+                || (is_far(u, job) && !is_picked(index, job, far))
+            {
                 continue;
             }
             with_room += 1;
@@ -400,6 +427,13 @@
         best.map(|(index, why)| (index, Why { with_room, ..why }))
     }
 
+    /// Whether a place that is free at the replica is this instance's to take.
+    fn may_take(&self, now: Instant, u: &Upstream, job: &Job) -> bool {
+        let id = &u.replica.id;
+        let patience = urgency::patience(now, job, self.key, &self.contenders, id, u.replica.news);
+        patience.is_some_and(|p| u.free_for(now) >= p)
+    }
+
     /// The least share of failures among a service's replicas: what is due to the requests.
     fn usual_failing(&self, now: Instant, service: &ServiceId) -> f64 {
         self.upstreams
@@ -418,13 +452,6 @@
     }
 }
 
-/// The order in which requests are placed, the lowest first.
-fn turn(now: Instant, job: &Job) -> (u32, u32, Instant) {
-    let late = now + FIRST_EVENT >= job.due;
-    let tier = job.rank.1 * 2 + LATE * u32::from(late);
-    (job.rank.0, tier, job.received)
-}
-
 /// Whether a replica stands so far off that its load is known late.
 fn is_far(u: &Upstream, job: &Job) -> bool {
     u.replica.round_trip >= FAR && u.replica.service == job.service
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -76,6 +76,9 @@
     pub slots: u32,
     /// Time of a message there and back.
     pub round_trip: Duration,
+    /// Time in which a change of its load becomes known here; zero in its own zone, where each
+    /// change is told at once.
+    pub news: Duration,
     /// Whether it generates tokens in a batch.
     pub engine: bool,
     /// Tokens in one event of its streams.
@@ -105,6 +108,8 @@
     pub(super) prompt_elsewhere: f64,
     pub(super) heard_at: Option<Instant>,
     pub(super) shunned_until: Option<Instant>,
+    /// Since when it has had room.
+    free_since: Option<Instant>,
     /// Failures to reach it in a row.
     pub(super) missed: u32,
 }
@@ -119,6 +124,7 @@
             prompt_elsewhere: 0.0,
             heard_at: None,
             shunned_until: None,
+            free_since: None,
             missed: 0,
         }
     }
@@ -142,9 +148,20 @@
         !self.shunned(now) && !self.on_trial() && !self.silent(now)
     }
 
-    /// Whether it can take one more request now.
-    pub(super) fn is_open(&self, now: Instant) -> bool {
-        self.replica.usable && self.has_room() && self.takes_work(now)
+    /// Notes since when it has room, and returns whether it can take one more request now.
+    pub(super) fn note_room(&mut self, now: Instant) -> bool {
+        if !self.has_room() {
+            self.free_since = None;
+            return false;
+        }
+        self.free_since.get_or_insert(now);
+        self.replica.usable && self.takes_work(now)
+    }
+
+    /// For how long it has had room.
+    pub(super) fn free_for(&self, now: Instant) -> Duration {
+        self.free_since
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
     }
 
     pub(super) fn shun_unreachable(&mut self, now: Instant) {
--- a/crates/decisions/tests/dispatch.rs
+++ b/crates/decisions/tests/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kingcupfield_decisions::dispatch::{Dispatch, Job, JobId, Outcome, Replica};
+use kingcupfield_decisions::dispatch::{Contender, Dispatch, Job, JobId, Outcome, Replica};
 use tokio::time::Instant;
 use yare::parameterized;
 
@@ -15,6 +15,7 @@
         service: "drafting".into(),
         slots: SLOTS,
         round_trip: Duration::from_millis(round_trip),
+        news: Duration::ZERO,
         engine: true,
         tokens_per_event: 2,
         usable: true,
@@ -173,7 +174,7 @@
     assert_eq!(dispatch.place(now).len(), 1);
     let id = "a".into();
     assert!(!dispatch.is_silent(now + Duration::from_millis(1500), &id));
-    assert!(dispatch.is_silent(now + Duration::from_millis(4000), &id));
+    assert!(dispatch.is_silent(now + Duration::from_secs(4), &id));
 }
 
 /// A replica that is leaving finishes what it has and gets nothing new, though its entry is there.
@@ -202,3 +203,96 @@
     dispatch.set_replicas(&[again]);
     assert_eq!(dispatch.place(now).len(), SLOTS as usize + 1);
 }
+
+const DRAFTING: &str = "drafting";
+
+/// An instance of a zone at which one request waits before a full replica.
+fn waiting(key: u32, tier: u32, now: Instant, news: Duration) -> Dispatch {
+    let mut dispatch = Dispatch::new().with_key(key);
+    dispatch.set_replicas(&[Replica {
+        news,
+        ..replica("a", 0)
+    }]);
+    dispatch.set_elsewhere(&"a".into(), SLOTS + 1, 0.0);
+    dispatch.enqueue(job(1, tier, now));
+    assert!(dispatch.place(now).is_empty());
+    dispatch
+}
+
+fn contender(key: u32, tier: u32) -> Contender {
+    Contender {
+        service: DRAFTING.into(),
+        key,
+        class: (1, tier * 2),
+    }
+}
+
+/// A burst fills an engine and requests wait at ten instances of a zone. When a place comes free all
+/// hear of it at once. If all took it, nine requests would stand inside a full engine, where the most
+/// urgent can't be served first any more.
+#[test]
+fn a_free_place_is_taken_by_one_instance() {
+    let now = Instant::now();
+    let keys = 0..10;
+    let mut takers = 0;
+    for key in keys.clone() {
+        let mut dispatch = waiting(key, 0, now, Duration::ZERO);
+        let others = keys.clone().filter(|k| *k != key);
+        dispatch.set_contenders(others.map(|k| contender(k, 0)).collect());
+        dispatch.set_elsewhere(&"a".into(), SLOTS, 0.0);
+        takers += dispatch.place(now).len();
+        // Whoever should have taken it may be gone: a moment later it is anybody's.
+        if dispatch.waiting() == 1 {
+            assert_eq!(dispatch.place(now + Duration::from_millis(20)).len(), 1);
+        }
+    }
+    assert_eq!(takers, 1);
+}
+
+struct Elsewhere {
+    /// Tier of the request that waits here.
+    own: u32,
+    /// Tier of what waits at another instance of the zone.
+    other: u32,
+    /// Whether the request takes a free place, at most of all moments.
+    takes: bool,
+}
+
+/// A cheap request waits here and an urgent one at the next instance. The place that comes free is
+/// the urgent one's, or planners wait behind briefs that happened to come in elsewhere.
+#[parameterized(
+    urgent_elsewhere = { Elsewhere { own: 2, other: 0, takes: false } },
+    urgent_here = { Elsewhere { own: 0, other: 2, takes: true } },
+)]
+fn a_free_place_is_the_most_urgent_requests(case: Elsewhere) {
+    let now = Instant::now();
+    let mut taken = 0;
+    for salt in 0..100 {
+        let mut dispatch = waiting(1, 0, now, Duration::ZERO);
+        dispatch.withdraw(1);
+        dispatch.enqueue(Job {
+            salt: salt * 10,
+            ..job(2, case.own, now)
+        });
+        dispatch.set_contenders(vec![contender(2, case.other)]);
+        dispatch.set_elsewhere(&"a".into(), 0, 0.0);
+        dispatch.place(now);
+        dispatch.place(now + Duration::from_millis(20));
+        taken += 1 - dispatch.waiting();
+    }
+    // A fifth of the time a request goes by its own instance's queue, so that nothing starves.
+    assert_eq!(taken > 60, case.takes, "{taken} of 100");
+    assert!(taken >= 15, "{taken} of 100");
+}
+
+/// A place comes free in another zone, whose instances hear of it at once while this one hears late.
+/// It is left to them for as long as news takes, and taken when nobody there wanted it.
+#[test]
+fn a_place_in_another_zone_is_left_to_that_zone_first() {
+    let now = Instant::now();
+    let mut dispatch = waiting(1, 0, now, Duration::from_millis(100));
+    dispatch.set_elsewhere(&"a".into(), SLOTS, 0.0);
+    assert!(dispatch.place(now).is_empty());
+    assert!(dispatch.place(now + Duration::from_millis(90)).is_empty());
+    assert_eq!(dispatch.place(now + Duration::from_millis(110)).len(), 1);
+}
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use kingcupfield_decisions::dispatch::Class;
 use kingcupfield_decisions::elsewhere::Load;
 use kingcupfield_decisions::id::{ShortName, short_name};
 use kingcupfield_decisions::known::{Entry, Revision};
@@ -77,6 +78,7 @@
         zone: short_name(&node.settings().availability_zone),
         region: short_name(&node.settings().region),
         last_loads: [Vec::new(), Vec::new(), Vec::new()],
+        last_waiting: [Vec::new(), Vec::new(), Vec::new()],
         last_spent: [Vec::new(), Vec::new(), Vec::new()],
         full_at: None,
         far_full_at: None,
@@ -90,6 +92,7 @@
                 tick += 1;
                 notice_silence(&node);
                 take_loads(&node);
+                take_waiting(&node);
                 node.pump();
                 sender.send_tick(&node, &socket, tick);
             }
@@ -108,6 +111,7 @@
     region: ShortName,
     /// What each nearness was told last.
     last_loads: [Vec<Load>; 3],
+    last_waiting: [Vec<(ShortName, Class)>; 3],
     last_spent: [Vec<(ShortName, u64)>; 3],
     full_at: Option<Instant>,
     far_full_at: Option<Instant>,
@@ -165,7 +169,10 @@
     fn send(&mut self, node: &Node, socket: &UdpSocket, nearness: Nearness, kind: Kind) {
         let now = Instant::now();
         let loads = own_loads(node);
-        if kind == Kind::Change && loads == self.last_loads[nearness as usize] {
+        let waiting = own_waiting(node);
+        let told = nearness as usize;
+        let same = loads == self.last_loads[told] && waiting == self.last_waiting[told];
+        if kind == Kind::Change && same {
             return;
         }
         let receivers = self.receivers(node, now, nearness, kind != Kind::Change);
@@ -176,7 +183,8 @@
         let Ok(message) = rmp_serde::to_vec(&digest) else {
             return;
         };
-        self.last_loads[nearness as usize] = digest.loads;
+        self.last_loads[told] = digest.loads;
+        self.last_waiting[told] = digest.waiting;
         send_to_all(node, socket, &message, &receivers);
     }
 
@@ -197,6 +205,7 @@
             leaving: node.stage() == Stage::Closing,
             unreachable: own_unreachable(node),
             loads,
+            waiting: own_waiting(node),
             spent: changed,
             ..Digest::default()
         };
@@ -288,6 +297,14 @@
         .collect()
 }
 
+fn own_waiting(node: &Node) -> Vec<(ShortName, Class)> {
+    let urgent = node.dispatch.borrow().urgent(Instant::now());
+    let short = urgent
+        .into_iter()
+        .map(|(service, class)| (short_name(&service), class));
+    short.collect()
+}
+
 fn own_steps(node: &Node) -> Vec<(u32, u32)> {
     node.dispatch
         .borrow()
@@ -358,6 +375,7 @@
     take_steps(node, &steps);
     take_unreachable(node, &unreachable);
     take_loads(node);
+    take_waiting(node);
     node.pump();
     if upto > node.known.borrow().upto() {
         let pause = if node.reads() { BEHIND } else { Duration::ZERO };
@@ -431,6 +449,28 @@
     }
 }
 
+/// Takes what waits at the other instances of the zone.
+fn take_waiting(node: &Node) {
+    let zone = short_name(&node.settings().availability_zone);
+    let peers = node.peers.borrow();
+    node.set_contenders(peers.waiting(Instant::now(), zone));
+}
+
+/// Time in which a change of a replica's load in a zone comes round to this instance.
+pub fn news(node: &Node, zone: &str) -> Duration {
+    let cfg = node.settings();
+    if zone == &*cfg.availability_zone {
+        return Duration::ZERO;
+    }
+    let own = (short_name(&cfg.availability_zone), short_name(&cfg.region));
+    let region = cfg.regions_by_zone.get(zone);
+    if region.is_some_and(|r| **r == *cfg.region) {
+        return SHORTEST;
+    }
+    let far = node.peers.borrow().far(Instant::now(), own.0, own.1);
+    SHORTEST * far.div_ceil(FEW_FAR).max(1) as u32
+}
+
 /// Asks a peer for what it knows of the directory.
 pub async fn fetch(peer: SocketAddr, after: Revision) -> std::io::Result<Snapshot> {
     timeout(FETCH, fetch_now(peer, after))
--- a/crates/entry/src/life.rs
+++ b/crates/entry/src/life.rs
@@ -144,6 +144,8 @@
     loop {
         ticks.tick().await;
         let now = Instant::now();
+        // How late news comes depends on how many instances are heard.
+        node.refresh_replicas();
         for target in node.targets() {
             target.pool.reap(now);
         }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::allowance::Allowances;
-use kingcupfield_decisions::dispatch::{Dispatch, Job, JobId, Outcome, Replica, Why};
+use kingcupfield_decisions::dispatch::{
+    Class, Contender, Dispatch, Job, JobId, Outcome, Replica, Why,
+};
 use kingcupfield_decisions::elsewhere::Sum;
-use kingcupfield_decisions::id::{ShortName, UpstreamId, short_name};
+use kingcupfield_decisions::id::{ServiceId, ShortName, UpstreamId, short_name};
 use kingcupfield_decisions::known::Known;
 use kingcupfield_decisions::repeats::Repeats;
 use tokio::sync::{Notify, oneshot, watch};
@@ -16,6 +18,7 @@
 
 use crate::clock::Clock;
 use crate::directory::Reader;
+use crate::gossip;
 use crate::log::{Log, Weight};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -115,6 +118,8 @@
     targets: RefCell<Vec<Rc<Target>>>,
     /// Replicas by their short names.
     short_names: RefCell<Vec<(ShortName, UpstreamId)>>,
+    /// Services by their short names.
+    services: RefCell<Vec<(ShortName, ServiceId)>>,
     waiters: RefCell<Vec<(JobId, oneshot::Sender<Verdict>)>>,
     next_job: Cell<JobId>,
 }
@@ -141,7 +146,7 @@
             repeats: RefCell::new(Repeats::new(cfg.repeat_bounds())),
             known: RefCell::new(Known::new()),
             peers: RefCell::new(Peers::new(now, cfg.address(), !cfg.contacts.is_empty())),
-            dispatch: RefCell::new(Dispatch::new()),
+            dispatch: RefCell::new(Dispatch::new().with_key(cfg.address().to_bits())),
             reread: Notify::new(),
             greet: RefCell::new(Vec::new()),
             greeting: Notify::new(),
@@ -157,6 +162,7 @@
             table: RefCell::new(None),
             targets: RefCell::new(Vec::new()),
             short_names: RefCell::new(Vec::new()),
+            services: RefCell::new(Vec::new()),
             waiters: RefCell::new(Vec::new()),
             next_job: Cell::new(1),
             cfg: RefCell::new(Rc::new(cfg)),
@@ -244,6 +250,11 @@
         let ids = targets.iter().map(|t| &t.published.id);
         let mut short_names: Vec<_> = ids.map(|id| (short_name(id), id.clone())).collect();
         short_names.sort_unstable();
+        let services = targets.iter().map(|t| &t.published.service);
+        let mut services: Vec<_> = services.map(|s| (short_name(s), s.clone())).collect();
+        services.sort_unstable();
+        services.dedup();
+        *self.services.borrow_mut() = services;
         *self.targets.borrow_mut() = targets;
         *self.short_names.borrow_mut() = short_names;
         self.refresh_replicas();
@@ -280,6 +291,24 @@
         }
     }
 
+    /// Takes what waits at the other instances of the zone.
+    pub fn set_contenders<I>(&self, waiting: I)
+    where
+        I: Iterator<Item = (Ipv4Addr, ShortName, Class)>,
+    {
+        let services = self.services.borrow();
+        let contenders = waiting.filter_map(|(address, service, class)| {
+            let found = services.binary_search_by(|(short, _)| short.cmp(&service));
+            Some(Contender {
+                service: services[found.ok()?].1.clone(),
+                key: address.to_bits(),
+                class,
+            })
+        });
+        let contenders = contenders.collect();
+        self.dispatch.borrow_mut().set_contenders(contenders);
+    }
+
     /// A replica by its name.
     pub fn target(&self, id: &UpstreamId) -> Option<Rc<Target>> {
         let targets = self.targets.borrow();
@@ -312,6 +341,8 @@
         };
         self.pump();
         self.waiting.notify_one();
+        // The others leave free places to it if it is urgent.
+        self.changed.notify_one();
         let verdict = (&mut waiting.rx).await.unwrap_or(Err(NoPlace::GivenUp));
         verdict.map(|(upstream, why)| Place {
             node: Rc::clone(self),
@@ -381,6 +412,7 @@
             service: published.service.clone(),
             slots: published.slots,
             round_trip: self.round_trip(&published.zone),
+            news: gossip::news(self, &published.zone),
             engine: service.flatten().is_some(),
             tokens_per_event: service.flatten().unwrap_or(1),
             usable: !published.leaving,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -7,6 +7,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use kingcupfield_decisions::dispatch::Class;
 use kingcupfield_decisions::elsewhere::{Elsewhere, Load, Sum};
 use kingcupfield_decisions::id::ShortName;
 use kingcupfield_decisions::known::Revision;
@@ -58,6 +59,8 @@
     pub unreachable: Vec<ShortName>,
     /// Its load at replicas; those that are missing have none.
     pub loads: Vec<Load>,
+    /// The most urgent class that waits there, by service; none where nothing waits.
+    pub waiting: Vec<(ShortName, Class)>,
     /// What it has spent of organisations since it started; those that are missing have not changed.
     pub spent: Vec<(ShortName, u64)>,
     /// Microseconds a step that it has learned of replicas; not in every message.
@@ -345,6 +348,25 @@
         self.others.retain(|p| !p.is_forgotten(now));
     }
 
+    /// What waits at the others of a zone: the instance, the service, the most urgent class.
+    pub fn waiting(
+        &self,
+        now: Instant,
+        zone: ShortName,
+    ) -> impl Iterator<Item = (Ipv4Addr, ShortName, Class)> {
+        let near = move |p: &&Peer| p.is_fresh(now) && p.digest.zone == zone;
+        self.others.iter().filter(near).flat_map(|p| {
+            let waiting = p.digest.waiting.iter();
+            waiting.map(|(service, class)| (p.address, *service, *class))
+        })
+    }
+
+    /// Number of instances in other regions.
+    pub fn far(&self, now: Instant, zone: ShortName, region: ShortName) -> usize {
+        let far = |p: &&Peer| p.is_fresh(now) && p.nearness(zone, region) == Nearness::Far;
+        self.others.iter().filter(far).count()
+    }
+
     /// What the others have at a replica.
     pub fn load_at(&self, replica: ShortName) -> Sum {
         self.elsewhere.at(replica)
