--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -13,9 +13,9 @@
 use kingcupfield_decisions::known::Revision;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::gossip::{SNAPSHOT_PATH, Snapshot};
 use crate::node::{Node, Stage};
 use crate::request;
+use crate::snapshot::{SNAPSHOT_PATH, Snapshot};
 
 /// Path of the measures, on the address for peers and operators.
 const METRICS_PATH: &str = "/metrics";
@@ -88,14 +88,14 @@
 /// Answers peers and operators.
 pub async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
     serve_small(node, listener, |node, req| match req.uri().path() {
-        SNAPSHOT_PATH => snapshot(node, req.uri().query().unwrap_or_default()),
+        SNAPSHOT_PATH => tell_directory(node, req.uri().query().unwrap_or_default()),
         METRICS_PATH => text(node.metrics.text(node)),
         _ => request::empty(StatusCode::NOT_FOUND),
     })
     .await;
 }
 
-fn snapshot(node: &Node, after: &str) -> Response<Full<Bytes>> {
+fn tell_directory(node: &Node, after: &str) -> Response<Full<Bytes>> {
     let after: Revision = after.parse().unwrap_or(0);
     let known = node.known.borrow();
     let changed = known.entries().iter().filter(|e| e.revision > after);
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -14,11 +14,11 @@
 use rand::RngExt as _;
 use tokio::time::{Instant, sleep};
 
-use crate::gossip;
 use crate::log::Weight;
 use crate::node::Node;
 use crate::port::{Listing, Meaning, SourceError};
 use crate::replica::Published;
+use crate::snapshot;
 
 /// Longest time that one watch waits. Each call is paid for; a store that fell silent on an open
 /// connection is noticed only after this, and the users' bounds hold again four seconds after its
@@ -222,7 +222,7 @@
         return;
     };
     let peer = SocketAddr::from((address, node.settings().peer_listen.port()));
-    match gossip::fetch(peer, upto).await {
+    match snapshot::fetch(peer, upto).await {
         Ok(snapshot) => {
             node.log.line(
                 Weight::Notable,
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -1,27 +1,19 @@
-//! Messages between instances: load and spending by datagrams, the directory by a call.
+//! What an instance tells the others: its load, what waits, what it spends, what it knows.
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::Request;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use kingcupfield_decisions::dispatch::Class;
 use kingcupfield_decisions::elsewhere::Load;
 use kingcupfield_decisions::id::{ShortName, short_name};
-use kingcupfield_decisions::known::{Entry, Revision};
-use serde::{Deserialize, Serialize};
-use tokio::net::{TcpStream, UdpSocket};
-use tokio::time::{Instant, interval, sleep, timeout};
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, interval, sleep};
 
-use crate::directory;
-use crate::log::{self, Weight};
+use crate::hearing;
+use crate::log;
 use crate::node::{Node, Stage};
 use crate::peers::{Digest, Nearness};
-use crate::table::Table;
 
 /// Time between messages to the other zones while the load changes: a place at a replica is held
 /// for about a second, so a count is a tenth of that old.
@@ -42,37 +34,10 @@
 /// Time between messages at rest.
 const AT_REST: Duration = Duration::from_secs(1);
 
-/// For this long after its start an instance takes its peers' word on what is left of limits.
-const LEARNS_LEVELS: Duration = Duration::from_secs(2);
-
-/// How long the directory may take to tell what a peer already knows, before the peer is asked.
-const BEHIND: Duration = Duration::from_millis(250);
-
-/// Longest time that a peer may take to send the directory: two round trips between regions and
-/// the time of a large table over a slow link.
-const FETCH: Duration = Duration::from_millis(1200);
-
-/// Largest directory that is taken from a peer.
-const MAX_SNAPSHOT: usize = 16 * 1024 * 1024;
-
-/// Path at which an instance tells what it knows of the directory.
-pub const SNAPSHOT_PATH: &str = "/directory";
-
-/// What an instance tells of the directory, to one that knows it up to a revision.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct Snapshot {
-    /// Revision up to which it is complete.
-    pub upto: u64,
-    /// Whether the store has failed calls lately, so that entries may have lapsed by its own trouble.
-    pub store_trouble: bool,
-    /// Entries that changed since, also the removed ones.
-    pub entries: Vec<Entry>,
-}
-
 /// Sends and receives until the process ends.
 pub async fn run(node: Rc<Node>, socket: UdpSocket, incarnation: u64) {
     let socket = Rc::new(socket);
-    tokio::task::spawn_local(receive(Rc::clone(&node), Rc::clone(&socket)));
+    tokio::task::spawn_local(hearing::receive(Rc::clone(&node), Rc::clone(&socket)));
     let mut sender = Sender {
         incarnation,
         zone: short_name(&node.settings().availability_zone),
@@ -90,9 +55,9 @@
         tokio::select! {
             _ = ticks.tick() => {
                 tick += 1;
-                notice_silence(&node);
-                take_loads(&node);
-                take_waiting(&node);
+                hearing::notice_silence(&node);
+                hearing::take_loads(&node);
+                hearing::take_waiting(&node);
                 node.pump();
                 sender.send_tick(&node, &socket, tick);
             }
@@ -211,7 +176,7 @@
         };
         if full {
             digest.steps = own_steps(node);
-            if node.peers.borrow().age(Instant::now()) > LEARNS_LEVELS {
+            if node.peers.borrow().age(Instant::now()) > hearing::LEARNS_LEVELS {
                 digest.levels = own_levels(node);
             }
             digest.members = fresh_members(node);
@@ -320,142 +285,6 @@
     fresh.map(|p| p.address).collect()
 }
 
-async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    let mut buf = vec![0; 64 * 1024];
-    loop {
-        let Ok((len, from)) = socket.recv_from(&mut buf).await else {
-            continue;
-        };
-        let SocketAddr::V4(from) = from else {
-            continue;
-        };
-        match rmp_serde::from_slice::<Digest>(&buf[..len]) {
-            Ok(digest) => on_digest(&node, *from.ip(), digest),
-            Err(e) => node.log.line(
-                Weight::Notable,
-                format_args!("event=peer_message_bad from={from} reason={e:?}"),
-            ),
-        }
-    }
-}
-
-fn on_digest(node: &Rc<Node>, from: Ipv4Addr, digest: Digest) {
-    let now = Instant::now();
-    let upto = digest.upto;
-    let steps = digest.steps.clone();
-    let unreachable = digest.unreachable.clone();
-    let levels = digest.levels.clone();
-    let time_ms = digest.time_ms;
-    let heard = node.peers.borrow_mut().on_digest(now, from, digest);
-    if heard.is_new {
-        node.log.line(
-            Weight::Notable,
-            format_args!("event=peer_heard peer={from}"),
-        );
-    }
-    if let Some(time_ms) = time_ms {
-        take_clock(node, from, time_ms);
-    }
-    if let Some(table) = node.table() {
-        for (name, cost) in heard.spent {
-            if let Some(organisation) = table.organisation_by_short_name(name) {
-                node.allowances
-                    .borrow_mut()
-                    .on_spent_elsewhere(&organisation.name, cost as f64);
-            }
-        }
-        if node.peers.borrow().age(now) < LEARNS_LEVELS {
-            take_levels(node, &table, &levels);
-        }
-    }
-    if !heard.greet.is_empty() {
-        node.greet.borrow_mut().extend(heard.greet);
-        node.greeting.notify_one();
-    }
-    take_steps(node, &steps);
-    take_unreachable(node, &unreachable);
-    take_loads(node);
-    take_waiting(node);
-    node.pump();
-    if upto > node.known.borrow().upto() {
-        let pause = if node.reads() { BEHIND } else { Duration::ZERO };
-        directory::ask_peers_later(node, pause);
-    }
-}
-
-/// Tells of the instances that have fallen silent, and forgets those that are gone.
-fn notice_silence(node: &Node) {
-    let now = Instant::now();
-    let mut peers = node.peers.borrow_mut();
-    for peer in peers.silence(now) {
-        node.log.line(
-            Weight::Notable,
-            format_args!("event=peer_silent peer={peer}"),
-        );
-    }
-    peers.forget(now);
-}
-
-/// Tells how another instance's time of day differs, which those need who read several logs.
-fn take_clock(node: &Node, from: Ipv4Addr, time_ms: u64) {
-    let own = u64::try_from(log::now_ms()).unwrap_or(u64::MAX);
-    let ahead_ms = time_ms.cast_signed().saturating_sub(own.cast_signed());
-    if node.peers.borrow_mut().on_clock(from, ahead_ms) {
-        node.log.line(
-            Weight::Notable,
-            format_args!("event=peer_clock peer={from} ahead_ms={ahead_ms}"),
-        );
-    }
-}
-
-fn take_levels(node: &Node, table: &Table, levels: &[(ShortName, i64)]) {
-    let now = Instant::now();
-    for (name, level) in levels {
-        let Some(organisation) = table.organisation_by_short_name(*name) else {
-            continue;
-        };
-        if let Some(limit) = organisation.limit {
-            node.allowances
-                .borrow_mut()
-                .adopt(now, &organisation.name, limit, *level as f64);
-        }
-    }
-}
-
-fn take_unreachable(node: &Node, unreachable: &[ShortName]) {
-    let now = Instant::now();
-    for name in unreachable {
-        if let Some(id) = node.replica_by_short_name(*name) {
-            node.dispatch.borrow_mut().hint_unreachable(now, &id);
-        }
-    }
-}
-
-fn take_steps(node: &Node, steps: &[(ShortName, u32)]) {
-    for (name, us) in steps {
-        if let Some(id) = node.replica_by_short_name(*name) {
-            let step_ms = f64::from(*us) / 1000.0;
-            node.dispatch.borrow_mut().hint_step(&id, step_ms);
-        }
-    }
-}
-
-/// Takes the changes of what the others have at replicas.
-fn take_loads(node: &Node) {
-    let changed = node.peers.borrow_mut().take_changed_loads();
-    for name in changed {
-        let sum = node.peers.borrow().load_at(name);
-        node.set_elsewhere(name, sum);
-    }
-}
-
-/// Takes what waits at the other instances of the zone.
-fn take_waiting(node: &Node) {
-    let zone = short_name(&node.settings().availability_zone);
-    let peers = node.peers.borrow();
-    node.set_contenders(peers.waiting(Instant::now(), zone));
-}
-
 /// Time in which a change of a replica's load in a zone comes round to this instance.
 pub fn news(node: &Node, zone: &str) -> Duration {
     let cfg = node.settings();
@@ -470,35 +299,3 @@
     let far = node.peers.borrow().far(Instant::now(), own.0, own.1);
     SHORTEST * far.div_ceil(FEW_FAR).max(1) as u32
 }
-
-/// Asks a peer for what it knows of the directory.
-pub async fn fetch(peer: SocketAddr, after: Revision) -> std::io::Result<Snapshot> {
-    timeout(FETCH, fetch_now(peer, after))
-        .await
-        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?
-}
-
-async fn fetch_now(peer: SocketAddr, after: Revision) -> std::io::Result<Snapshot> {
-    let stream = TcpStream::connect(peer).await?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(std::io::Error::other)?;
-    tokio::task::spawn_local(async move {
-        // Errors reach the call below.
-        let _ = connection.await;
-    });
-    let mut req = Request::new(Full::<Bytes>::default());
-    *req.uri_mut() = format!("{SNAPSHOT_PATH}?{after}")
-        .parse()
-        .map_err(std::io::Error::other)?;
-    let response = sender
-        .send_request(req)
-        .await
-        .map_err(std::io::Error::other)?;
-    let body = Limited::new(response.into_body(), MAX_SNAPSHOT)
-        .collect()
-        .await
-        .map_err(std::io::Error::other)?
-        .to_bytes();
-    rmp_serde::from_slice(&body).map_err(std::io::Error::other)
-}
--- /dev/null
+++ b/crates/entry/src/hearing.rs
@@ -0,0 +1,158 @@
+//! What an instance makes of the others' messages.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcupfield_decisions::id::{ShortName, short_name};
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+
+use crate::directory;
+use crate::log::{self, Weight};
+use crate::node::Node;
+use crate::peers::Digest;
+use crate::table::Table;
+
+/// For this long after its start an instance takes its peers' word on what is left of limits.
+pub const LEARNS_LEVELS: Duration = Duration::from_secs(2);
+
+/// How long the directory may take to tell what a peer already knows, before the peer is asked.
+const BEHIND: Duration = Duration::from_millis(250);
+
+/// Takes messages until the process ends.
+pub async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; 64 * 1024];
+    loop {
+        let Ok((len, from)) = socket.recv_from(&mut buf).await else {
+            continue;
+        };
+        let SocketAddr::V4(from) = from else {
+            continue;
+        };
+        match rmp_serde::from_slice::<Digest>(&buf[..len]) {
+            Ok(digest) => on_digest(&node, *from.ip(), digest),
+            Err(e) => node.log.line(
+                Weight::Notable,
+                format_args!("event=peer_message_bad from={from} reason={e:?}"),
+            ),
+        }
+    }
+}
+
+fn on_digest(node: &Rc<Node>, from: Ipv4Addr, digest: Digest) {
+    let now = Instant::now();
+    let upto = digest.upto;
+    let steps = digest.steps.clone();
+    let unreachable = digest.unreachable.clone();
+    let levels = digest.levels.clone();
+    let time_ms = digest.time_ms;
+    let heard = node.peers.borrow_mut().on_digest(now, from, digest);
+    if heard.is_new {
+        node.log.line(
+            Weight::Notable,
+            format_args!("event=peer_heard peer={from}"),
+        );
+    }
+    if let Some(time_ms) = time_ms {
+        take_clock(node, from, time_ms);
+    }
+    if let Some(table) = node.table() {
+        for (name, cost) in heard.spent {
+            if let Some(organisation) = table.organisation_by_short_name(name) {
+                node.allowances
+                    .borrow_mut()
+                    .on_spent_elsewhere(&organisation.name, cost as f64);
+            }
+        }
+        if node.peers.borrow().age(now) < LEARNS_LEVELS {
+            take_levels(node, &table, &levels);
+        }
+    }
+    if !heard.greet.is_empty() {
+        node.greet.borrow_mut().extend(heard.greet);
+        node.greeting.notify_one();
+    }
+    take_steps(node, &steps);
+    take_unreachable(node, &unreachable);
+    take_loads(node);
+    take_waiting(node);
+    node.pump();
+    if upto > node.known.borrow().upto() {
+        let pause = if node.reads() { BEHIND } else { Duration::ZERO };
+        directory::ask_peers_later(node, pause);
+    }
+}
+
+/// Tells of the instances that have fallen silent, and forgets those that are gone.
+pub fn notice_silence(node: &Node) {
+    let now = Instant::now();
+    let mut peers = node.peers.borrow_mut();
+    for peer in peers.silence(now) {
+        node.log.line(
+            Weight::Notable,
+            format_args!("event=peer_silent peer={peer}"),
+        );
+    }
+    peers.forget(now);
+}
+
+/// Tells how another instance's time of day differs, which those need who read several logs.
+fn take_clock(node: &Node, from: Ipv4Addr, time_ms: u64) {
+    let own = u64::try_from(log::now_ms()).unwrap_or(u64::MAX);
+    let ahead_ms = time_ms.cast_signed().saturating_sub(own.cast_signed());
+    if node.peers.borrow_mut().on_clock(from, ahead_ms) {
+        node.log.line(
+            Weight::Notable,
+            format_args!("event=peer_clock peer={from} ahead_ms={ahead_ms}"),
+        );
+    }
+}
+
+fn take_levels(node: &Node, table: &Table, levels: &[(ShortName, i64)]) {
+    let now = Instant::now();
+    for (name, level) in levels {
+        let Some(organisation) = table.organisation_by_short_name(*name) else {
+            continue;
+        };
+        if let Some(limit) = organisation.limit {
+            node.allowances
+                .borrow_mut()
+                .adopt(now, &organisation.name, limit, *level as f64);
+        }
+    }
+}
+
+fn take_unreachable(node: &Node, unreachable: &[ShortName]) {
+    let now = Instant::now();
+    for name in unreachable {
+        if let Some(id) = node.replica_by_short_name(*name) {
+            node.dispatch.borrow_mut().hint_unreachable(now, &id);
+        }
+    }
+}
+
+fn take_steps(node: &Node, steps: &[(ShortName, u32)]) {
+    for (name, us) in steps {
+        if let Some(id) = node.replica_by_short_name(*name) {
+            let step_ms = f64::from(*us) / 1000.0;
+            node.dispatch.borrow_mut().hint_step(&id, step_ms);
+        }
+    }
+}
+
+/// Takes the changes of what the others have at replicas.
+pub fn take_loads(node: &Node) {
+    let changed = node.peers.borrow_mut().take_changed_loads();
+    for name in changed {
+        let sum = node.peers.borrow().load_at(name);
+        node.set_elsewhere(name, sum);
+    }
+}
+
+/// Takes what waits at the other instances of the zone.
+pub fn take_waiting(node: &Node) {
+    let zone = short_name(&node.settings().availability_zone);
+    let peers = node.peers.borrow();
+    node.set_contenders(peers.waiting(Instant::now(), zone));
+}
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -19,6 +19,9 @@
     Delayed(Duration),
     /// Accepts connections and passes nothing on, as a network partition does.
     Dropping,
+    /// Passes on what comes in and nothing that goes back: requests arrive, answers are lost.
+    #[allow(dead_code, reason = "not every program of tests loses answers")]
+    OneWay,
     /// Closes all connections and every new one at once.
     Refusing,
 }
@@ -71,7 +74,7 @@
 async fn relay(inbound: TcpStream, target: SocketAddr, mut rx: watch::Receiver<Link>) {
     let mut refused = rx.clone();
     let both_ways = async {
-        passable(&mut rx).await;
+        rx.wait_for(|link| *link != Link::Dropping).await.ok();
         let Ok(outbound) = TcpStream::connect(target).await else {
             return;
         };
@@ -80,8 +83,9 @@
         let (in_read, in_write) = inbound.into_split();
         let (out_read, out_write) = outbound.into_split();
         tokio::join!(
-            copy(in_read, out_write, rx.clone()),
-            copy(out_read, in_write, rx.clone()),
+            copy(in_read, out_write, rx.clone(), |link| link
+                != Link::Dropping),
+            copy(out_read, in_write, rx.clone(), passes_back),
         );
     };
     tokio::select! {
@@ -90,18 +94,22 @@
     }
 }
 
-/// Waits until the link passes something on.
-async fn passable(rx: &mut watch::Receiver<Link>) {
-    rx.wait_for(|link| *link != Link::Dropping).await.ok();
+fn passes_back(link: Link) -> bool {
+    !matches!(link, Link::Dropping | Link::OneWay)
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut rx: watch::Receiver<Link>) {
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut rx: watch::Receiver<Link>,
+    passes: fn(Link) -> bool,
+) {
     let mut buf = vec![0; 16 * 1024];
     loop {
         let Ok(count) = from.read(&mut buf).await else {
             return;
         };
-        passable(&mut rx).await;
+        rx.wait_for(|link| passes(*link)).await.ok();
         let link = *rx.borrow();
         if let Link::Delayed(delay) = link {
             sleep(delay).await;
