Try replicas sooner when there is no other, and list a forgetful store twice a second at most

Change: an unreachable replica is tried half a second after its last failure when no other of its service takes work; two lists lie half a second apart.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -300,9 +300,21 @@
     /// requests wait, nothing else is looked at.
     fn open(&mut self, now: Instant) -> Vec<usize> {
         let upstreams = self.upstreams.iter_mut().enumerate();
-        upstreams
+        let mut open: Vec<usize> = upstreams
             .filter_map(|(index, u)| u.note_room(now).then_some(index))
-            .collect()
+            .collect();
+        let last_resorts =
+            self.upstreams.iter().enumerate().filter(|(_, u)| {
+                u.is_last_resort(now) && !self.takes_work(now, &u.replica.service)
+            });
+        open.extend(last_resorts.map(|(index, _)| index));
+        open
+    }
+
+    /// Whether any replica of a service takes work, though it may be full now.
+    fn takes_work(&self, now: Instant, service: &ServiceId) -> bool {
+        let mut replicas = self.upstreams.iter();
+        replicas.any(|u| u.replica.usable && u.replica.service == *service && u.takes_work(now))
     }
 
     /// How the replicas of a service stand now.
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -43,6 +43,10 @@
 /// heartbeats, and each try costs a caller the time of a connection.
 const UNREACHABLE: Duration = Duration::from_secs(1);
 
+/// When no other replica of its service takes work, an unreachable one is tried again this soon after
+/// its last failure: leaving it alone for longer spares nobody anything then.
+const LAST_RESORT: Duration = Duration::from_millis(500);
+
 /// How long a replica is left alone on a peer's word, which is repeated while it holds.
 const HINTED: Duration = Duration::from_millis(600);
 
@@ -112,6 +116,8 @@
     free_since: Option<Instant>,
     /// Failures to reach it in a row.
     pub(super) missed: u32,
+    /// When it could not be reached last.
+    missed_at: Option<Instant>,
 }
 
 impl Upstream {
@@ -126,6 +132,7 @@
             shunned_until: None,
             free_since: None,
             missed: 0,
+            missed_at: None,
         }
     }
 
@@ -148,6 +155,15 @@
         !self.shunned(now) && !self.on_trial() && !self.silent(now)
     }
 
+    /// Whether one request may try it though it is left alone, as no other replica takes work.
+    pub(super) fn is_last_resort(&self, now: Instant) -> bool {
+        let rested = self
+            .missed_at
+            .is_some_and(|at| now.saturating_duration_since(at) >= LAST_RESORT);
+        let may_try = self.shunned(now) && !self.on_trial() && !self.silent(now);
+        rested && may_try && self.replica.usable && self.has_room()
+    }
+
     /// Notes since when it has room, and returns whether it can take one more request now.
     pub(super) fn note_room(&mut self, now: Instant) -> bool {
         if !self.has_room() {
@@ -167,6 +183,7 @@
     pub(super) fn shun_unreachable(&mut self, now: Instant) {
         let pause = UNREACHABLE * 2_u32.saturating_pow(self.missed.min(4));
         self.missed += 1;
+        self.missed_at = Some(now);
         self.shunned_until = Some(now + pause.min(LONGEST_UNREACHABLE));
     }
 
@@ -176,6 +193,7 @@
             .heard_at
             .is_some_and(|at| now.saturating_duration_since(at) < HEARD_HERE);
         if !heard && !self.shunned(now) {
+            self.missed_at = Some(now);
             self.shunned_until = Some(now + HINTED);
         }
     }
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -12,7 +12,7 @@
 use kingcupfield_decisions::id::{UpstreamId, short_name};
 use kingcupfield_decisions::known::{Entry, Revision};
 use rand::RngExt as _;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::log::Weight;
 use crate::node::Node;
@@ -54,6 +54,10 @@
 /// At any other start callers wait already, and the wait costs 0.01 of the worth of a heavy day.
 const HEARS_PEERS: Duration = Duration::from_millis(700);
 
+/// Shortest time between two lists of the whole directory: a sixth of the operator's bound of three
+/// seconds, so that history that is lost twice is still caught up with in time.
+const LIST_AGAIN: Duration = Duration::from_millis(500);
+
 /// How often an instance looks whether it has to read the store itself.
 const READER_CHECK: Duration = Duration::from_millis(200);
 
@@ -112,12 +116,14 @@
 
 /// Reads everything once and then each change; ends with the first failure.
 async fn follow(node: &Rc<Node>, failures: &mut usize) -> Result<Infallible, SourceError> {
+    let mut listed = Instant::now();
     loop {
         while !node.reads() {
             sleep(READER_CHECK).await;
         }
         let after = node.known.borrow().upto();
         if after == 0 || node.relist.get() {
+            listed = Instant::now();
             let listing = node.source.list().await?;
             node.relist.set(false);
             regained(node, failures);
@@ -146,6 +152,8 @@
                     format_args!("event=directory_history_gone"),
                 );
                 node.relist.set(true);
+                // A store that forgets what it has just listed would be listed in a loop.
+                sleep_until(listed + LIST_AGAIN).await;
             }
             Err(e) => return Err(e),
         }
