--- a/src/demo.rs
+++ b/src/demo.rs
@@ -9,7 +9,9 @@
 mod plan;
 mod report;
 
+use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::sync::mpsc;
@@ -30,6 +32,15 @@
 /// Pause between two lines of progress.
 const PROGRESS_EVERY: Duration = Duration::from_secs(2);
 
+/// A folder of its own for each run. Two runs of one process that shared a folder would read each
+/// other's half-written secret, and the first to end would remove the other's files.
+pub fn new_folder() -> PathBuf {
+    static RUNS: AtomicU64 = AtomicU64::new(0);
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    std::env::temp_dir().join(format!("kingcup-demo-{process}-{run}"))
+}
+
 /// What to run.
 #[derive(Debug, Clone)]
 pub struct DemoConfig {
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -64,7 +64,7 @@
         let platform = listening(Platform::start(PlatformConfig::new()).await)?;
         platform.publish("table", 1, value(&firm.table()));
         platform.publish("services", 1, value(&firm.services()));
-        let dir = std::env::temp_dir().join(format!("kingcup-demo-{}", std::process::id()));
+        let dir = super::new_folder();
         let mut cluster = Self {
             platform,
             engines: Vec::new(),
--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -28,6 +28,13 @@
     );
 }
 
+/// Two runs start side by side in one process. If they shared a folder, one would at times find the
+/// secret of the other half written and not start.
+#[test]
+fn each_run_has_a_folder_of_its_own() {
+    assert_ne!(demo::new_folder(), demo::new_folder());
+}
+
 #[test]
 fn the_seed_fixes_the_plan() {
     let plan = |firm, seed| Plan::new(firm, seed, LENGTH);
