--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -32,7 +32,8 @@
 
 /// What a new connection costs, counted as time. The users pay for each as for a fortieth of a
 /// request, and sixty instances that spread evenly over a hundred replicas open one for every second
-/// request. Counted as 20 ms, seven instances crowd on the replicas they know: 0.005 of worth lost.
+/// request. Small against the 100 ms and more of a place, so that it decides among equals alone: a
+/// third fewer connections on the users' grown fleet, nothing measurable with seven instances.
 const OPENING_MS: f64 = 5.0;
 
 /// Round trip from which a replica's load is known too late to choose by it alone.
--- a/crates/decisions/src/dispatch/urgency.rs
+++ b/crates/decisions/src/dispatch/urgency.rs
@@ -30,8 +30,8 @@
 /// Span of which each request is free of standing back for a part.
 const ROUND_MS: u64 = 1000;
 
-/// That part: under load a fifth of the lesser requests takes places at any moment, which keeps
-/// their kinds above the users' floors of about four tenths.
+/// That part: under load a fifth of the lesser requests takes places at any moment. The users want
+/// four tenths of each kind served; on their heaviest days the least served kind gets six.
 const OWN_MS: u64 = 200;
 
 /// Urgency of a request, the lowest first: its organisation's rank, and its tier in halves.
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -46,7 +46,7 @@
 const TROUBLE: Duration = Duration::from_secs(4);
 
 /// Pause after a watch that brought something: what changes meanwhile comes with one call instead of
-/// many. With 300 ms, news of dead replicas comes late enough to cost 0.01 of the worth of a heavy day.
+/// many, at a fiftieth of the operator's bound of three seconds.
 const COLLECT: Duration = Duration::from_millis(60);
 
 /// How long an instance that is no first contact waits for a peer's word before it reads the store
