Give each case of the saved logs its own files

The cases run side by side and wrote the same files, so one read a log that another had just emptied.

Ruled out: the reader; the text that it printed fits an empty second log.

Conclusion: a fault of the test.

--- a/tests/logbook.rs
+++ b/tests/logbook.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::process::Command;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use kingcupfield::logbook::{Line, Logbook};
 use yare::parameterized;
@@ -122,7 +123,11 @@
     no_request = { Asked { words: &["--logs"], code: 2, says: "the request id is missing" } },
 )]
 fn the_client_reads_saved_logs(case: Asked) {
-    let folder = std::env::temp_dir().join(format!("kingcup-logbook-{}", std::process::id()));
+    // The cases run side by side, so that each writes files of its own.
+    static CASES: AtomicU32 = AtomicU32::new(0);
+    let case_number = CASES.fetch_add(1, Ordering::Relaxed);
+    let name = format!("kingcup-logbook-{}-{case_number}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder).expect("a folder");
     let files = [("FIRST", FIRST), ("SECOND", SECOND), ("IDS", "a b\nc d\n")];
     for (name, text) in files {
@@ -141,6 +146,7 @@
         .args(words)
         .output()
         .expect("the client starts");
+    std::fs::remove_dir_all(&folder).expect("the folder");
     let text = [output.stdout, output.stderr].concat();
     let text = String::from_utf8(text).expect("UTF-8");
     assert_eq!(output.status.code(), Some(case.code), "{text}");
