--- a/tests/logbook.rs
+++ b/tests/logbook.rs
@@ -106,6 +106,9 @@
     assert_eq!(line.as_ref().and_then(|l| l.get("reason")), case.reason);
 }
 
+/// The cases run side by side, so that each writes files of its own.
+static CASES: AtomicU32 = AtomicU32::new(0);
+
 struct Asked {
     /// Words behind `explain`; FIRST, SECOND and IDS stand for files.
     words: &'static [&'static str],
@@ -123,8 +126,6 @@
     no_request = { Asked { words: &["--logs"], code: 2, says: "the request id is missing" } },
 )]
 fn the_client_reads_saved_logs(case: Asked) {
-    // The cases run side by side, so that each writes files of its own.
-    static CASES: AtomicU32 = AtomicU32::new(0);
     let case_number = CASES.fetch_add(1, Ordering::Relaxed);
     let name = format!("kingcup-logbook-{}-{case_number}", std::process::id());
     let folder = std::env::temp_dir().join(name);
