--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -29,11 +29,19 @@
 const PATIENCE_OBJECTIVES: f64 = 4.0;
 const PATIENCE_PAUSES: f64 = 8.0;
 
-/// A request is given up while its caller still waits, so that the refusal arrives.
+/// A request that got no place is given up at this part of its caller's patience: the other half is
+/// left for the one time that a caller comes back, when the burst has passed, and less waits in vain
+/// meanwhile. At 0.8 and with a return after 1 to 2.5 s, opticians had 8 in 1,000 more requests
+/// unserved under load with eight instances, and 7 with sixty.
+const GIVE_UP_AT: f64 = 0.5;
+
+/// The rest of a stream that broke off is given up while its caller still waits, so that the end of
+/// the stream arrives.
 const BEFORE_PATIENCE_ENDS: f64 = 0.8;
 
-/// Advice on when to come back: bursts last two to five seconds.
-const COME_BACK_S: std::ops::Range<f64> = 1.0..2.5;
+/// Advice on when to come back: bursts last two to five seconds. Callers take a third of the time
+/// that they have left at most.
+const COME_BACK_S: std::ops::Range<f64> = 2.0..5.0;
 
 /// How often a request that may be repeated looks whether its replica still brings anything to
 /// anybody; a seventh of the shortest objective of the users' streams.
@@ -232,7 +240,7 @@
             received: self.received,
             due: self.received + objective,
             deadline: Instant::now() + self.left(node),
-            give_up: self.received + waits.mul_f64(BEFORE_PATIENCE_ENDS),
+            give_up: self.received + waits.mul_f64(GIVE_UP_AT),
             service: self.service.clone(),
             prompt: f64::from(self.call.prompt_tokens.unwrap_or(0)),
             output: self.call.output(),
