--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -65,6 +65,10 @@
 /// no longer than for them.
 const KEPT_BY_CLASS: f64 = 0.1;
 
+/// Part of the bucket below which a request is so cheap that it leaves nothing: an order of 200 tokens
+/// takes nothing from a report of 10,000.
+const CHEAP: f64 = 0.01;
+
 /// The most that a request leaves.
 const MOST_KEPT: f64 = 0.5;
 
@@ -158,6 +162,9 @@
         let class = f64::from(charge.class);
         let weight = (charge.cost / whole * USUAL_WEIGHT).clamp(0.0, MOST_WEIGHT);
         self.usual_class += (class - self.usual_class) * weight;
+        if charge.cost < self.limit.bucket() * CHEAP {
+            return 0.0;
+        }
         ((class - self.usual_class) * KEPT_BY_CLASS).clamp(0.0, MOST_KEPT)
     }
 }
--- a/crates/decisions/tests/allowance.rs
+++ b/crates/decisions/tests/allowance.rs
@@ -199,3 +199,23 @@
     let taken = allowances.take(back, &organisation, LIMIT, 1.0, ask(0));
     assert_eq!(taken, Ok(()));
 }
+
+/// An organisation beyond its limit sends reports that take all of it, and orders of a few tokens
+/// beside them. The orders pass while anything is left: they take nothing from the reports, and a
+/// refused order is a customer sent away for nothing.
+#[test]
+fn a_cheap_request_leaves_nothing_to_others() {
+    let organisation: OrganisationId = "hot".into();
+    let start = Instant::now() + WINDOW;
+    let mut allowances = Allowances::new(start - WINDOW, WINDOW);
+    while allowances
+        .take(start, &organisation, LIMIT, 1.0, ask(0))
+        .is_ok()
+    {}
+    let order = Charge {
+        cost: 200.0,
+        class: 8,
+    };
+    let taken = allowances.take(start, &organisation, LIMIT, 1.0, order);
+    assert_eq!(taken, Ok(()));
+}
