Take back what a refused request was charged from where it was counted

Found in the read of the diff: what was given back counted from the moment of the refusal, so it outlasted the cost that it cancels, and an organisation whose requests were refused for want of places had that much of its limit once more, for as long as they had waited. A test shows it (fails when the gain is taken from the newest entry).

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -99,6 +99,16 @@
         self.sum += cost;
     }
 
+    /// Takes back what was counted at `charged`. Counted as a gain of now, it would outlast the cost
+    /// that it cancels, and the organisation could spend it once more.
+    fn take_back(&mut self, charged: Instant, cost: f64) {
+        let after = self.costs.partition_point(|(at, _)| *at <= charged);
+        if let Some(counted) = after.checked_sub(1) {
+            self.costs[counted].1 -= cost;
+            self.sum -= cost;
+        }
+    }
+
     fn forget(&mut self, now: Instant, span: Duration) {
         while let Some((at, cost)) = self.costs.front().copied() {
             if at + span > now {
@@ -219,12 +229,12 @@
         Ok(())
     }
 
-    /// Gives back what a request was charged that never ran.
-    pub fn give_back(&mut self, now: Instant, organisation: &OrganisationId, cost: f64) {
+    /// Gives back what a request was charged, at the time `charged`, that never ran.
+    pub fn give_back(&mut self, charged: Instant, organisation: &OrganisationId, cost: f64) {
         if let Some(account) = self.find(organisation) {
             account.level += cost;
             account.spent -= cost;
-            account.window.push(now, -cost);
+            account.window.take_back(charged, cost);
         }
     }
 
--- a/crates/decisions/tests/allowance.rs
+++ b/crates/decisions/tests/allowance.rs
@@ -219,3 +219,29 @@
     let taken = allowances.take(start, &organisation, LIMIT, 1.0, order);
     assert_eq!(taken, Ok(()));
 }
+
+/// Under load, requests are charged, wait for two seconds and are refused; what they were charged is
+/// given back. Requests in their place use it. If the gain outlasted the cost that it cancels, an
+/// organisation would have its limit once more some seconds later.
+#[test]
+fn what_was_given_back_is_not_given_out_twice() {
+    let organisation: OrganisationId = "hot".into();
+    let start = Instant::now() + WINDOW;
+    let mut allowances = Allowances::new(start - WINDOW, WINDOW);
+    let fill = |allowances: &mut Allowances, now| {
+        let taken = || {
+            allowances
+                .take(now, &organisation, LIMIT, 1.0, ask(0))
+                .is_ok()
+        };
+        std::iter::repeat_with(taken).take_while(|t| *t).count() as f64 * COST
+    };
+    let refused = fill(&mut allowances, start);
+    allowances.on_spent_elsewhere(start + WINDOW / 4, &organisation, COST);
+    allowances.give_back(start, &organisation, refused);
+    let later = start + WINDOW / 2;
+    let used = fill(&mut allowances, later);
+    let after = fill(&mut allowances, start + WINDOW + Duration::from_millis(1));
+    let whole = LIMIT.rate * WINDOW.as_secs_f64() + LIMIT.burst;
+    assert!(used + after <= whole, "{used} and {after} of {whole}");
+}
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -82,6 +82,8 @@
     /// How long it waited for its last place.
     pub waited: Duration,
     cost: f64,
+    /// When it was charged.
+    charged: Instant,
 }
 
 /// Answers one request of a caller.
@@ -153,6 +155,7 @@
         runs: 0,
         waited: Duration::ZERO,
         cost,
+        charged: Instant::now(),
     };
     life.run(Rc::clone(node), active).await
 }
@@ -303,7 +306,7 @@
         if let Some(organisation) = &self.organisation {
             node.allowances
                 .borrow_mut()
-                .give_back(Instant::now(), &organisation.name, self.cost);
+                .give_back(self.charged, &organisation.name, self.cost);
         }
     }
 
@@ -507,6 +510,7 @@
             runs: self.runs,
             waited: self.waited,
             cost: self.cost,
+            charged: self.charged,
         }
     }
 
