Count what an organisation spends elsewhere before it comes here

Found in the read of the diff: reports of others were dropped for an organisation that this instance had no account of, so its first request here found the whole span unspent.

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -238,13 +238,19 @@
         }
     }
 
-    /// Counts what another instance has spent since its last report.
-    pub fn on_spent_elsewhere(&mut self, now: Instant, organisation: &OrganisationId, cost: f64) {
-        if let Some(account) = self.find(organisation) {
-            let debt = -account.limit.rate * MOST_DEBT_S;
-            account.level = (account.level - cost).max(debt.min(account.level));
-            account.window.push(now, cost);
-        }
+    /// Counts what another instance has spent since its last report, also of an organisation that
+    /// has sent nothing here yet: its first request here would find the whole limit unspent.
+    pub fn on_spent_elsewhere(
+        &mut self,
+        now: Instant,
+        organisation: &OrganisationId,
+        limit: Limit,
+        cost: f64,
+    ) {
+        let account = self.account(now, organisation, limit);
+        let debt = -limit.rate * MOST_DEBT_S;
+        account.level = (account.level - cost).max(debt.min(account.level));
+        account.window.push(now, cost);
     }
 
     /// Takes a peer's word on what the bucket holds, at an instance that started just now.
