Count what an organisation spends elsewhere before it comes here: the callers and the test

This one brings the call in hearing.rs and the test, which fails when reports of organisations without an account are dropped (taken out and seen to fail).

--- a/crates/decisions/tests/allowance.rs
+++ b/crates/decisions/tests/allowance.rs
@@ -82,7 +82,7 @@
         let spent = std::mem::take(unreported);
         for (to, allowances) in fleet.iter_mut().enumerate() {
             if to != from {
-                allowances.on_spent_elsewhere(now, organisation, spent);
+                allowances.on_spent_elsewhere(now, organisation, LIMIT, spent);
             }
         }
     }
@@ -237,7 +237,7 @@
         std::iter::repeat_with(taken).take_while(|t| *t).count() as f64 * COST
     };
     let refused = fill(&mut allowances, start);
-    allowances.on_spent_elsewhere(start + WINDOW / 4, &organisation, COST);
+    allowances.on_spent_elsewhere(start + WINDOW / 4, &organisation, LIMIT, COST);
     allowances.give_back(start, &organisation, refused);
     let later = start + WINDOW / 2;
     let used = fill(&mut allowances, later);
@@ -245,3 +245,18 @@
     let whole = LIMIT.rate * WINDOW.as_secs_f64() + LIMIT.burst;
     assert!(used + after <= whole, "{used} and {after} of {whole}");
 }
+
+/// An organisation has spent its limit through other instances when its first caller connects here,
+/// as after a restart of its own or when the balancer moves it. What others told before counts; else
+/// each instance that it comes to would give it the whole limit once more.
+#[test]
+fn what_was_spent_elsewhere_counts_before_the_first_request() {
+    let organisation: OrganisationId = "moved".into();
+    let start = Instant::now();
+    let now = start + WINDOW * 2;
+    let mut allowances = Allowances::new(start, WINDOW);
+    let whole = LIMIT.rate * WINDOW.as_secs_f64() + LIMIT.burst;
+    allowances.on_spent_elsewhere(now, &organisation, LIMIT, whole);
+    let taken = allowances.take(now, &organisation, LIMIT, 1.0, ask(0));
+    assert!(taken.is_err(), "{taken:?}");
+}
--- a/crates/entry/src/hearing.rs
+++ b/crates/entry/src/hearing.rs
@@ -60,12 +60,12 @@
     }
     if let Some(table) = node.table() {
         for (name, cost) in heard.spent {
-            if let Some(organisation) = table.organisation_by_short_name(name) {
-                node.allowances.borrow_mut().on_spent_elsewhere(
-                    now,
-                    &organisation.name,
-                    cost as f64,
-                );
+            let Some(organisation) = table.organisation_by_short_name(name) else {
+                continue;
+            };
+            if let Some(limit) = organisation.limit {
+                let mut allowances = node.allowances.borrow_mut();
+                allowances.on_spent_elsewhere(now, &organisation.name, limit, cost as f64);
             }
         }
         if node.peers.borrow().age(now) < LEARNS_LEVELS {
