Learn nothing of prompts whose length callers do not tell

Found in the second read of the diff: prompts of an engine whose callers send no token counts count as empty, the line through their medians divided zero by zero, and from the sixteenth first event on every reckoned cost was not a number, so that the first replica in order got all requests. The test fails at request 16 without the check.

--- a/crates/decisions/src/dispatch/size.rs
+++ b/crates/decisions/src/dispatch/size.rs
@@ -114,7 +114,8 @@
         let (short, long) = seen.split_at(seen.len() / 2);
         let (short, long) = (medians(short), medians(long));
         let slope = (long.1 - short.1) / (long.0 - short.0);
-        if long.0 < short.0 * APART || slope <= 0.0 {
+        // Prompts of unknown length count as empty: no line goes through them.
+        if long.0 < short.0 * APART || !slope.is_finite() || slope <= 0.0 {
             return;
         }
         self.reading = Reading {
--- a/crates/decisions/tests/dispatch.rs
+++ b/crates/decisions/tests/dispatch.rs
@@ -455,3 +455,26 @@
     let at = placed.first().map(|p| p.upstream.to_string());
     assert_eq!(at.as_deref(), case.expected);
 }
+
+/// Callers of an engine tell no token counts, so all prompts count as empty. Nothing can be learned of
+/// how it reads them; a reading drawn from them anyway would make every cost not a number, and all
+/// requests would go to the same replica.
+#[test]
+fn nothing_is_learned_from_prompts_of_unknown_length() {
+    let now = Instant::now();
+    let mut dispatch = Dispatch::new();
+    dispatch.set_replicas(&[replica("a", 0)]);
+    learn_step(&mut dispatch, now, "a", 5);
+    for id in 0..32 {
+        let mut job = job(id, 0, now);
+        job.prompt = 0.0;
+        dispatch.enqueue(job);
+        let at = now + Duration::from_millis(id);
+        assert!(
+            dispatch.place(at)[0].why.cost_ms.is_finite(),
+            "request {id}"
+        );
+        dispatch.on_first(at, &"a".into(), id);
+        dispatch.on_end(at, &"a".into(), id, Outcome::Served);
+    }
+}
