Look up what is learned of a service in one place

`setback` and `reading` searched the same vector with the same lines. No change of behaviour; tests of dispatch and limits and clippy of the workspace pass.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -256,9 +256,8 @@
 
     /// By how many halves of a tier a request stands back for its size, beside those of its service.
     pub fn setback(&self, service: &ServiceId, prompt: f64, output: f64) -> u32 {
-        let sizes = self.sizes.binary_search_by(|(s, _)| s.cmp(service));
-        let sizes = sizes.ok().map(|at| &self.sizes[at].1);
-        sizes.map_or(0, |s| s.setback(s.size(prompt, output)))
+        self.learned(service)
+            .map_or(0, |s| s.setback(s.size(prompt, output)))
     }
 
     /// Adds a request.
@@ -537,8 +536,13 @@
 
     /// How a service's engines read prompts.
     fn reading(&self, service: &ServiceId) -> Reading {
+        self.learned(service)
+            .map_or(Reading::UNKNOWN, |s| s.reading)
+    }
+
+    fn learned(&self, service: &ServiceId) -> Option<&Sizes> {
         let found = self.sizes.binary_search_by(|(s, _)| s.cmp(service));
-        found.map_or(Reading::UNKNOWN, |at| self.sizes[at].1.reading)
+        found.ok().map(|at| &self.sizes[at].1)
     }
 
     fn find(&mut self, upstream: &UpstreamId) -> Option<&mut Upstream> {
