Tell in the log what a process that ends still has of its callers

Sight for the incident of a reservation lost at a stop: three ways to lose it all looked like one `stopped cut=0`, and the lines of the last moment went with the process.

Now each stage of a stop names the requests being answered, the open connections and the requests taken since the start; requests and streams that are dropped with the process say so (`cut`, `stream_ended how=cut`); the last line is `ended`, and the process waits up to 50 ms until its lines are written. `kingcup_callers` counts connections and requests. `kingcup explain` names the new cause. Nothing else changes: the 10 ms between the decision and the end are as they were.

--- a/crates/entry/src/account.rs
+++ b/crates/entry/src/account.rs
@@ -14,7 +14,7 @@
 use crate::kind::Refusal;
 use crate::log::Weight;
 use crate::metrics::Timing;
-use crate::node::{Node, Place};
+use crate::node::{Node, Place, Stage};
 use crate::port::Call;
 use crate::request::Life;
 
@@ -132,8 +132,8 @@
     );
 }
 
-/// Notices that a caller closes its connection before it was answered: the task that answers it is
-/// dropped then, in the middle of whatever it waits for.
+/// Notices that a caller closes its connection before it was answered, or that the process ends: the
+/// task that answers it is dropped then, in the middle of whatever it waits for.
 #[derive(Debug)]
 pub struct Unanswered {
     node: Rc<Node>,
@@ -167,12 +167,17 @@
         if self.answered {
             return;
         }
-        self.node.metrics.count("caller_left");
+        // The tasks of a process that ends are dropped as well, and their callers have not left.
+        let event = match self.node.stage() {
+            Stage::Ended => "cut",
+            _ => "caller_left",
+        };
+        self.node.metrics.count(event);
         let replica = self.replica.as_deref().unwrap_or("-");
         self.node.log.line(
             Weight::Notable,
             format_args!(
-                "event=caller_left id={} replica={replica} after_ms={}",
+                "event={event} id={} replica={replica} after_ms={}",
                 self.id,
                 self.received.elapsed().as_millis(),
             ),
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -23,12 +23,34 @@
 /// Idle time before a table is known.
 const FIRST_IDLE: std::time::Duration = std::time::Duration::from_secs(15);
 
+/// An open connection of a caller.
+#[derive(Debug)]
+struct Open(Rc<Node>);
+
+impl Open {
+    fn new(node: &Rc<Node>) -> Self {
+        node.connections.set(node.connections.get() + 1);
+        Self(Rc::clone(node))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
 /// Answers callers until the process ends.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(Rc::clone(&node), stream));
+                let open = Open::new(&node);
+                let connection = connection(Rc::clone(&node), stream);
+                tokio::task::spawn_local(async move {
+                    connection.await;
+                    drop(open);
+                });
             }
             // Out of descriptors: those that are open end sooner or later.
             Err(_) => tokio::time::sleep(std::time::Duration::from_millis(20)).await,
--- a/crates/entry/src/life.rs
+++ b/crates/entry/src/life.rs
@@ -41,7 +41,15 @@
         .enable_all()
         .build()?;
     let local = LocalSet::new();
-    local.block_on(&runtime, live(cfg, path, dialect, source))
+    let node = local.block_on(&runtime, live(cfg, path, dialect, source))?;
+    let taken = node.taken.get();
+    node.stage.send_replace(Stage::Ended);
+    // Requests and streams that are dropped now say so in the log.
+    drop(local);
+    node.log
+        .line(Weight::Notable, format_args!("event=ended taken={taken}"));
+    node.log.close();
+    Ok(())
 }
 
 async fn live(
@@ -49,7 +57,7 @@
     path: PathBuf,
     dialect: Rc<dyn Dialect>,
     source: Rc<dyn Source>,
-) -> std::io::Result<()> {
+) -> std::io::Result<Rc<Node>> {
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
     let hup = signal(SignalKind::hangup())?;
@@ -87,7 +95,7 @@
         _ = int.recv() => {}
     }
     stop(&node).await;
-    Ok(())
+    Ok(node)
 }
 
 /// Grows with each start of a machine's process.
@@ -103,7 +111,7 @@
     let began = Instant::now();
     node.log.line(
         Weight::Notable,
-        format_args!("event=stopping active={}", node.active.get()),
+        format_args!("event=stopping {}", in_hand(node)),
     );
     let last = began + node.settings().grace().saturating_sub(BEFORE_KILL);
     node.ends_at.set(Some(last));
@@ -111,6 +119,10 @@
     let closing = (began + BALANCER_NOTICES).min(last);
     sleep_until(closing).await;
     node.stage.send_replace(Stage::Closing);
+    node.log.line(
+        Weight::Notable,
+        format_args!("event=closing {}", in_hand(node)),
+    );
     while Instant::now() < last {
         sleep(Duration::from_millis(50)).await;
         if node.active.get() == 0 && Instant::now() > closing + Duration::from_millis(300) {
@@ -119,13 +131,23 @@
     }
     node.log.line(
         Weight::Notable,
-        format_args!("event=stopped cut={}", node.active.get()),
+        format_args!("event=stopped cut={} {}", node.active.get(), in_hand(node)),
     );
     node.log.flush();
     // The writing thread needs a moment for the last lines.
     sleep(Duration::from_millis(10)).await;
 }
 
+/// What a process that stops has of callers, for its log.
+fn in_hand(node: &Node) -> String {
+    format!(
+        "active={} connections={} taken={}",
+        node.active.get(),
+        node.connections.get(),
+        node.taken.get(),
+    )
+}
+
 /// Gives up waiting requests in time, and tries again to place those for which a replica was left
 /// alone for a while.
 async fn watch_waiting(node: Rc<Node>) {
--- a/crates/entry/src/log.rs
+++ b/crates/entry/src/log.rs
@@ -7,7 +7,7 @@
 use std::cell::RefCell;
 use std::fmt::{self, Write as _};
 use std::io::Write as _;
-use std::sync::mpsc::{SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -25,6 +25,9 @@
 /// Batches that may wait for a reader that stands still.
 const BATCHES: usize = 8;
 
+/// How long the end of a process waits for its last lines to be written.
+const LAST_LINES: Duration = Duration::from_millis(50);
+
 /// How much a line matters when there are too many.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Weight {
@@ -47,14 +50,18 @@
 #[derive(Debug)]
 pub struct Log {
     state: RefCell<State>,
-    tx: SyncSender<String>,
+    tx: RefCell<Option<SyncSender<String>>>,
+    /// Disconnected once the writing thread has written all and ended.
+    written: Receiver<()>,
 }
 
 impl Log {
     /// Starts the writing thread.
     pub fn new() -> Self {
         let (tx, rx) = sync_channel::<String>(BATCHES);
+        let (done, written) = sync_channel::<()>(0);
         thread::spawn(move || {
+            let _done = done;
             let mut out = std::io::stdout();
             while let Ok(batch) = rx.recv() {
                 if out.write_all(batch.as_bytes()).is_err() {
@@ -72,7 +79,8 @@
         };
         Self {
             state: RefCell::new(state),
-            tx,
+            tx: RefCell::new(Some(tx)),
+            written,
         }
     }
 
@@ -103,11 +111,22 @@
         }
         let batch = std::mem::take(&mut state.buf);
         let lines = batch.lines().count() as u64;
-        if self.tx.try_send(batch).is_err() {
+        let sent = self.tx.borrow().as_ref().map(|tx| tx.try_send(batch));
+        if !matches!(sent, Some(Ok(()))) {
             state.dropped += lines;
         }
         dropped
     }
+
+    /// Writes what is left and waits until it is written, but not for a reader that stands still.
+    ///
+    /// Nothing is written after it.
+    pub fn close(&self) {
+        self.flush();
+        self.tx.replace(None);
+        // Whether the lines were written or the reader stands still, the process ends now.
+        let _ = self.written.recv_timeout(LAST_LINES);
+    }
 }
 
 impl Default for Log {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -54,6 +54,7 @@
     table_version: Gauge,
     ages: GaugeVec,
     waiting: Gauge,
+    callers: GaugeVec,
     peers: GaugeVec,
     replicas: GaugeVec,
 }
@@ -82,6 +83,12 @@
                 "Time since the store or the most silent peer was heard",
                 "of",
             ),
+            callers: gauges(
+                &registry,
+                "kingcup_callers",
+                "Open connections of callers, and requests being answered",
+                "of",
+            ),
             waiting: gauge(&registry, "kingcup_waiting", "Requests without a place"),
             peers: gauges(
                 &registry,
@@ -130,6 +137,12 @@
         let dispatch = node.dispatch.borrow();
         self.table_version.set(node.table_version() as f64);
         self.waiting.set(dispatch.waiting() as f64);
+        for (of, count) in [
+            ("connections", node.connections.get()),
+            ("requests", node.active.get()),
+        ] {
+            self.callers.with_label_values(&[of]).set(count as f64);
+        }
         if let Some(age) = node.store_age() {
             self.set_age("store", age);
         }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -53,6 +53,8 @@
     Leaving,
     /// It closes connections as they become idle.
     Closing,
+    /// It does nothing any more; what it still has is cut.
+    Ended,
 }
 
 /// A replica that requests can be sent to.
@@ -116,6 +118,10 @@
     pub ends_at: Cell<Option<Instant>>,
     /// Requests being answered.
     pub active: Cell<usize>,
+    /// Connections of callers that are open.
+    pub connections: Cell<usize>,
+    /// Requests that were taken from callers since the start.
+    pub taken: Cell<u64>,
     /// Wakes the timer of waiting requests.
     pub waiting: Notify,
     store_answered: Cell<Option<Instant>>,
@@ -163,6 +169,8 @@
             version: watch::Sender::new(0),
             ends_at: Cell::new(None),
             active: Cell::new(0),
+            connections: Cell::new(0),
+            taken: Cell::new(0),
             waiting: Notify::new(),
             table: RefCell::new(None),
             targets: RefCell::new(Vec::new()),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -111,6 +111,7 @@
         first: true,
         first_after: Duration::ZERO,
         longest_pause: Duration::ZERO,
+        told: false,
     };
     tokio::task::spawn_local(async move {
         relay.pass(run).await;
@@ -148,10 +149,26 @@
     first_after: Duration,
     /// Longest time between two events.
     longest_pause: Duration,
+    /// Whether the log was told how the stream ended.
+    told: bool,
+}
+
+impl Drop for Relay {
+    /// A process that ends drops the streams that it still passes on.
+    fn drop(&mut self) {
+        if !self.told {
+            self.log("cut", "-");
+        }
+    }
 }
 
 impl Relay {
-    async fn pass(mut self, mut run: Run) {
+    async fn pass(mut self, run: Run) {
+        self.pass_to_end(run).await;
+        self.told = true;
+    }
+
+    async fn pass_to_end(&mut self, mut run: Run) {
         loop {
             let end = self.pass_run(&mut run).await;
             let replica = run.place.upstream.clone();
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -89,6 +89,7 @@
 /// Answers one request of a caller.
 pub async fn serve(node: Rc<Node>, req: Request<Incoming>) -> Response<Body> {
     node.active.set(node.active.get() + 1);
+    node.taken.set(node.taken.get() + 1);
     let active = Active(Rc::clone(&node));
     let received = Instant::now();
     let (head, body) = req.into_parts();
--- a/src/logbook.rs
+++ b/src/logbook.rs
@@ -284,6 +284,7 @@
             Some(format!("stream_{}", detail("how")))
         }
         "caller_left" => Some("caller_left".to_owned()),
+        "cut" => Some("cut".to_owned()),
         "answered" if detail("status").starts_with(['4', '5']) => Some("replica_failed".to_owned()),
         _ => None,
     }
@@ -300,6 +301,11 @@
             detail("after_ms"),
             detail("last_event"),
         ),
+        "cut" => format!(
+            "the instance ended {} ms after it had taken the request; it stood at {}",
+            detail("after_ms"),
+            detail("replica"),
+        ),
         "caller_left" => format!(
             "its caller left after {} ms; it stood at {}",
             detail("after_ms"),
