Shut the door before the last look at a stop

What callers saw: a booking at an instance that had been told to stop seconds before; the connection closed without an answer, though a replica had run the booking.

Cause: the process looked each 50 ms whether a request was being answered, and when there was none it wrote its last line, slept 10 ms and ended, with its listener open all the while. What came in between was read and passed on, and dropped with the process. The count held requests, not connections, so an answer that was still to be written did not hold the process either.

Why this holds: connections are counted from their acceptance until all is written; the listener is closed, and its queue taken, before the last look. From then on the count can only fall, so what the process decides on can't become untrue. Stages are types that lead only onward (stop.rs).

Ruled out by the log: connections that were accepted late and idle (none cut), the end of the grace period (only streams were cut there).

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -49,7 +49,7 @@
     let Some(end) = node
         .ends_at
         .get()
-        .filter(|_| node.stage() == Stage::Closing)
+        .filter(|_| node.stage() >= Stage::Closing)
     else {
         return true;
     };
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
@@ -12,6 +13,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use kingcupfield_decisions::known::Revision;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 
 use crate::node::{Node, Stage};
 use crate::request;
@@ -21,51 +23,80 @@
 const METRICS_PATH: &str = "/metrics";
 
 /// Idle time before a table is known.
-const FIRST_IDLE: std::time::Duration = std::time::Duration::from_secs(15);
+const FIRST_IDLE: Duration = Duration::from_secs(15);
 
-/// An open connection of a caller.
+/// How long a connection that was accepted by a closing instance may take to bring its request.
+const LATE_REQUEST: Duration = Duration::from_secs(1);
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// An open connection of a caller, counted until all is written.
 #[derive(Debug)]
 struct Open(Rc<Node>);
 
 impl Open {
     fn new(node: &Rc<Node>) -> Self {
-        node.connections.set(node.connections.get() + 1);
+        node.connections.send_modify(|open| *open += 1);
         Self(Rc::clone(node))
     }
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
+        self.0.connections.send_modify(|open| *open -= 1);
     }
 }
 
-/// Answers callers until the process ends.
+/// Answers callers, and takes connections until the door is shut.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    let mut stage = node.stage.subscribe();
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let open = Open::new(&node);
-                let connection = connection(Rc::clone(&node), stream);
-                tokio::task::spawn_local(async move {
-                    connection.await;
-                    drop(open);
-                });
-            }
-            // Out of descriptors: those that are open end sooner or later.
-            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(20)).await,
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => take(&node, stream),
+                // Out of descriptors: those that are open end sooner or later.
+                Err(_) => sleep(ACCEPT_PAUSE).await,
+            },
+            _ = stage.wait_for(|stage| *stage >= Stage::Shut) => break,
         }
     }
+    take_queued(&node, listener);
+}
+
+/// Takes the connections that wait in the listener's queue, and closes the listener: a connection
+/// that is closed with it is reset, and its caller may have sent a request already.
+fn take_queued(node: &Rc<Node>, listener: TcpListener) {
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).map(|()| stream);
+        if let Ok(stream) = stream.and_then(TcpStream::from_std) {
+            take(node, stream);
+        }
+    }
+}
+
+fn take(node: &Rc<Node>, stream: TcpStream) {
+    let open = Open::new(node);
+    let connection = connection(Rc::clone(node), stream);
+    tokio::task::spawn_local(async move {
+        connection.await;
+        drop(open);
+    });
 }
 
 async fn connection(node: Rc<Node>, stream: TcpStream) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let mut stage = node.stage.subscribe();
+    // A connection that comes this late is never idle: it has one request, which it brings at once.
+    let late = node.stage() >= Stage::Closing;
     let limits = node.table().map(|t| t.limits);
     let idle = limits.map_or(FIRST_IDLE, |l| l.idle_timeout.max(l.head_timeout));
     let head = limits.map_or(16 * 1024, |l| l.head_bytes).max(8 * 1024);
-    let mut stage = node.stage.subscribe();
     let service = {
         let node = Rc::clone(&node);
         service_fn(move |req| {
@@ -75,23 +106,21 @@
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle)
+        .header_read_timeout(if late { idle.min(LATE_REQUEST) } else { idle })
+        .keep_alive(!late)
         .max_buf_size(head * 2)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    loop {
+    if !late {
         tokio::select! {
+            biased;
             // An error means that the caller went away or sent what is no request.
             _ = connection.as_mut() => return,
-            changed = stage.changed() => {
-                if changed.is_err() || *stage.borrow() == Stage::Closing {
-                    connection.as_mut().graceful_shutdown();
-                    let _ = connection.as_mut().await;
-                    return;
-                }
-            }
+            _ = stage.wait_for(|stage| *stage >= Stage::Closing) => {}
         }
+        connection.as_mut().graceful_shutdown();
     }
+    let _ = connection.await;
 }
 
 /// Answers the balancer's question whether this instance is ready.
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -167,7 +167,7 @@
             region: self.region,
             upto: node.known.borrow().upto(),
             store_age_ms: node.store_age().map(|age| age.as_millis() as u32),
-            leaving: node.stage() == Stage::Closing,
+            leaving: node.stage() >= Stage::Closing,
             unreachable: own_unreachable(node),
             loads,
             waiting: own_waiting(node),
--- a/crates/entry/src/life.rs
+++ b/crates/entry/src/life.rs
@@ -7,21 +7,15 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
-use tokio::time::{Instant, interval, sleep, sleep_until};
+use tokio::time::{Instant, interval, sleep};
 
 use crate::log::{self, Weight};
 use crate::node::{Node, Stage};
 use crate::port::{Dialect, Source};
 use crate::settings::Settings;
+use crate::stop::Stop;
 use crate::{callers, directory, gossip, reload};
 
-/// How long connections stay open after the order to stop: the balancer notices after two of its
-/// questions, a second apart.
-const BALANCER_NOTICES: Duration = Duration::from_millis(2600);
-
-/// The process ends this long before it would be killed.
-const BEFORE_KILL: Duration = Duration::from_millis(450);
-
 /// How often waiting requests are looked at.
 const WAITING_TICK: Duration = Duration::from_millis(20);
 
@@ -77,7 +71,7 @@
         ),
     );
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
-    spawn(Box::pin(callers::serve(Rc::clone(&node), callers)));
+    let door = spawn(Box::pin(callers::serve(Rc::clone(&node), callers)));
     spawn(Box::pin(callers::serve_ready(Rc::clone(&node), ready)));
     spawn(Box::pin(callers::serve_peers(Rc::clone(&node), peers)));
     spawn(Box::pin(gossip::run(
@@ -94,7 +88,7 @@
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
-    stop(&node).await;
+    Stop::new(&node).close().await.shut(door).await.end().await;
     Ok(node)
 }
 
@@ -106,48 +100,6 @@
     now.as_micros() as u64
 }
 
-/// Stops without cutting anything that can end in time.
-async fn stop(node: &Rc<Node>) {
-    let began = Instant::now();
-    node.log.line(
-        Weight::Notable,
-        format_args!("event=stopping {}", in_hand(node)),
-    );
-    let last = began + node.settings().grace().saturating_sub(BEFORE_KILL);
-    node.ends_at.set(Some(last));
-    node.stage.send_replace(Stage::Leaving);
-    let closing = (began + BALANCER_NOTICES).min(last);
-    sleep_until(closing).await;
-    node.stage.send_replace(Stage::Closing);
-    node.log.line(
-        Weight::Notable,
-        format_args!("event=closing {}", in_hand(node)),
-    );
-    while Instant::now() < last {
-        sleep(Duration::from_millis(50)).await;
-        if node.active.get() == 0 && Instant::now() > closing + Duration::from_millis(300) {
-            break;
-        }
-    }
-    node.log.line(
-        Weight::Notable,
-        format_args!("event=stopped cut={} {}", node.active.get(), in_hand(node)),
-    );
-    node.log.flush();
-    // The writing thread needs a moment for the last lines.
-    sleep(Duration::from_millis(10)).await;
-}
-
-/// What a process that stops has of callers, for its log.
-fn in_hand(node: &Node) -> String {
-    format!(
-        "active={} connections={} taken={}",
-        node.active.get(),
-        node.connections.get(),
-        node.taken.get(),
-    )
-}
-
 /// Gives up waiting requests in time, and tries again to place those for which a replica was left
 /// alone for a while.
 async fn watch_waiting(node: Rc<Node>) {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -53,6 +53,8 @@
     Leaving,
     /// It closes connections as they become idle.
     Closing,
+    /// It takes no connection any more, and answers what it has.
+    Shut,
     /// It does nothing any more; what it still has is cut.
     Ended,
 }
@@ -118,8 +120,8 @@
     pub ends_at: Cell<Option<Instant>>,
     /// Requests being answered.
     pub active: Cell<usize>,
-    /// Connections of callers that are open.
-    pub connections: Cell<usize>,
+    /// Connections of callers that are open, from their acceptance until all is written.
+    pub connections: watch::Sender<usize>,
     /// Requests that were taken from callers since the start.
     pub taken: Cell<u64>,
     /// Wakes the timer of waiting requests.
@@ -169,7 +171,7 @@
             version: watch::Sender::new(0),
             ends_at: Cell::new(None),
             active: Cell::new(0),
-            connections: Cell::new(0),
+            connections: watch::Sender::new(0),
             taken: Cell::new(0),
             waiting: Notify::new(),
             table: RefCell::new(None),
--- /dev/null
+++ b/crates/entry/src/stop.rs
@@ -0,0 +1,136 @@
+//! The end of a process, in stages that only lead onward: it leaves, closes, shuts its door, ends.
+//!
+//! A process that looked whether it has no request, and ended then, would drop the request that came
+//! between the look and the end: its replica has run it, and its caller gets no answer. So the door
+//! is shut before the last look. From then on nothing comes in, the number of open connections only
+//! falls, and once it is zero nothing can be lost any more. Connections are counted from the moment
+//! they are accepted until the last byte of their answer is written, which requests are not.
+
+use std::marker::PhantomData;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+use crate::log::Weight;
+use crate::node::{Node, Stage};
+
+/// How long connections stay open after the order to stop: the balancer notices after two of its
+/// questions, a second apart.
+const BALANCER_NOTICES: Duration = Duration::from_millis(2600);
+
+/// How long the door stays open at least after idle connections were closed, for what the balancer
+/// sent just before it noticed.
+const LAST_COMERS: Duration = Duration::from_millis(300);
+
+/// The process ends this long before it would be killed.
+const BEFORE_KILL: Duration = Duration::from_millis(450);
+
+/// The door is shut this long before the process ends, though callers still come: enough for the
+/// refusals of those that came last.
+const SHUT_BEFORE_END: Duration = Duration::from_millis(300);
+
+/// Says that it is not ready, and still answers what comes.
+#[derive(Debug)]
+pub struct Leaving;
+
+/// Has closed its idle connections, and answers one request on each new one.
+#[derive(Debug)]
+pub struct Closing;
+
+/// Takes no connection any more.
+#[derive(Debug)]
+pub struct Shut;
+
+/// A process that was told to stop.
+#[derive(Debug)]
+pub struct Stop<S> {
+    node: Rc<Node>,
+    began: Instant,
+    /// When it ends, whatever it has.
+    last: Instant,
+    stage: PhantomData<S>,
+}
+
+impl Stop<Leaving> {
+    /// Begins to stop.
+    pub fn new(node: &Rc<Node>) -> Self {
+        let began = Instant::now();
+        let last = began + node.settings().grace().saturating_sub(BEFORE_KILL);
+        tell(node, format_args!("event=stopping"));
+        node.ends_at.set(Some(last));
+        node.stage.send_replace(Stage::Leaving);
+        Self {
+            node: Rc::clone(node),
+            began,
+            last,
+            stage: PhantomData,
+        }
+    }
+
+    /// Closes idle connections once the balancer has noticed.
+    pub async fn close(self) -> Stop<Closing> {
+        sleep_until((self.began + BALANCER_NOTICES).min(self.last)).await;
+        tell(&self.node, format_args!("event=closing"));
+        self.enter(Stage::Closing)
+    }
+}
+
+impl Stop<Closing> {
+    /// Shuts the door as soon as no caller has a connection, or when time is running out.
+    ///
+    /// `door` ends when the last connection was accepted.
+    pub async fn shut(self, door: JoinHandle<()>) -> Stop<Shut> {
+        let latest = self.last - SHUT_BEFORE_END;
+        sleep_until((Instant::now() + LAST_COMERS).min(latest)).await;
+        self.callers_gone(latest).await;
+        let stop = self.enter(Stage::Shut);
+        if let Err(e) = door.await {
+            tell(&stop.node, format_args!("event=door_failed reason={e:?}"));
+        }
+        tell(&stop.node, format_args!("event=shut"));
+        stop
+    }
+}
+
+impl Stop<Shut> {
+    /// Ends when the last connection has ended.
+    pub async fn end(self) {
+        self.callers_gone(self.last).await;
+        let cut = self.node.active.get();
+        tell(&self.node, format_args!("event=stopped cut={cut}"));
+    }
+}
+
+impl<S> Stop<S> {
+    /// Waits until no caller has a connection, but not beyond `latest`.
+    async fn callers_gone(&self, latest: Instant) {
+        let mut connections = self.node.connections.subscribe();
+        // Beyond that time what is left is cut, which the log tells.
+        let _ = timeout_at(latest, connections.wait_for(|open| *open == 0)).await;
+    }
+
+    fn enter<N>(self, stage: Stage) -> Stop<N> {
+        self.node.stage.send_replace(stage);
+        Stop {
+            node: self.node,
+            began: self.began,
+            last: self.last,
+            stage: PhantomData,
+        }
+    }
+}
+
+/// Tells the log of a stage, with what the process has of its callers.
+fn tell(node: &Node, event: std::fmt::Arguments<'_>) {
+    node.log.line(
+        Weight::Notable,
+        format_args!(
+            "{event} active={} connections={} taken={}",
+            node.active.get(),
+            *node.connections.borrow(),
+            node.taken.get(),
+        ),
+    );
+}
