Answer what a stopping instance can no longer end

Now a request without an answer gets the instance's own 200 ms before the process ends: 504 with an unknown fate if it was sent, 503 with when to come back if it was not. The times of a stop are counted from the kill, so that a short grace period can't reach before the order.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -116,7 +116,7 @@
     pub stage: watch::Sender<Stage>,
     /// The table's version, for those that wait for a change.
     pub version: watch::Sender<u64>,
-    /// When the process ends, once it was told to.
+    /// When the last answers are given, once the process was told to stop.
     pub ends_at: Cell<Option<Instant>>,
     /// Requests being answered.
     pub active: Cell<usize>,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -23,7 +23,7 @@
 use crate::metrics::Timing;
 use crate::node::{Node, Place, Target};
 use crate::pool::Connection;
-use crate::request::{Active, Life, timed_out};
+use crate::request::{Active, Life, Over, time_over};
 
 /// Chunks that may wait for a slow caller before the replica is made to wait.
 const CHUNKS: usize = 8;
@@ -134,7 +134,7 @@
     Whole,
     Broken,
     CallerGone,
-    TimedOut,
+    Over(Over),
 }
 
 struct Relay {
@@ -187,8 +187,12 @@
                     self.log("caller_gone", &replica);
                     return;
                 }
-                End::TimedOut => {
-                    self.log("timed_out", &replica);
+                End::Over(over) => {
+                    let how = match over {
+                        Over::Route => "timed_out",
+                        Over::Process => "cut",
+                    };
+                    self.log(how, &replica);
                     let _ = self.tx.try_send(Err(BrokenOff));
                     return;
                 }
@@ -216,13 +220,13 @@
         let node = Rc::clone(&self.node);
         let route = Rc::clone(&self.life.route);
         let received = self.life.received;
-        let mut over = std::pin::pin!(timed_out(&node, &route, received));
+        let mut over = std::pin::pin!(time_over(&node, &route, received));
         loop {
             let frame = tokio::select! {
                 biased;
                 () = self.tx.closed() => return End::CallerGone,
                 frame = run.body.frame() => frame,
-                () = &mut over => return End::TimedOut,
+                over = &mut over => return End::Over(over),
                 () = self.stuck() => return End::Broken,
             };
             let chunk = match frame {
@@ -240,7 +244,7 @@
                         }
                         node.metrics.observe(Timing::Pass, came.elapsed());
                     }
-                    () = &mut over => return End::TimedOut,
+                    over = &mut over => return End::Over(over),
                 }
             }
         }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -202,13 +202,14 @@
         let mut active = Some(active);
         loop {
             unanswered.replica = None;
-            let timed_out = timed_out(node, &self.route, self.received);
             let placed = tokio::select! {
-                placed = node.place(self.job(node)) => placed,
-                () = timed_out => Err(crate::node::NoPlace::GivenUp),
+                placed = node.place(self.job(node)) => placed.map_err(|_| Over::Route),
+                over = time_over(node, &self.route, self.received) => Err(over),
             };
-            let Ok(place) = placed else {
-                return Err(self.give_up(node));
+            let place = match placed {
+                Ok(place) => place,
+                Err(Over::Route) => return Err(self.give_up(node)),
+                Err(Over::Process) => return Err(self.ends_with_process(node)),
             };
             self.waited = self.received.elapsed();
             node.metrics.observe(Timing::Wait, self.waited);
@@ -375,9 +376,9 @@
                 Failure::Broken if began.elapsed() < at_once => Failure::Dropped,
                 e => e,
             }),
-            () = timed_out(node, &self.route, self.received) => {
+            over = time_over(node, &self.route, self.received) => {
                 place.end(Outcome::Unknown);
-                return Next::Refuse(self.too_late());
+                return Next::Refuse(self.is_over(node, over));
             }
             () = self.rescue(node, &place) => Err(Failure::Abandoned),
         };
@@ -463,8 +464,8 @@
         } = answer;
         let body = tokio::select! {
             body = exchange::whole(body) => body,
-            () = timed_out(node, &self.route, self.received) => {
-                return Next::Refuse(self.too_late());
+            over = time_over(node, &self.route, self.received) => {
+                return Next::Refuse(self.is_over(node, over));
             }
         };
         let Ok(body) = body else {
@@ -515,6 +516,24 @@
         }
     }
 
+    fn is_over(&self, node: &Node, over: Over) -> Refusal {
+        match over {
+            Over::Route => self.too_late(),
+            Over::Process => self.ends_with_process(node),
+        }
+    }
+
+    /// The process ends before the request could. Another instance can answer what was not sent.
+    fn ends_with_process(&self, node: &Node) -> Refusal {
+        if self.runs > 0 {
+            return Refusal::new(Kind::Deadline)
+                .with_ran(Ran::Unknown)
+                .with_message("this instance ends before the replica has answered");
+        }
+        self.uncharge(node);
+        unavailable("this instance ends before the request had a place")
+    }
+
     fn too_late(&self) -> Refusal {
         let ran = if self.runs > 0 { Ran::Unknown } else { Ran::No };
         let reason = format!(
@@ -555,17 +574,35 @@
     }
 }
 
-/// Ends when the route's time is over, by what the table says at that moment.
-pub async fn timed_out(node: &Rc<Node>, route: &Route, received: Instant) {
+/// What ends the time of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Over {
+    /// The route's time is over.
+    Route,
+    /// The process ends.
+    Process,
+}
+
+/// Ends when the route's time is over, by what the table says at that moment, or when the process has
+/// just time left to answer: a caller whose connection is closed instead knows neither whether its
+/// request ran nor when to come back.
+pub async fn time_over(node: &Rc<Node>, route: &Route, received: Instant) -> Over {
     let mut version = node.version.subscribe();
+    let mut stage = node.stage.subscribe();
     loop {
         let timeout = node
             .table()
             .and_then(|t| t.route(&route.host, &route.prefix).map(|r| r.timeout))
             .unwrap_or(route.timeout);
+        let over = received + timeout;
+        let (until, why) = match node.ends_at.get() {
+            Some(end) if end < over => (end, Over::Process),
+            _ => (over, Over::Route),
+        };
         tokio::select! {
-            () = sleep_until(received + timeout) => return,
+            () = sleep_until(until) => return why,
             _ = version.changed() => {}
+            _ = stage.changed() => {}
         }
     }
 }
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -24,12 +24,14 @@
 /// sent just before it noticed.
 const LAST_COMERS: Duration = Duration::from_millis(300);
 
-/// The process ends this long before it would be killed.
-const BEFORE_KILL: Duration = Duration::from_millis(450);
+/// The door is shut this long before the process would be killed, though callers still come.
+const SHUT_BEFORE_KILL: Duration = Duration::from_millis(750);
+
+/// Requests that have no answer by then get the instance's own, and time to write it is left.
+const ANSWERED_BEFORE_KILL: Duration = Duration::from_millis(650);
 
-/// The door is shut this long before the process ends, though callers still come: enough for the
-/// refusals of those that came last.
-const SHUT_BEFORE_END: Duration = Duration::from_millis(300);
+/// The process ends this long before it would be killed.
+const ENDS_BEFORE_KILL: Duration = Duration::from_millis(450);
 
 /// Says that it is not ready, and still answers what comes.
 #[derive(Debug)]
@@ -48,8 +50,6 @@
 pub struct Stop<S> {
     node: Rc<Node>,
     began: Instant,
-    /// When it ends, whatever it has.
-    last: Instant,
     stage: PhantomData<S>,
 }
 
@@ -57,21 +57,22 @@
     /// Begins to stop.
     pub fn new(node: &Rc<Node>) -> Self {
         let began = Instant::now();
-        let last = began + node.settings().grace().saturating_sub(BEFORE_KILL);
-        tell(node, format_args!("event=stopping"));
-        node.ends_at.set(Some(last));
-        node.stage.send_replace(Stage::Leaving);
-        Self {
+        let stop = Self {
             node: Rc::clone(node),
             began,
-            last,
             stage: PhantomData,
-        }
+        };
+        tell(node, format_args!("event=stopping"));
+        node.ends_at
+            .set(Some(stop.before_kill(ANSWERED_BEFORE_KILL)));
+        node.stage.send_replace(Stage::Leaving);
+        stop
     }
 
     /// Closes idle connections once the balancer has noticed.
     pub async fn close(self) -> Stop<Closing> {
-        sleep_until((self.began + BALANCER_NOTICES).min(self.last)).await;
+        let noticed = self.began + BALANCER_NOTICES;
+        sleep_until(noticed.min(self.before_kill(SHUT_BEFORE_KILL))).await;
         tell(&self.node, format_args!("event=closing"));
         self.enter(Stage::Closing)
     }
@@ -82,7 +83,7 @@
     ///
     /// `door` ends when the last connection was accepted.
     pub async fn shut(self, door: JoinHandle<()>) -> Stop<Shut> {
-        let latest = self.last - SHUT_BEFORE_END;
+        let latest = self.before_kill(SHUT_BEFORE_KILL);
         sleep_until((Instant::now() + LAST_COMERS).min(latest)).await;
         self.callers_gone(latest).await;
         let stop = self.enter(Stage::Shut);
@@ -97,7 +98,7 @@
 impl Stop<Shut> {
     /// Ends when the last connection has ended.
     pub async fn end(self) {
-        self.callers_gone(self.last).await;
+        self.callers_gone(self.before_kill(ENDS_BEFORE_KILL)).await;
         let cut = self.node.active.get();
         tell(&self.node, format_args!("event=stopped cut={cut}"));
     }
@@ -111,12 +112,15 @@
         let _ = timeout_at(latest, connections.wait_for(|open| *open == 0)).await;
     }
 
+    fn before_kill(&self, margin: Duration) -> Instant {
+        self.began + self.node.settings().grace().saturating_sub(margin)
+    }
+
     fn enter<N>(self, stage: Stage) -> Stop<N> {
         self.node.stage.send_replace(stage);
         Stop {
             node: self.node,
             began: self.began,
-            last: self.last,
             stage: PhantomData,
         }
     }
