Take no stream in a leaving instance that no replica would end before it

Cause: until the balancer had noticed, everything was taken; after that a rough bound held (30 ms a token of the most that the caller allows). Now a leaving instance refuses at once, with when to come back, what no usable replica would end in the time that is left, by the pace that is learned of them; the dispatcher sees the process's end as a deadline, so that long answers wait for replicas that end them.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -335,6 +335,22 @@
         replicas.any(|u| u.replica.usable && u.replica.service == *service && u.takes_work(now))
     }
 
+    /// Whether some replica of a service would end an answer within `left`, once it has a place there.
+    ///
+    /// Load pattern: streams of many seconds that come to an instance which ends in a few. Taken all
+    /// the same, they hold a place until the end and are cut, though another instance could serve
+    /// them whole.
+    pub fn could_end(&self, left: Duration, service: &ServiceId, prompt: f64, output: f64) -> bool {
+        let reading = self.reading(service);
+        let ends: Vec<bool> = self
+            .upstreams
+            .iter()
+            .filter(|u| u.replica.usable && u.replica.service == *service)
+            .map(|u| u.could_end(left, prompt, output, &reading))
+            .collect();
+        ends.is_empty() || ends.contains(&true)
+    }
+
     /// How the replicas of a service stand now.
     pub fn standing(&self, now: Instant, service: &ServiceId) -> Standing {
         let mut standing = Standing::default();
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -264,11 +264,20 @@
 
     /// Whether a long answer would end before its deadline, once it has a place here.
     pub(super) fn ends_in_time(&self, now: Instant, job: &Job, reading: &Reading) -> bool {
-        if !self.replica.engine {
-            return true;
-        }
-        let steps = reading.first_steps + reading.prompt_steps(job.prompt);
-        self.late_end_ms(now, job, steps * self.pace.step_ms()) <= 0.0
+        let left = job.deadline.saturating_duration_since(now);
+        self.could_end(left, job.prompt, job.output, reading)
+    }
+
+    /// Whether an answer of `output` tokens would end within `left`, once it has a place here.
+    pub(super) fn could_end(
+        &self,
+        left: Duration,
+        prompt: f64,
+        output: f64,
+        reading: &Reading,
+    ) -> bool {
+        let steps = reading.first_steps + reading.prompt_steps(prompt) + output * LENGTH_DOUBT;
+        !self.replica.engine || steps * self.pace.step_ms() <= left.as_secs_f64() * 1000.0
     }
 
     /// How long a request may stand behind others here before its turn.
--- a/crates/decisions/tests/dispatch.rs
+++ b/crates/decisions/tests/dispatch.rs
@@ -478,3 +478,31 @@
         dispatch.on_end(at, &"a".into(), id, Outcome::Served);
     }
 }
+
+struct Ends {
+    /// Milliseconds a token step of the replicas `a` and `b`.
+    steps: [u64; 2],
+    left: Duration,
+    output: f64,
+    expected: bool,
+}
+
+/// An instance that is about to end is asked for a stream. One that no replica ends in time would be
+/// cut in its middle, and its caller would have waited for nothing; one that some replica ends is not
+/// to be refused because another one is slow.
+#[parameterized(
+    short = { Ends { steps: [5, 23], left: Duration::from_secs(4), output: 100.0, expected: true } },
+    long_for_the_slow_one = { Ends { steps: [5, 23], left: Duration::from_secs(4), output: 200.0, expected: true } },
+    long_for_both = { Ends { steps: [5, 23], left: Duration::from_secs(4), output: 700.0, expected: false } },
+    all_slow = { Ends { steps: [23, 23], left: Duration::from_secs(4), output: 200.0, expected: false } },
+    no_time = { Ends { steps: [5, 23], left: Duration::ZERO, output: 1.0, expected: false } },
+)]
+fn an_answer_is_begun_where_a_replica_can_end_it(case: Ends) {
+    let now = Instant::now();
+    let mut dispatch = Dispatch::new();
+    dispatch.set_replicas(&[replica("a", 0), replica("b", 0)]);
+    learn_step(&mut dispatch, now, "a", case.steps[0]);
+    learn_step(&mut dispatch, now, "b", case.steps[1]);
+    let ends = dispatch.could_end(case.left, &"drafting".into(), 1000.0, case.output);
+    assert_eq!(ends, case.expected);
+}
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -25,6 +25,9 @@
 const SLOW_TOKEN: Duration = Duration::from_millis(30);
 const SLOW_REST: Duration = Duration::from_secs(1);
 
+/// Time of everything but reading and generating.
+const REST: Duration = Duration::from_millis(500);
+
 /// Longest time for the body of a request to come in.
 const BODY: Duration = Duration::from_secs(10);
 
@@ -44,17 +47,22 @@
 /// Whether the request can end before the process does.
 ///
 /// The balancer goes on sending where few instances of a zone are ready. A stream that is begun
-/// shortly before the end would be cut off; another instance can serve it whole.
-pub fn ends_in_time(node: &Node, call: &Call) -> bool {
-    let Some(end) = node
-        .ends_at
-        .get()
-        .filter(|_| node.stage() >= Stage::Closing)
-    else {
+/// shortly before the end would be cut off; another instance can serve it whole. While the instance
+/// leaves, the pace that is learned of the replicas decides; once it closes, nothing may be cut, so
+/// a slow replica must be able to end it too.
+pub fn ends_in_time(node: &Node, service: &ServiceId, call: &Call) -> bool {
+    let Some(end) = node.ends_at.get() else {
         return true;
     };
-    let needs = SLOW_REST + SLOW_TOKEN * call.output_tokens.unwrap_or(0);
-    Instant::now() + needs < end
+    let left = end.saturating_duration_since(Instant::now());
+    let slow = SLOW_REST + SLOW_TOKEN * call.output_tokens.unwrap_or(0);
+    if node.stage() >= Stage::Closing && slow >= left {
+        return false;
+    }
+    let left = left.saturating_sub(REST);
+    let prompt = f64::from(call.prompt_tokens.unwrap_or(0));
+    let dispatch = node.dispatch.borrow();
+    dispatch.could_end(left, service, prompt, call.output())
 }
 
 /// Finds the route and the organisation of a request in the table.
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -134,11 +134,11 @@
     if call.id.is_empty() {
         return Err(Refusal::new(Kind::BadRequest).with_message("the request has no id"));
     }
-    if !ends_in_time(node, &call) {
-        return Err(unavailable("this instance ends before the request could"));
-    }
     let service =
         pick_service(&route).ok_or_else(|| unavailable("the route leads to no service"))?;
+    if !ends_in_time(node, &service, &call) {
+        return Err(unavailable("this instance ends before the request could"));
+    }
     let cost = charge(node, organisation.as_deref(), &route, &service, &call)?;
     node.repeats
         .borrow_mut()
@@ -227,6 +227,12 @@
         }
     }
 
+    /// When its whole answer must have come: its caller leaves then, or the process ends.
+    fn ends_by(&self, node: &Node) -> Instant {
+        let deadline = Instant::now() + self.left(node);
+        node.ends_at.get().map_or(deadline, |end| end.min(deadline))
+    }
+
     fn job(&self, node: &Node) -> Job {
         let stream = self.route.kind.is_stream();
         let objective = self.route.objective;
@@ -244,7 +250,7 @@
             rank: (own_rank.unwrap_or(self.route.rank), self.route.rank),
             received: self.received,
             due: self.received + objective,
-            deadline: Instant::now() + self.left(node),
+            deadline: self.ends_by(node),
             give_up: self.received + waits.mul_f64(GIVE_UP_AT),
             service: self.service.clone(),
             prompt: f64::from(self.call.prompt_tokens.unwrap_or(0)),
