--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -23,6 +23,7 @@
 mod pause_instance;
 mod platform_faults;
 mod rolling_restart;
+mod stopped_issuer;
 mod stream_faults;
 mod upstream_dies;
 mod upstream_leaving;
--- /dev/null
+++ b/tests/processes/stopped_issuer.rs
@@ -0,0 +1,168 @@
+//! A whole site is stopped at once: the last instance has nobody to leave its keys to, and
+//! instances that are a little behind still pass bookings on to it. A foreman is told that nobody
+//! knows whether the crane is booked, though the booking was made and answered.
+//!
+//! The instance looked whether a booking was under way, saw none, and ended; its door for other
+//! instances was open until then. What came in between was passed on to the service, or had just
+//! been answered by it, and was cut with the process.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use http::Method;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::rpc_params;
+use jsonrpsee::ws_client::WsClient;
+use kingcupfield::calls::{KEY, KeyQuestion, KeyReply, KeyRequest, KeyedCall};
+use kingcupfield::message::PROTOCOL;
+use kingcupfield::peers::{PeerToken, connect};
+use kingcupfield_decisions::idempotency::{FromIssuer, Outcome};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use yare::parameterized;
+
+use crate::caller::Call;
+use crate::fleet::{BOOKING, Fleet, FleetConfig, SECRET, key_of};
+
+/// Other instances that pass bookings on; few, so that there are moments without a booking.
+const PEERS: u64 = 3;
+/// Keys that were issued before the stop.
+const KEYS: usize = 1_900;
+/// Longest pause of a peer between two bookings, in microseconds.
+const MAX_PAUSE_US: u64 = 2_500;
+/// When the peers begin, shortly before the instance ends.
+const AFTER_STOP: Duration = Duration::from_millis(2_500);
+/// Patience of a caller.
+const TIME_LEFT: Duration = Duration::from_secs(5);
+
+/// A booking that an instance passed on, and what it was told.
+#[derive(Debug, Clone)]
+struct PassedOn {
+    key: String,
+    answer: Option<KeyReply>,
+}
+
+async fn keys(fleet: &Fleet) -> Vec<String> {
+    let call = Call::new(Method::POST, "/v1/idempotency-keys")
+        .with_json(&json!({}))
+        .with_key(&key_of("terminal-a"));
+    let mut keys = Vec::new();
+    while keys.len() < KEYS {
+        let reply = fleet.caller.call(fleet.entries[0].addr, &call).await;
+        let issued = reply.expect("an answer").json();
+        keys.push(
+            issued["idempotency_key"]
+                .as_str()
+                .expect("a key")
+                .to_owned(),
+        );
+    }
+    keys
+}
+
+fn booking(key: &str) -> KeyedCall {
+    KeyedCall {
+        request: key.into(),
+        key: key.to_owned(),
+        organisation: "terminal-a".into(),
+        weight: 1,
+        tier: "urgent".into(),
+        rank: 0,
+        attempt: 1,
+        service: BOOKING.into(),
+        method: "POST".to_owned(),
+        path: "/bookings".to_owned(),
+        content_type: None,
+        body: STANDARD.encode("crane 4"),
+        time_left: TIME_LEFT,
+    }
+}
+
+async fn pass_on(client: &WsClient, key: String) -> PassedOn {
+    let request = KeyRequest {
+        protocol: PROTOCOL,
+        question: KeyQuestion::Call(Box::new(booking(&key))),
+    };
+    let answer = client.request(KEY, rpc_params![&request]).await.ok();
+    PassedOn { key, answer }
+}
+
+/// Passes bookings on until the connection is gone.
+async fn pass_on_until_gone(
+    rpc: SocketAddr,
+    keys: Arc<Mutex<Vec<String>>>,
+    mut rng: ChaCha8Rng,
+) -> Vec<PassedOn> {
+    let token = PeerToken::new(SECRET.as_bytes());
+    let client = connect(&token, &rpc.to_string(), TIME_LEFT).await;
+    let client = client.expect("a connection");
+    let mut all = Vec::new();
+    while client.is_connected() {
+        let Some(key) = keys.lock().expect("no peer panicked").pop() else {
+            break;
+        };
+        all.push(pass_on(&client, key).await);
+        sleep(Duration::from_micros(rng.random_range(0..MAX_PAUSE_US))).await;
+    }
+    all
+}
+
+/// Whether the answer tells that the booking ran.
+fn told(answer: Option<&KeyReply>) -> bool {
+    let Some(KeyReply::Issuer(FromIssuer::Outcome(outcome))) = answer else {
+        return false;
+    };
+    matches!(outcome, Outcome::Ran { .. })
+}
+
+#[parameterized(
+    first = { 81 },
+    second = { 82 },
+    third = { 83 },
+    fourth = { 84 },
+    fifth = { 85 },
+    sixth = { 86 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn a_booking_that_was_made_is_told_to_whoever_passed_it_on(seed: u64) {
+    let mut cfg = FleetConfig::small();
+    cfg.zones = vec![("north-sea", 1)];
+    let mut fleet = Fleet::start(cfg).await;
+    let keys = Arc::new(Mutex::new(keys(&fleet).await));
+    fleet.entries[0].process.terminate();
+    sleep(AFTER_STOP).await;
+    let mut peers = JoinSet::new();
+    for number in 0..PEERS {
+        let rng = ChaCha8Rng::seed_from_u64(seed * 1000 + number);
+        peers.spawn(pass_on_until_gone(
+            fleet.entries[0].rpc,
+            Arc::clone(&keys),
+            rng,
+        ));
+    }
+    let passed_on = peers.join_all().await.concat();
+    let status = fleet.entries[0].process.ended().await;
+    assert!(status.success(), "{status}");
+    let mut ran: Vec<String> = fleet
+        .runs()
+        .await
+        .into_iter()
+        .filter_map(|ran| ran.run.idempotency_key)
+        .collect();
+    ran.sort_unstable();
+    let lost: Vec<&str> = passed_on
+        .iter()
+        .filter(|p| !told(p.answer.as_ref()) && ran.binary_search(&p.key).is_ok())
+        .map(|p| p.key.as_str())
+        .collect();
+    assert!(!ran.is_empty(), "no booking was made");
+    let unused = keys.lock().expect("no peer panicked").len();
+    assert!(unused > 0, "the peers ran out of keys before the end");
+    assert!(lost.is_empty(), "made and not told: {lost:?}");
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -21,7 +21,7 @@
 const KINGCUPD: &str = env!("CARGO_BIN_EXE_kingcupd");
 const STANDIN: &str = env!("CARGO_BIN_EXE_kingcup-standin");
 /// Secret that the instances of a test share.
-const SECRET: &str = "a secret of tests, long enough to sign keys";
+pub const SECRET: &str = "a secret of tests, long enough to sign keys";
 /// A link between two regions, which is some tens of milliseconds long both ways together.
 pub const BETWEEN_REGIONS: Link = Link::Delayed(Duration::from_millis(15));
 /// Name of the model service.
