Wait for the answers to other instances before the process ends

An instance that leaves waited until no booking was under way, told its server for other instances to stop, and ended. Bookings that arrived after that look, and answers that were not yet written, went with the process. The other instance found the connection closed and told its caller that nobody knows whether the booking ran, though the service had made and answered it. A hand-over of keys gave such calls some milliseconds more, so it showed where an instance has no successor, as when a whole site is stopped.

The server now takes no further message first and is then waited for: jsonrpsee ends a connection when each call that it took is answered and sent, and drops later messages unread. The wait is bounded by 5 s for peers that read nothing.

Ruled out: answers to the instance's own callers, whose connections are waited for before.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -180,7 +180,7 @@
         self.callers.await.ok();
         issue::hand_over(&self.shared).await;
         log::info!("event=left instance={}", self.shared.instance);
-        self.server.stop();
+        self.server.stop().await;
         self.stop.operators.send_replace(true);
         self.operators.await.ok();
         Ok(())
--- a/src/peer_server.rs
+++ b/src/peer_server.rs
@@ -1,6 +1,7 @@
 //! Takes messages of other entry instances over jsonrpsee; a stranger gets nothing.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use jsonrpsee::RpcModule;
 use jsonrpsee::server::{HttpBody, HttpRequest, HttpResponse, Server, ServerConfig, ServerHandle};
@@ -8,6 +9,7 @@
 use jsonrpsee::types::error::INVALID_PARAMS_CODE;
 use kingcupfield_decisions::configuration::ToPeer;
 use subtle::ConstantTimeEq;
+use tokio::time::timeout;
 use tower::ServiceBuilder;
 use tower_http::validate_request::{ValidateRequest, ValidateRequestHeaderLayer};
 
@@ -24,6 +26,10 @@
 /// Connections of peers at a time: each of 330 instances has one, and room for reconnects.
 const MAX_CONNECTIONS: u32 = 1024;
 
+/// How long a server that ends waits until its answers are written: they are ready, and only a
+/// peer that reads nothing keeps them.
+const ANSWERS_WITHIN: Duration = Duration::from_secs(5);
+
 /// Lets only holders of the shared secret in.
 #[derive(Debug, Clone)]
 struct CheckToken {
@@ -92,9 +98,18 @@
         self.local
     }
 
-    /// Ends the server.
-    pub fn stop(&self) {
+    /// Ends the server: takes no further message, and waits until what it took is answered.
+    ///
+    /// A call that has ended is not told yet: its answer may still be on its way to the peer's
+    /// connection, and a process that ended now would leave the peer with "unknown".
+    pub async fn stop(self) {
         self.handle.stop().ok();
+        if timeout(ANSWERS_WITHIN, self.handle.stopped())
+            .await
+            .is_err()
+        {
+            log::warn!("event=peers_cut reason=answers_not_taken");
+        }
     }
 }
 
