Shut the door to bookings before the last one is waited for

An instance that leaves looked every 50 ms whether a booking was under way, and handed its keys over, or ended, at the first look that found none. Nothing kept further bookings out: one that came in between the look and the end could begin, and while they came steadily there was no such look, so the instance did not end until it was killed with all that it had.

First uses of a key are now held before the count is taken, so that the count only falls. What is under way ends and is told; what was held is told where the keys went, or that it did not run when nobody takes them. A key that was held has not been recorded as used, so the successor runs it.

--- a/src/issue.rs
+++ b/src/issue.rs
@@ -48,11 +48,15 @@
 /// Rights and records are gone from here before they are sent, so never two instances may
 /// dispatch; a hand-over that is lost ends like a dead issuer.
 pub async fn hand_over(shared: &Shared) {
-    // Calls that came through other instances run here as well; none of them is cut.
+    // Calls that came through other instances run here as well. The door is shut before they are
+    // counted: a call that came in after a look that found none would be cut with the process, and
+    // while such calls go on coming no look would ever find none.
+    shared.keys.close();
     while shared.keys.under_way() > 0 {
         sleep(UNDER_WAY_POLL).await;
     }
     let Some(successor) = successor(shared) else {
+        shared.keys.leave_alone();
         log::info!("event=keys_not_handed_over reason=alone");
         return;
     };
--- a/src/keyed_run.rs
+++ b/src/keyed_run.rs
@@ -44,19 +44,23 @@
         hash: hash_of(keyed),
         deadline,
     };
-    let mut ended = match shared.keys.on_use(key, call) {
-        Met::Answer(answer) => return KeyReply::Issuer(answer),
-        Met::Join(ended) => ended,
-        Met::First(tx, ended) => {
-            let first = FirstUse {
-                shared: shared.clone(),
-                key: key.clone(),
-                keyed: keyed.clone(),
-                deadline,
-            };
-            // In a task of its own: a caller that goes away must not cut a booking in the middle.
-            tokio::spawn(first.run(tx));
-            ended
+    let mut ended = loop {
+        match shared.keys.on_use(key, call.clone()) {
+            Met::Answer(answer) => return KeyReply::Issuer(answer),
+            Met::Held(left) => left.left().await,
+            Met::Join(ended) => break ended,
+            Met::First(tx, ended) => {
+                let first = FirstUse {
+                    shared: shared.clone(),
+                    key: key.clone(),
+                    keyed: keyed.clone(),
+                    deadline,
+                };
+                // In a task of its own: a caller that goes away must not cut a booking in the
+                // middle.
+                tokio::spawn(first.run(tx));
+                break ended;
+            }
         }
     };
     let unknown = || KeyReply::Issuer(FromIssuer::Outcome(Outcome::Unknown { upstream: None }));
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -6,8 +6,8 @@
 use kingcupfield_decisions::id::{Incarnation, InstanceId, OrganisationId, UpstreamId};
 use kingcupfield_decisions::idempotency::{
     Answer, Ask, Call, Estate, FromIssuer, FromWitness, HandedOver, Heir, Inheritance, Key,
-    KeyError, KeyId, Keys as Issuer, MAX_ESTATES, NotRun, Outcome, Secret, ToWitness, Use, Witness,
-    WitnessEstate, WitnessHeir, WitnessName,
+    KeyError, KeyId, Keys as Issuer, MAX_ESTATES, NotRun, Outcome, Phase, Secret, ToWitness, Use,
+    Witness, WitnessEstate, WitnessHeir, WitnessName,
 };
 use serde_json::{Value, json};
 use tokio::sync::watch;
@@ -31,9 +31,20 @@
     ended: Ended,
 }
 
+/// Whether first uses of keys still run here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Door {
+    Open,
+    /// First uses wait; what was let in before still runs.
+    Closing,
+    /// Nothing runs here any more.
+    Shut,
+}
+
 #[derive(Debug)]
 struct State {
     me: InstanceId,
+    door: watch::Sender<Door>,
     issuer: Issuer,
     witness: Witness,
     heirs: Vec<Heir>,
@@ -57,10 +68,24 @@
     First(watch::Sender<Option<KeyReply>>, Ended),
     /// The same call is under way.
     Join(Ended),
+    /// It would be the first, and this instance is about to leave: use the key again after that.
+    Held(Left),
     /// Answer at once.
     Answer(FromIssuer),
 }
 
+/// Tells when the instance has given up its keys.
+#[derive(Debug)]
+pub struct Left(watch::Receiver<Door>);
+
+impl Left {
+    /// Waits until the instance has given up its keys.
+    pub async fn left(mut self) {
+        // An error means that the service is gone, and no key is left with it either.
+        self.0.wait_for(|door| *door == Door::Shut).await.ok();
+    }
+}
+
 /// Handle of the service; clones share it.
 #[derive(Debug, Clone)]
 pub struct Keys {
@@ -74,6 +99,7 @@
     pub fn new(me: InstanceId, incarnation: Incarnation, secret: Secret, now: Instant) -> Self {
         let state = State {
             me: me.clone(),
+            door: watch::Sender::new(Door::Open),
             issuer: Issuer::new(me.clone(), incarnation, now),
             witness: Witness::new(incarnation),
             heirs: Vec::new(),
@@ -124,6 +150,9 @@
     pub fn on_use(&self, key: &Key, call: Call) -> Met {
         let now = Instant::now();
         let mut state = self.lock();
+        if state.door() == Door::Closing && state.is_first_use(key) {
+            return Met::Held(Left(state.door.subscribe()));
+        }
         let used = match state.heirs.iter_mut().find(|heir| heir.holds(key)) {
             // What ended before the leaver left is known from its records.
             Some(heir) => match heir.on_use(now, key, call.clone()) {
@@ -139,6 +168,12 @@
                 Some(under_way) => Met::Join(under_way.ended.clone()),
                 None => Met::Answer(FromIssuer::Outcome(Outcome::Unknown { upstream: None })),
             },
+            // Nobody took the keys over, and the process is about to end.
+            Use::First if state.door() == Door::Shut => {
+                let outcome = state.give_up(&id, NotRun::Leaving);
+                let outcome = outcome.unwrap_or(Outcome::NotRun(NotRun::Leaving));
+                Met::Answer(FromIssuer::Outcome(outcome))
+            }
             Use::First => {
                 let (tx, ended) = watch::channel(None);
                 state.under_way.push(UnderWay {
@@ -190,7 +225,7 @@
     pub fn give_up(&self, key: &KeyId, why: NotRun) -> Option<Outcome> {
         let mut state = self.lock();
         state.end(key);
-        state.machine(key)?.give_up(key.sequence, why)
+        state.give_up(key, why)
     }
 
     /// Ends a first use for which nobody was asked; tells what to answer to it.
@@ -261,11 +296,23 @@
         self.lock().under_way.len()
     }
 
+    /// Lets no further first use in: from now on the number of calls under way only falls.
+    pub fn close(&self) {
+        self.lock().door.send_replace(Door::Closing);
+    }
+
+    /// Gives everything up with nobody to leave it to; from now on this instance dispatches
+    /// nothing.
+    pub fn leave_alone(&self) {
+        self.lock().door.send_replace(Door::Shut);
+    }
+
     /// Gives everything up for `successor`; from now on this instance dispatches and permits
     /// nothing, whether or not what is returned arrives.
     pub fn leave(&self, successor: &InstanceId) -> Legacy {
         let now = Instant::now();
         let mut state = self.lock();
+        state.door.send_replace(Door::Shut);
         let own = Inheritance {
             estate: state.issuer.estate(now, successor),
             ended: state.issuer.hand_over(successor),
@@ -319,6 +366,23 @@
 }
 
 impl State {
+    fn door(&self) -> Door {
+        *self.door.borrow()
+    }
+
+    /// Whether a call with `key` would be queued here.
+    fn is_first_use(&mut self, key: &Key) -> bool {
+        let issuer = self.machine(&key.id());
+        issuer.is_some_and(|issuer| {
+            let phase = issuer.phase(key.sequence);
+            matches!(phase, None | Some(Phase::Refused))
+        })
+    }
+
+    fn give_up(&mut self, key: &KeyId, why: NotRun) -> Option<Outcome> {
+        self.machine(key)?.give_up(key.sequence, why)
+    }
+
     fn end(&mut self, key: &KeyId) {
         self.under_way.retain(|u| u.key != *key);
     }
