Answer what is on its way on an accepted connection when a server stops

When a server was told to stop it closed every connection on which it had read nothing yet: one that was just accepted, or whose request had arrived and was not read. Its caller had connected and sent, and saw the connection end without an answer, so it could not tell whether its request ran.

A connection is now told only after it was read once more, and one that has sent nothing is kept for a second, as its request follows within a round trip. Connections count from when they are accepted, by the places that they hold, and the server ends with the last of them. Headers that come slowly are bounded by 10 s as before.

Ruled out: hyper-util's graceful shutdown does tell connections that are accepted late, but it tells them before it reads them.

--- a/src/server.rs
+++ b/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,9 +11,9 @@
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
+use tokio::time::sleep;
 use tower::ServiceExt;
 
 use crate::error::{Error, Result};
@@ -20,6 +21,10 @@
 /// Headers that take longer to arrive end the connection.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long a connection that has sent nothing yet is kept when the server stops: a request that
+/// follows its connection is here within a round trip between regions.
+const FIRST_BYTE_WITHIN: Duration = Duration::from_secs(1);
+
 /// Largest head of a request; a larger one is answered 431.
 const HEADER_LIMIT: usize = 32 * 1024;
 
@@ -55,7 +60,6 @@
 
     /// Serves `router` until `stop` turns true, then until the last connection has ended.
     pub async fn run(self, router: Router, mut stop: watch::Receiver<bool>) {
-        let graceful = GracefulShutdown::new();
         let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         loop {
             let permit = tokio::select! {
@@ -68,7 +72,7 @@
             };
             match socket {
                 Ok((socket, _)) => {
-                    let connection = serve(socket, router.clone(), &graceful);
+                    let connection = serve(socket, router.clone(), stop.clone());
                     tokio::spawn(async move {
                         connection.await;
                         drop(permit);
@@ -76,21 +80,23 @@
                 }
                 Err(e) => {
                     log::warn!("event=accept_failed reason={}", crate::logging::value(e));
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
         drop(self.listener);
-        graceful.shutdown().await;
+        // Each connection has its permit from when it was accepted, and none comes any more.
+        let all = permits.acquire_many(MAX_CONNECTIONS as u32).await;
+        drop(all.expect("never closed"));
     }
 }
 
-fn serve(
-    socket: TcpStream,
-    router: Router,
-    graceful: &GracefulShutdown,
-) -> impl Future<Output = ()> + Send + 'static {
+/// Serves one connection to its end, or to its last answer once `stop` turns true.
+async fn serve(socket: TcpStream, router: Router, stop: watch::Receiver<bool>) {
     socket.set_nodelay(true).ok();
+    if !sends(&socket, stop.clone()).await {
+        return;
+    }
     let service = hyper::service::service_fn(move |req: hyper::Request<Incoming>| {
         let router = router.clone();
         async move {
@@ -98,6 +104,30 @@
             Ok::<_, Infallible>(rsp.unwrap_or_else(|e| match e {}))
         }
     });
+    let builder = builder();
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
+    // The connection goes first, so that it takes what has arrived before it is told: it is closed
+    // at once when it has read nothing.
+    let ended = tokio::select! {
+        biased;
+        ended = connection.as_mut() => Some(ended),
+        () = stopped(stop) => None,
+    };
+    let ended = if let Some(ended) = ended {
+        ended
+    } else {
+        connection.as_mut().graceful_shutdown();
+        connection.await
+    };
+    if let Err(e) = ended {
+        log::debug!(
+            "event=connection_failed reason={}",
+            crate::logging::value(e)
+        );
+    }
+}
+
+fn builder() -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
@@ -109,16 +139,27 @@
         .timer(TokioTimer::new())
         .max_concurrent_streams(MAX_STREAMS)
         .max_header_list_size(HEADER_LIMIT as u32);
-    let connection = builder
-        .serve_connection(TokioIo::new(socket), service)
-        .into_owned();
-    let connection = graceful.watch(connection);
-    async move {
-        if let Err(e) = connection.await {
-            log::debug!(
-                "event=connection_failed reason={}",
-                crate::logging::value(e)
-            );
-        }
+    builder
+}
+
+/// Waits for the first byte; false if the server stops and none comes.
+///
+/// A connection is no request, but one may be on its way on it. Its caller would see the
+/// connection end without an answer, and could not tell whether the request ran.
+async fn sends(socket: &TcpStream, stop: watch::Receiver<bool>) -> bool {
+    let given_up = async {
+        stopped(stop).await;
+        sleep(FIRST_BYTE_WITHIN).await;
+    };
+    let mut first = [0];
+    tokio::select! {
+        biased;
+        peeked = socket.peek(&mut first) => peeked.is_ok_and(|len| len > 0),
+        () = given_up => false,
     }
 }
+
+/// Waits until `stop` turns true, or until nobody is left who could turn it.
+async fn stopped(mut stop: watch::Receiver<bool>) {
+    stop.wait_for(|stop| *stop).await.ok();
+}
