Accept what is in the listen queue before a server closes it

A server that was told to stop closed its listener at once. The system then resets the connections in the listen queue: their callers were connected and had sent their requests, and saw the connection end without an answer.

The queue is now emptied by asking the system until it has no more, then closed. Not mended: a connection that is made in the instant between the last look and the close is reset by the system; only a balancer that no longer sends here avoids it.

--- a/src/server.rs
+++ b/src/server.rs
@@ -1,6 +1,7 @@
 //! Serves a router over HTTP/1.1 and h2c with limits on connections and headers.
 
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -12,7 +13,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::sleep;
 use tower::ServiceExt;
 
@@ -59,36 +60,85 @@
     }
 
     /// Serves `router` until `stop` turns true, then until the last connection has ended.
-    pub async fn run(self, router: Router, mut stop: watch::Receiver<bool>) {
+    pub async fn run(self, router: Router, stop: watch::Receiver<bool>) {
         let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        tokio::select! {
+            () = self.accept(&router, &permits, &stop) => {}
+            () = stopped(stop.clone()) => {}
+        }
+        self.accept_queued(&router, &permits, &stop).await;
+        // Each connection has its permit from when it was accepted, and none comes any more.
+        let all = permits.acquire_many(MAX_CONNECTIONS as u32).await;
+        drop(all.expect("never closed"));
+    }
+
+    /// Accepts connections for ever.
+    async fn accept(
+        &self,
+        router: &Router,
+        permits: &Arc<Semaphore>,
+        stop: &watch::Receiver<bool>,
+    ) {
         loop {
-            let permit = tokio::select! {
-                permit = permits.clone().acquire_owned() => permit.expect("never closed"),
-                _ = stop.wait_for(|stop| *stop) => break,
-            };
-            let socket = tokio::select! {
-                accepted = self.listener.accept() => accepted,
-                _ = stop.wait_for(|stop| *stop) => break,
-            };
-            match socket {
-                Ok((socket, _)) => {
-                    let connection = serve(socket, router.clone(), stop.clone());
-                    tokio::spawn(async move {
-                        connection.await;
-                        drop(permit);
-                    });
-                }
+            let permit = permits.clone().acquire_owned().await;
+            let permit = permit.expect("never closed");
+            match self.listener.accept().await {
+                Ok((socket, _)) => spawn(socket, router.clone(), stop.clone(), permit),
                 Err(e) => {
                     log::warn!("event=accept_failed reason={}", crate::logging::value(e));
                     sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
-        drop(self.listener);
-        // Each connection has its permit from when it was accepted, and none comes any more.
-        let all = permits.acquire_many(MAX_CONNECTIONS as u32).await;
-        drop(all.expect("never closed"));
     }
+
+    /// Accepts what is in the listen queue, then closes it.
+    ///
+    /// The system resets what is still in the queue, though its callers are connected and have
+    /// sent their requests. What connects between the last look and the close is reset all the
+    /// same: by then the balancer has to send elsewhere.
+    async fn accept_queued(
+        self,
+        router: &Router,
+        permits: &Arc<Semaphore>,
+        stop: &watch::Receiver<bool>,
+    ) {
+        // Asked of the system, as the runtime may not have heard yet of what has connected.
+        let listener = match self.listener.into_std() {
+            Ok(listener) => listener,
+            Err(e) => {
+                log::warn!("event=queue_cut reason={}", crate::logging::value(e));
+                return;
+            }
+        };
+        for _ in 0..MAX_CONNECTIONS {
+            let permit = permits.clone().acquire_owned().await;
+            let permit = permit.expect("never closed");
+            match accept_now(&listener) {
+                Ok(socket) => spawn(socket, router.clone(), stop.clone(), permit),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) => log::warn!("event=accept_failed reason={}", crate::logging::value(e)),
+            }
+        }
+    }
+}
+
+fn accept_now(listener: &std::net::TcpListener) -> io::Result<TcpStream> {
+    let (socket, _) = listener.accept()?;
+    socket.set_nonblocking(true)?;
+    TcpStream::from_std(socket)
+}
+
+fn spawn(
+    socket: TcpStream,
+    router: Router,
+    stop: watch::Receiver<bool>,
+    permit: OwnedSemaphorePermit,
+) {
+    tokio::spawn(async move {
+        serve(socket, router, stop).await;
+        drop(permit);
+    });
 }
 
 /// Serves one connection to its end, or to its last answer once `stop` turns true.
--- a/tests/server.rs
+++ b/tests/server.rs
@@ -3,7 +3,6 @@
 //! the listen queue, or was still on its way on a connection that was accepted, when the server
 //! looked what it had to end and counted it as nothing.
 
-use std::future::Future;
 use std::time::Duration;
 
 use axum::Router;
