--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -16,6 +16,7 @@
 mod relay;
 
 mod end_to_end;
+mod kept_connections;
 mod kill_instance;
 mod lost_answers;
 mod overload;
