End the connection with each answer of a leaving instance

An instance that leaves serves on for 3 s and then closes its idle connections. A caller that kept one did not know: a request of its that was on its way at that moment met a closed connection, and its caller could not tell whether it ran.

Each answer over HTTP/1 of a leaving instance now says that the connection ends with it, and the connection is closed after the answer. HTTP/2 connections are told which requests are still taken.

Not mended: a connection that was idle for all of the 3 s and gets a request in the very moment of its close; HTTP/1 has no word for that.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,8 +5,9 @@
 use axum::Router;
 use axum::body::Body;
 use axum::extract::{DefaultBodyLimit, Path, Request, State};
-use axum::http::header::AUTHORIZATION;
-use axum::http::{HeaderMap, Method, Uri};
+use axum::http::header::{AUTHORIZATION, CONNECTION};
+use axum::http::{HeaderMap, HeaderValue, Method, Uri, Version};
+use axum::middleware::{Next, from_fn_with_state};
 use axum::response::Response;
 use axum::routing::{any, get, post};
 use bytes::Bytes;
@@ -50,9 +51,25 @@
         .fallback(not_found)
         .method_not_allowed_fallback(not_found)
         .layer(DefaultBodyLimit::disable())
+        .layer(from_fn_with_state(shared.clone(), end_when_leaving))
         .with_state(shared)
 }
 
+/// Lets each answer of a leaving instance end its connection.
+///
+/// The instance closes idle connections when it ends. A request that is on its way on one at that
+/// moment gets no answer, and its caller can't tell whether it ran; a caller that was told sends
+/// its next request elsewhere. HTTP/2 tells callers by itself which requests it still takes.
+async fn end_when_leaving(State(shared): State<Shared>, req: Request, next: Next) -> Response {
+    let tells = req.version() <= Version::HTTP_11;
+    let mut rsp = next.run(req).await;
+    if tells && shared.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        rsp.headers_mut().insert(CONNECTION, close);
+    }
+    rsp
+}
+
 async fn completions(State(shared): State<Shared>, req: Request) -> Response {
     let path = req.uri().path().to_owned();
     let (parts, body) = req.into_parts();
