--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -7,13 +7,17 @@
 use jsonrpsee::core::client::{ClientT, Error};
 use jsonrpsee::rpc_params;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use kingcupfield::calls::{KEY, KeyQuestion, KeyReply, KeyRequest};
 use kingcupfield::instance::Instance;
-use kingcupfield::message::{DELIVER, Envelope, PeerMessage};
+use kingcupfield::issue::hand_over;
+use kingcupfield::message::{DELIVER, Envelope, PROTOCOL, PeerMessage};
 use kingcupfield::peers::{PeerToken, connect};
 use kingcupfield::settings::Settings;
+use kingcupfield_decisions::idempotency::Estate;
 use kingcupfield_decisions::membership::{Claim, Health, MembershipMessage};
 use kingcupfield_decisions::slots::ToOwner;
 use serde_json::{Value, json};
+use yare::parameterized;
 
 const SECRET: &str = "a secret of tests, long enough to sign keys";
 
@@ -175,3 +179,35 @@
     let back: Envelope = serde_json::from_str(&text).expect("an envelope");
     assert_eq!(back.messages().expect("messages"), messages);
 }
+
+/// Two instances leave at once, and one does not know yet that the other has given its keys up: it
+/// leaves its own there. They were lost with that process while the log said that they were handed
+/// over, and callers who asked again for the answer to a booking were told that nobody knows.
+#[parameterized(
+    unused_keys = { "unused", KeyQuestion::Inherit(estate()) },
+    ended_keys = { "ended", KeyQuestion::Adopt(Vec::new()) },
+    a_new_key = { "new", KeyQuestion::Issue("terminal-a".into()) },
+)]
+#[test_macro(tokio::test)]
+async fn an_instance_that_gave_up_its_keys_takes_none(name: &str, question: KeyQuestion) {
+    let instance = start(name).await;
+    let request = KeyRequest {
+        protocol: PROTOCOL,
+        question,
+    };
+    let peer = peer(&instance).await;
+    let before: Result<KeyReply, Error> = peer.request(KEY, rpc_params![&request]).await;
+    assert!(before.is_ok(), "{before:?}");
+    hand_over(instance.shared()).await;
+    let after: Result<KeyReply, Error> = peer.request(KEY, rpc_params![&request]).await;
+    assert!(after.is_err(), "{after:?}");
+}
+
+fn estate() -> Estate {
+    Estate {
+        issuer: "b".into(),
+        incarnation: 1,
+        age: Duration::from_secs(3),
+        used: Vec::new(),
+    }
+}
