Take no keys once an instance has given up its own

An instance went on taking the keys of other leavers, their ended ones and their memory as a witness after it had handed over its own, and ended with all of it. The leaver had the answer that its keys were taken and logged them as handed over. Callers who asked again for the answer to a booking were told that nobody knows.

--- a/src/keys.rs
+++ b/src/keys.rs
@@ -10,6 +10,7 @@
     Witness, WitnessEstate, WitnessHeir, WitnessName,
 };
 use serde_json::{Value, json};
+use thiserror::Error;
 use tokio::sync::watch;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
@@ -31,6 +32,17 @@
     ended: Ended,
 }
 
+/// Why keys were not issued or taken over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum KeysError {
+    /// The instance has given its own up and is about to end.
+    #[error("this instance has given up its keys")]
+    GivenUp,
+    /// The key can't be written.
+    #[error(transparent)]
+    Key(#[from] KeyError),
+}
+
 /// Whether first uses of keys still run here.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Door {
@@ -120,8 +132,9 @@
         organisation: &OrganisationId,
         zone: &str,
         view: &View,
-    ) -> Result<String, KeyError> {
+    ) -> Result<String, KeysError> {
         let mut state = self.lock();
+        state.check_kept()?;
         let near = state.issuer.next_witness(view.live(zone));
         let far = || {
             view.live
@@ -138,7 +151,7 @@
         let key = state
             .issuer
             .issue(Instant::now(), organisation.clone(), witness);
-        key.encode(&self.secret)
+        Ok(key.encode(&self.secret)?)
     }
 
     /// Reads the text of a key that `organisation` sent.
@@ -265,30 +278,37 @@
     }
 
     /// Takes the records of a leaver.
-    pub fn adopt(&self, records: &[HandedOver]) {
-        self.lock().issuer.adopt(Instant::now(), records);
+    pub fn adopt(&self, records: &[HandedOver]) -> Result<(), KeysError> {
+        let mut state = self.lock();
+        state.check_kept()?;
+        state.issuer.adopt(Instant::now(), records);
+        Ok(())
     }
 
     /// Takes the unused keys of a leaver.
-    pub fn inherit(&self, estate: Estate) {
+    pub fn inherit(&self, estate: Estate) -> Result<(), KeysError> {
         let now = Instant::now();
         let mut state = self.lock();
+        state.check_kept()?;
         state.heirs.retain(|heir| !heir.is_over(now));
         let held = state.heirs.iter().any(|heir| heir.is_of(&estate));
         if !held && state.heirs.len() < MAX_ESTATES {
             state.heirs.push(Heir::new(estate, now));
         }
+        Ok(())
     }
 
     /// Takes the memory of a witness that left.
-    pub fn inherit_witness(&self, estate: WitnessEstate) {
+    pub fn inherit_witness(&self, estate: WitnessEstate) -> Result<(), KeysError> {
         let now = Instant::now();
         let mut state = self.lock();
+        state.check_kept()?;
         state.witness_heirs.retain(|heir| !heir.is_over(now));
         let held = state.witness_heirs.iter().any(|heir| heir.is_of(&estate));
         if !held && state.witness_heirs.len() < MAX_ESTATES {
             state.witness_heirs.push(WitnessHeir::new(estate, now));
         }
+        Ok(())
     }
 
     /// Calls under way here.
@@ -370,6 +390,14 @@
         *self.door.borrow()
     }
 
+    /// Refuses what would be lost with the process, as whoever sends it keeps no copy.
+    fn check_kept(&self) -> Result<(), KeysError> {
+        match self.door() {
+            Door::Open | Door::Closing => Ok(()),
+            Door::Shut => Err(KeysError::GivenUp),
+        }
+    }
+
     /// Whether a call with `key` would be queued here.
     fn is_first_use(&mut self, key: &Key) -> bool {
         let issuer = self.machine(&key.id());
--- a/src/peer_server.rs
+++ b/src/peer_server.rs
@@ -18,6 +18,7 @@
 use crate::inbox::Inbox;
 use crate::issue::issue_here;
 use crate::keyed_run;
+use crate::keys::KeysError;
 use crate::logging::value;
 use crate::message::{Announcement, DELIVER, Envelope, PROTOCOL, VALUES};
 use crate::peers::{MESSAGE_LIMIT, PeerToken};
@@ -181,15 +182,15 @@
             KeyReply::Witness(shared.keys.on_witness(&witness, &message))
         }
         KeyQuestion::Inherit(estate) => {
-            shared.keys.inherit(estate);
+            shared.keys.inherit(estate).map_err(given_up)?;
             KeyReply::Adopted
         }
         KeyQuestion::InheritWitness(estate) => {
-            shared.keys.inherit_witness(estate);
+            shared.keys.inherit_witness(estate).map_err(given_up)?;
             KeyReply::Adopted
         }
         KeyQuestion::Adopt(records) => {
-            shared.keys.adopt(&records);
+            shared.keys.adopt(&records).map_err(given_up)?;
             KeyReply::Adopted
         }
         KeyQuestion::Issue(organisation) => KeyReply::Issued(issue_here(shared, &organisation)?),
@@ -197,6 +198,10 @@
     Ok(reply)
 }
 
+fn given_up(e: KeysError) -> Refusal {
+    Refusal::new(Kind::Unavailable).with_message(e.to_string())
+}
+
 fn check_protocol(method: &str, protocol: u32) -> std::result::Result<(), ErrorObjectOwned> {
     if protocol == PROTOCOL {
         return Ok(());
