Log that an instance has left when its last door is shut

The line was written before the servers for other instances and operators had ended, so what they cut came after it, or was lost to a reader who took it for the last.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -179,10 +179,11 @@
         self.stop.callers.send_replace(true);
         self.callers.await.ok();
         issue::hand_over(&self.shared).await;
-        log::info!("event=left instance={}", self.shared.instance);
         self.server.stop().await;
         self.stop.operators.send_replace(true);
         self.operators.await.ok();
+        // The last line: what is cut on the way has been told before it.
+        log::info!("event=left instance={}", self.shared.instance);
         Ok(())
     }
 }
--- a/tests/processes/stopped_issuer.rs
+++ b/tests/processes/stopped_issuer.rs
@@ -30,6 +30,7 @@
 
 use crate::caller::Call;
 use crate::fleet::{BOOKING, Fleet, FleetConfig, SECRET, key_of};
+use crate::process::{Process, wait_for};
 
 /// Keys that were issued before the stop.
 const KEYS: usize = 1_900;
@@ -141,6 +142,22 @@
     matches!(outcome, Outcome::Ran { .. })
 }
 
+/// Operators read from the log whether a stop cut anything, so its last line must not be lost with
+/// the process, and must come after every line of a cut.
+async fn left_without_a_cut(process: &Process) {
+    let last = |line: &str| line.contains("event=left ");
+    wait_for("the last line of the log", async || {
+        process.lines().last().is_some_and(|line| last(line))
+    })
+    .await;
+    let cut: Vec<String> = process
+        .lines()
+        .into_iter()
+        .filter(|line| line.contains("_cut "))
+        .collect();
+    assert!(cut.is_empty(), "{cut:?}");
+}
+
 #[parameterized(
     rarely_1 = { RARELY, 81 },
     rarely_2 = { RARELY, 82 },
@@ -172,6 +189,7 @@
     let passed_on = peers.join_all().await.concat();
     let status = fleet.entries[0].process.ended().await;
     assert!(status.success(), "{status}");
+    left_without_a_cut(&fleet.entries[0].process).await;
     let mut ran: Vec<String> = fleet
         .runs()
         .await
