--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -18,6 +18,7 @@
 mod end_to_end;
 mod kept_connections;
 mod kill_instance;
+mod leaving_issuer;
 mod lost_answers;
 mod overload;
 mod pairs;
