Tell where the keys went once they are there

A leaver told calls that its successor has the keys from the moment it gave them up, before they had been sent. A call that asked the successor first found nothing, and its key was closed at the witness: the caller read that the booking did not run and had to fetch another key. It was so before for calls in that moment; holding first uses brought all that are held into it.

--- a/src/issue.rs
+++ b/src/issue.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::id::{InstanceId, OrganisationId};
-use kingcupfield_decisions::idempotency::Inheritance;
+use kingcupfield_decisions::idempotency::{Forwarding, Inheritance};
 use kingcupfield_decisions::ownership::ranked;
 use tokio::time::{sleep, timeout};
 
@@ -56,35 +56,52 @@
         sleep(UNDER_WAY_POLL).await;
     }
     let Some(successor) = successor(shared) else {
-        shared.keys.leave_alone();
+        shared.keys.shut();
         log::info!("event=keys_not_handed_over reason=alone");
         return;
     };
-    let Legacy {
-        inheritances,
-        witnesses,
-    } = shared.keys.leave(&successor);
+    let legacy = shared.keys.leave(&successor);
+    let forwardings = give_all(shared, &successor, legacy).await;
+    // A call that waits here would find the successor without its key if it was told earlier, and
+    // have the key closed at its witness.
+    shared.keys.shut();
+    match forwardings {
+        Ok(forwardings) => {
+            for forwarding in forwardings {
+                ask_witness(shared, &forwarding.to, forwarding.message).await;
+            }
+            log::info!("event=keys_handed_over successor={successor}");
+        }
+        Err(reason) => log::warn!(
+            "event=keys_hand_over_lost successor={successor} reason={}",
+            value(reason)
+        ),
+    }
+}
+
+/// Sends everything to `successor`, and returns what the witnesses are to be told after that.
+async fn give_all(
+    shared: &Shared,
+    successor: &InstanceId,
+    legacy: Legacy,
+) -> Result<Vec<Forwarding>, String> {
     let mut questions = Vec::new();
     let mut forwardings = Vec::new();
-    for Inheritance { estate, ended } in inheritances {
+    for Inheritance { estate, ended } in legacy.inheritances {
         questions.push(KeyQuestion::Inherit(estate));
         questions.extend(ended.records.into_iter().map(KeyQuestion::Adopt));
         forwardings.extend(ended.forwardings);
     }
-    questions.extend(witnesses.into_iter().map(KeyQuestion::InheritWitness));
+    questions.extend(
+        legacy
+            .witnesses
+            .into_iter()
+            .map(KeyQuestion::InheritWitness),
+    );
     for question in questions {
-        if let Err(reason) = give(shared, &successor, question).await {
-            log::warn!(
-                "event=keys_hand_over_lost successor={successor} reason={}",
-                value(reason)
-            );
-            return;
-        }
-    }
-    for forwarding in forwardings {
-        ask_witness(shared, &forwarding.to, forwarding.message).await;
+        give(shared, successor, question).await?;
     }
-    log::info!("event=keys_handed_over successor={successor}");
+    Ok(forwardings)
 }
 
 async fn give(
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -49,7 +49,9 @@
     Open,
     /// First uses wait; what was let in before still runs.
     Closing,
-    /// Nothing runs here any more.
+    /// First uses wait until the keys have arrived at the successor; nothing runs here any more.
+    GivenUp,
+    /// First uses are told where the keys are, or that they did not run.
     Shut,
 }
 
@@ -86,12 +88,12 @@
     Answer(FromIssuer),
 }
 
-/// Tells when the instance has given up its keys.
+/// Tells when the keys of an instance that leaves are where they will be.
 #[derive(Debug)]
 pub struct Left(watch::Receiver<Door>);
 
 impl Left {
-    /// Waits until the instance has given up its keys.
+    /// Waits until the instance has handed its keys over, or given them up.
     pub async fn left(mut self) {
         // An error means that the service is gone, and no key is left with it either.
         self.0.wait_for(|door| *door == Door::Shut).await.ok();
@@ -163,7 +165,8 @@
     pub fn on_use(&self, key: &Key, call: Call) -> Met {
         let now = Instant::now();
         let mut state = self.lock();
-        if state.door() == Door::Closing && state.is_first_use(key) {
+        let waits = matches!(state.door(), Door::Closing | Door::GivenUp);
+        if waits && state.is_first_use(key) {
             return Met::Held(Left(state.door.subscribe()));
         }
         let used = match state.heirs.iter_mut().find(|heir| heir.holds(key)) {
@@ -321,18 +324,18 @@
         self.lock().door.send_replace(Door::Closing);
     }
 
-    /// Gives everything up with nobody to leave it to; from now on this instance dispatches
-    /// nothing.
-    pub fn leave_alone(&self) {
+    /// Tells what waits where the keys are, or that it did not run when nobody took them over;
+    /// from now on this instance dispatches nothing.
+    pub fn shut(&self) {
         self.lock().door.send_replace(Door::Shut);
     }
 
     /// Gives everything up for `successor`; from now on this instance dispatches and permits
-    /// nothing, whether or not what is returned arrives.
+    /// nothing, whether or not what is returned arrives. [`Self::shut`] follows.
     pub fn leave(&self, successor: &InstanceId) -> Legacy {
         let now = Instant::now();
         let mut state = self.lock();
-        state.door.send_replace(Door::Shut);
+        state.door.send_replace(Door::GivenUp);
         let own = Inheritance {
             estate: state.issuer.estate(now, successor),
             ended: state.issuer.hand_over(successor),
@@ -394,7 +397,7 @@
     fn check_kept(&self) -> Result<(), KeysError> {
         match self.door() {
             Door::Open | Door::Closing => Ok(()),
-            Door::Shut => Err(KeysError::GivenUp),
+            Door::GivenUp | Door::Shut => Err(KeysError::GivenUp),
         }
     }
 
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -59,13 +59,6 @@
     }
 }
 
-fn leave(keys: &Keys, successor: Option<&str>) {
-    match successor {
-        Some(successor) => drop(keys.leave(&successor.into())),
-        None => keys.leave_alone(),
-    }
-}
-
 #[parameterized(
     with_a_successor = { Some("b") },
     alone = { None },
@@ -94,7 +87,12 @@
         Met::Answer(FromIssuer::Outcome(Outcome::Ran { .. }))
     ));
 
-    leave(&keys, successor);
+    if let Some(successor) = successor {
+        drop(keys.leave(&successor.into()));
+        // The successor does not have the keys yet.
+        held(keys.on_use(&unused, call("early")));
+    }
+    keys.shut();
     for left in [of_unused, of_refused] {
         let told = timeout(Duration::from_secs(1), left.left()).await;
         told.expect("what is held is told of the end");
