Give the listen queue up at the first failed accept

A server that stops and has no file descriptors left would have asked, and warned, up to 4,096 times. It now warns once that the queue is cut.

--- a/src/server.rs
+++ b/src/server.rs
@@ -117,7 +117,12 @@
             match accept_now(&listener) {
                 Ok(socket) => spawn(socket, router.clone(), stop.clone(), permit),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(e) => log::warn!("event=accept_failed reason={}", crate::logging::value(e)),
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(e) => {
+                    // For want of file descriptors, say: the rest would fail in the same way.
+                    log::warn!("event=queue_cut reason={}", crate::logging::value(e));
+                    return;
+                }
             }
         }
     }
