--- a/src/keys.rs
+++ b/src/keys.rs
@@ -6,10 +6,11 @@
 use kingcupfield_decisions::id::{Incarnation, InstanceId, OrganisationId, UpstreamId};
 use kingcupfield_decisions::idempotency::{
     Answer, Ask, Call, Estate, FromIssuer, FromWitness, HandedOver, Heir, Inheritance, Key,
-    KeyError, KeyId, Keys as Issuer, MAX_ESTATES, NotRun, Outcome, Secret, ToWitness, Use, Witness,
-    WitnessEstate, WitnessHeir, WitnessName,
+    KeyError, KeyId, Keys as Issuer, MAX_ESTATES, NotRun, Outcome, Phase, Secret, ToWitness, Use,
+    Witness, WitnessEstate, WitnessHeir, WitnessName,
 };
 use serde_json::{Value, json};
+use thiserror::Error;
 use tokio::sync::watch;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
@@ -31,9 +32,33 @@
     ended: Ended,
 }
 
+/// Why keys were not issued or taken over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum KeysError {
+    /// The instance has given its own up and is about to end.
+    #[error("this instance has given up its keys")]
+    GivenUp,
+    /// The key can't be written.
+    #[error(transparent)]
+    Key(#[from] KeyError),
+}
+
+/// Whether first uses of keys still run here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Door {
+    Open,
+    /// First uses wait; what was let in before still runs.
+    Closing,
+    /// First uses wait until the keys have arrived at the successor; nothing runs here any more.
+    GivenUp,
+    /// First uses are told where the keys are, or that they did not run.
+    Shut,
+}
+
 #[derive(Debug)]
 struct State {
     me: InstanceId,
+    door: watch::Sender<Door>,
     issuer: Issuer,
     witness: Witness,
     heirs: Vec<Heir>,
@@ -57,10 +82,24 @@
     First(watch::Sender<Option<KeyReply>>, Ended),
     /// The same call is under way.
     Join(Ended),
+    /// It would be the first, and this instance is about to leave: use the key again after that.
+    Held(Left),
     /// Answer at once.
     Answer(FromIssuer),
 }
 
+/// Tells when the keys of an instance that leaves are where they will be.
+#[derive(Debug)]
+pub struct Left(watch::Receiver<Door>);
+
+impl Left {
+    /// Waits until the instance has handed its keys over, or given them up.
+    pub async fn left(mut self) {
+        // An error means that the service is gone, and no key is left with it either.
+        self.0.wait_for(|door| *door == Door::Shut).await.ok();
+    }
+}
+
 /// Handle of the service; clones share it.
 #[derive(Debug, Clone)]
 pub struct Keys {
@@ -74,6 +113,7 @@
     pub fn new(me: InstanceId, incarnation: Incarnation, secret: Secret, now: Instant) -> Self {
         let state = State {
             me: me.clone(),
+            door: watch::Sender::new(Door::Open),
             issuer: Issuer::new(me.clone(), incarnation, now),
             witness: Witness::new(incarnation),
             heirs: Vec::new(),
@@ -94,8 +134,9 @@
         organisation: &OrganisationId,
         zone: &str,
         view: &View,
-    ) -> Result<String, KeyError> {
+    ) -> Result<String, KeysError> {
         let mut state = self.lock();
+        state.check_kept()?;
         let near = state.issuer.next_witness(view.live(zone));
         let far = || {
             view.live
@@ -112,7 +153,7 @@
         let key = state
             .issuer
             .issue(Instant::now(), organisation.clone(), witness);
-        key.encode(&self.secret)
+        Ok(key.encode(&self.secret)?)
     }
 
     /// Reads the text of a key that `organisation` sent.
@@ -124,6 +165,10 @@
     pub fn on_use(&self, key: &Key, call: Call) -> Met {
         let now = Instant::now();
         let mut state = self.lock();
+        let waits = matches!(state.door(), Door::Closing | Door::GivenUp);
+        if waits && state.is_first_use(key) {
+            return Met::Held(Left(state.door.subscribe()));
+        }
         let used = match state.heirs.iter_mut().find(|heir| heir.holds(key)) {
             // What ended before the leaver left is known from its records.
             Some(heir) => match heir.on_use(now, key, call.clone()) {
@@ -139,6 +184,12 @@
                 Some(under_way) => Met::Join(under_way.ended.clone()),
                 None => Met::Answer(FromIssuer::Outcome(Outcome::Unknown { upstream: None })),
             },
+            // Nobody took the keys over, and the process is about to end.
+            Use::First if state.door() == Door::Shut => {
+                let outcome = state.give_up(&id, NotRun::Leaving);
+                let outcome = outcome.unwrap_or(Outcome::NotRun(NotRun::Leaving));
+                Met::Answer(FromIssuer::Outcome(outcome))
+            }
             Use::First => {
                 let (tx, ended) = watch::channel(None);
                 state.under_way.push(UnderWay {
@@ -190,7 +241,7 @@
     pub fn give_up(&self, key: &KeyId, why: NotRun) -> Option<Outcome> {
         let mut state = self.lock();
         state.end(key);
-        state.machine(key)?.give_up(key.sequence, why)
+        state.give_up(key, why)
     }
 
     /// Ends a first use for which nobody was asked; tells what to answer to it.
@@ -230,30 +281,37 @@
     }
 
     /// Takes the records of a leaver.
-    pub fn adopt(&self, records: &[HandedOver]) {
-        self.lock().issuer.adopt(Instant::now(), records);
+    pub fn adopt(&self, records: &[HandedOver]) -> Result<(), KeysError> {
+        let mut state = self.lock();
+        state.check_kept()?;
+        state.issuer.adopt(Instant::now(), records);
+        Ok(())
     }
 
     /// Takes the unused keys of a leaver.
-    pub fn inherit(&self, estate: Estate) {
+    pub fn inherit(&self, estate: Estate) -> Result<(), KeysError> {
         let now = Instant::now();
         let mut state = self.lock();
+        state.check_kept()?;
         state.heirs.retain(|heir| !heir.is_over(now));
         let held = state.heirs.iter().any(|heir| heir.is_of(&estate));
         if !held && state.heirs.len() < MAX_ESTATES {
             state.heirs.push(Heir::new(estate, now));
         }
+        Ok(())
     }
 
     /// Takes the memory of a witness that left.
-    pub fn inherit_witness(&self, estate: WitnessEstate) {
+    pub fn inherit_witness(&self, estate: WitnessEstate) -> Result<(), KeysError> {
         let now = Instant::now();
         let mut state = self.lock();
+        state.check_kept()?;
         state.witness_heirs.retain(|heir| !heir.is_over(now));
         let held = state.witness_heirs.iter().any(|heir| heir.is_of(&estate));
         if !held && state.witness_heirs.len() < MAX_ESTATES {
             state.witness_heirs.push(WitnessHeir::new(estate, now));
         }
+        Ok(())
     }
 
     /// Calls under way here.
@@ -261,11 +319,23 @@
         self.lock().under_way.len()
     }
 
+    /// Lets no further first use in: from now on the number of calls under way only falls.
+    pub fn close(&self) {
+        self.lock().door.send_replace(Door::Closing);
+    }
+
+    /// Tells what waits where the keys are, or that it did not run when nobody took them over;
+    /// from now on this instance dispatches nothing.
+    pub fn shut(&self) {
+        self.lock().door.send_replace(Door::Shut);
+    }
+
     /// Gives everything up for `successor`; from now on this instance dispatches and permits
-    /// nothing, whether or not what is returned arrives.
+    /// nothing, whether or not what is returned arrives. [`Self::shut`] follows.
     pub fn leave(&self, successor: &InstanceId) -> Legacy {
         let now = Instant::now();
         let mut state = self.lock();
+        state.door.send_replace(Door::GivenUp);
         let own = Inheritance {
             estate: state.issuer.estate(now, successor),
             ended: state.issuer.hand_over(successor),
@@ -319,6 +389,31 @@
 }
 
 impl State {
+    fn door(&self) -> Door {
+        *self.door.borrow()
+    }
+
+    /// Refuses what would be lost with the process, as whoever sends it keeps no copy.
+    fn check_kept(&self) -> Result<(), KeysError> {
+        match self.door() {
+            Door::Open | Door::Closing => Ok(()),
+            Door::GivenUp | Door::Shut => Err(KeysError::GivenUp),
+        }
+    }
+
+    /// Whether a call with `key` would be queued here.
+    fn is_first_use(&mut self, key: &Key) -> bool {
+        let issuer = self.machine(&key.id());
+        issuer.is_some_and(|issuer| {
+            let phase = issuer.phase(key.sequence);
+            matches!(phase, None | Some(Phase::Refused))
+        })
+    }
+
+    fn give_up(&mut self, key: &KeyId, why: NotRun) -> Option<Outcome> {
+        self.machine(key)?.give_up(key.sequence, why)
+    }
+
     fn end(&mut self, key: &KeyId) {
         self.under_way.retain(|u| u.key != *key);
     }
--- a/src/peer_server.rs
+++ b/src/peer_server.rs
@@ -1,6 +1,7 @@
 //! Takes messages of other entry instances over jsonrpsee; a stranger gets nothing.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use jsonrpsee::RpcModule;
 use jsonrpsee::server::{HttpBody, HttpRequest, HttpResponse, Server, ServerConfig, ServerHandle};
@@ -8,6 +9,7 @@
 use jsonrpsee::types::error::INVALID_PARAMS_CODE;
 use kingcupfield_decisions::configuration::ToPeer;
 use subtle::ConstantTimeEq;
+use tokio::time::timeout;
 use tower::ServiceBuilder;
 use tower_http::validate_request::{ValidateRequest, ValidateRequestHeaderLayer};
 
@@ -16,6 +18,7 @@
 use crate::inbox::Inbox;
 use crate::issue::issue_here;
 use crate::keyed_run;
+use crate::keys::KeysError;
 use crate::logging::value;
 use crate::message::{Announcement, DELIVER, Envelope, PROTOCOL, VALUES};
 use crate::peers::{MESSAGE_LIMIT, PeerToken};
@@ -24,6 +27,10 @@
 /// Connections of peers at a time: each of 330 instances has one, and room for reconnects.
 const MAX_CONNECTIONS: u32 = 1024;
 
+/// How long a server that ends waits until its answers are written: they are ready, and only a
+/// peer that reads nothing keeps them.
+const ANSWERS_WITHIN: Duration = Duration::from_secs(5);
+
 /// Lets only holders of the shared secret in.
 #[derive(Debug, Clone)]
 struct CheckToken {
@@ -92,9 +99,18 @@
         self.local
     }
 
-    /// Ends the server.
-    pub fn stop(&self) {
+    /// Ends the server: takes no further message, and waits until what it took is answered.
+    ///
+    /// A call that has ended is not told yet: its answer may still be on its way to the peer's
+    /// connection, and a process that ended now would leave the peer with "unknown".
+    pub async fn stop(self) {
         self.handle.stop().ok();
+        if timeout(ANSWERS_WITHIN, self.handle.stopped())
+            .await
+            .is_err()
+        {
+            log::warn!("event=peers_cut reason=answers_not_taken");
+        }
     }
 }
 
@@ -166,15 +182,15 @@
             KeyReply::Witness(shared.keys.on_witness(&witness, &message))
         }
         KeyQuestion::Inherit(estate) => {
-            shared.keys.inherit(estate);
+            shared.keys.inherit(estate).map_err(given_up)?;
             KeyReply::Adopted
         }
         KeyQuestion::InheritWitness(estate) => {
-            shared.keys.inherit_witness(estate);
+            shared.keys.inherit_witness(estate).map_err(given_up)?;
             KeyReply::Adopted
         }
         KeyQuestion::Adopt(records) => {
-            shared.keys.adopt(&records);
+            shared.keys.adopt(&records).map_err(given_up)?;
             KeyReply::Adopted
         }
         KeyQuestion::Issue(organisation) => KeyReply::Issued(issue_here(shared, &organisation)?),
@@ -182,6 +198,10 @@
     Ok(reply)
 }
 
+fn given_up(e: KeysError) -> Refusal {
+    Refusal::new(Kind::Unavailable).with_message(e.to_string())
+}
+
 fn check_protocol(method: &str, protocol: u32) -> std::result::Result<(), ErrorObjectOwned> {
     if protocol == PROTOCOL {
         return Ok(());
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -16,13 +16,16 @@
 mod relay;
 
 mod end_to_end;
+mod kept_connections;
 mod kill_instance;
+mod leaving_issuer;
 mod lost_answers;
 mod overload;
 mod pairs;
 mod pause_instance;
 mod platform_faults;
 mod rolling_restart;
+mod stopped_issuer;
 mod stream_faults;
 mod upstream_dies;
 mod upstream_leaving;
