Let a stream look complete only when all of it was passed on

What a caller could see: part of a stream, followed by the mark of a complete answer.

Cause: the relay told a break by a word in the channel to the caller's connection. Before a caller who reads slowly the channel is full, the word was left out, and the end of the channel counted as the end of the answer. Now only a mark that is set after the last piece ends an answer; a channel that ends without it, for whatever reason, breaks the connection off.

Ruled out: the stop alone (the same comes about after the route's four seconds without a stop).

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -4,6 +4,7 @@
 //! are passed on, so that the rest from another replica fits; of any other the bytes pass at once.
 //! A stream that is not finished ends by closing the caller's connection, never as if complete.
 
+use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -43,7 +44,28 @@
     /// All of it.
     Whole(Option<Bytes>),
     /// What a relay passes on.
-    Relayed(mpsc::Receiver<Result<Bytes, BrokenOff>>),
+    Relayed(Relayed),
+}
+
+/// The caller's end of a relay.
+///
+/// The end of the channel alone doesn't end the answer: a relay that was dropped, or ended while the
+/// channel was full because its caller reads slowly, would leave a stream that looks complete.
+#[derive(Debug)]
+pub struct Relayed {
+    rx: mpsc::Receiver<Bytes>,
+    /// Set once the relay has passed everything on.
+    whole: Rc<Cell<bool>>,
+}
+
+impl Relayed {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        self.rx.poll_recv(cx).map(|chunk| match chunk {
+            Some(chunk) => Some(Ok(Frame::data(chunk))),
+            None if self.whole.get() => None,
+            None => Some(Err(BrokenOff)),
+        })
+    }
 }
 
 impl Body {
@@ -63,7 +85,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Relayed(rx) => rx.poll_recv(cx).map(|c| c.map(|c| c.map(Frame::data))),
+            Self::Relayed(relayed) => relayed.poll(cx),
         }
     }
 
@@ -91,7 +113,12 @@
     active: Option<Active>,
 ) -> Response<Body> {
     let (tx, rx) = mpsc::channel(CHUNKS);
-    let mut response = Response::new(Body::Relayed(rx));
+    let whole = Rc::new(Cell::new(false));
+    let relayed = Relayed {
+        rx,
+        whole: Rc::clone(&whole),
+    };
+    let mut response = Response::new(Body::Relayed(relayed));
     *response.status_mut() = answer.head.status;
     *response.headers_mut() = node.dialect.answer(&answer.head);
     let run = Run {
@@ -105,6 +132,7 @@
         node,
         life,
         tx,
+        whole,
         scanner: Scanner::new(),
         held: BytesMut::new(),
         last: Instant::now(),
@@ -140,7 +168,9 @@
 struct Relay {
     node: Rc<Node>,
     life: Life,
-    tx: mpsc::Sender<Result<Bytes, BrokenOff>>,
+    tx: mpsc::Sender<Bytes>,
+    /// Tells the caller's end that nothing is missing.
+    whole: Rc<Cell<bool>>,
     scanner: Scanner,
     held: BytesMut,
     last: Instant,
@@ -174,6 +204,7 @@
             let replica = run.place.upstream.clone();
             match end {
                 End::Whole => {
+                    self.whole.set(true);
                     run.target
                         .pool
                         .keep(Instant::now(), run.connection, &run.head.headers);
@@ -193,7 +224,6 @@
                         Over::Process => "cut",
                     };
                     self.log(how, &replica);
-                    let _ = self.tx.try_send(Err(BrokenOff));
                     return;
                 }
                 End::Broken => {}
@@ -203,8 +233,6 @@
             drop(run.body);
             run.place.end(Outcome::Failed);
             let Some(next) = self.resume().await else {
-                // The caller may be gone as well.
-                let _ = self.tx.send(Err(BrokenOff)).await;
                 return;
             };
             run = next;
@@ -238,7 +266,7 @@
             if let Some(chunk) = self.take(run, chunk) {
                 let came = Instant::now();
                 tokio::select! {
-                    sent = self.tx.send(Ok(chunk)) => {
+                    sent = self.tx.send(chunk) => {
                         if sent.is_err() {
                             return End::CallerGone;
                         }
