Look again whether a request can end before the process, once it has its place

A stream came in time to a stopping instance, waited for a place, was sent when it could no longer end, and broke off in its middle.

Cause: whether it can end was looked at when it came, and the wait made the look untrue. Now it is looked at again when the place is given, beside the table, before anything is sent; the caller gets 503 with when to come back, and its organisation the charge.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -265,7 +265,8 @@
         }
     }
 
-    /// A request that waited is sent by what the table says now: its key or route may be gone.
+    /// A request that waited is sent by what holds now: its key or route may be gone, and the process
+    /// may end before the request could.
     fn recheck(&mut self, node: &Node) -> Result<(), Refusal> {
         let Some(table) = node.table() else {
             return Ok(());
@@ -280,6 +281,10 @@
             self.uncharge(node);
             return Err(unavailable("the route leads to other services now"));
         }
+        if self.runs == 0 && !ends_in_time(node, &self.service, &self.call) {
+            self.uncharge(node);
+            return Err(unavailable("this instance ends before the request could"));
+        }
         self.route = route;
         self.organisation = organisation;
         Ok(())
