Keep the times of a stop when the settings change meanwhile

A booking that ran at its replica was cut, and its caller's connection closed, when the settings allowed less time after the order to stop had come.

Cause: each stage read the grace period anew, while the time of the last answers was set once. Now it is read once, with the order.

--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -50,6 +50,8 @@
 pub struct Stop<S> {
     node: Rc<Node>,
     began: Instant,
+    /// Time from the order to the kill, as the settings said when the order came.
+    grace: Duration,
     stage: PhantomData<S>,
 }
 
@@ -60,6 +62,7 @@
         let stop = Self {
             node: Rc::clone(node),
             began,
+            grace: node.settings().grace(),
             stage: PhantomData,
         };
         tell(node, format_args!("event=stopping"));
@@ -113,7 +116,7 @@
     }
 
     fn before_kill(&self, margin: Duration) -> Instant {
-        self.began + self.node.settings().grace().saturating_sub(margin)
+        self.began + self.grace.saturating_sub(margin)
     }
 
     fn enter<N>(self, stage: Stage) -> Stop<N> {
@@ -121,6 +124,7 @@
         Stop {
             node: self.node,
             began: self.began,
+            grace: self.grace,
             stage: PhantomData,
         }
     }
