Answer also a request whose body is still coming in when the process ends

One future tells when the last answers are given; whoever waits for a body, a place, an answer or another run of a stream waits for it too.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -51,7 +51,7 @@
 /// leaves, the pace that is learned of the replicas decides; once it closes, nothing may be cut, so
 /// a slow replica must be able to end it too.
 pub fn ends_in_time(node: &Node, service: &ServiceId, call: &Call) -> bool {
-    let Some(end) = node.ends_at.get() else {
+    let Some(end) = node.answers_by.get() else {
         return true;
     };
     let left = end.saturating_duration_since(Instant::now());
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -14,7 +14,7 @@
 use kingcupfield_decisions::known::Known;
 use kingcupfield_decisions::repeats::Repeats;
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 use crate::clock::Clock;
 use crate::directory::Reader;
@@ -117,7 +117,7 @@
     /// The table's version, for those that wait for a change.
     pub version: watch::Sender<u64>,
     /// When the last answers are given, once the process was told to stop.
-    pub ends_at: Cell<Option<Instant>>,
+    pub answers_by: Cell<Option<Instant>>,
     /// Requests being answered.
     pub active: Cell<usize>,
     /// Connections of callers that are open, from their acceptance until all is written.
@@ -169,7 +169,7 @@
             reader: RefCell::new(Reader::default()),
             stage: watch::Sender::new(Stage::Serving),
             version: watch::Sender::new(0),
-            ends_at: Cell::new(None),
+            answers_by: Cell::new(None),
             active: Cell::new(0),
             connections: watch::Sender::new(0),
             taken: Cell::new(0),
@@ -213,6 +213,19 @@
         *self.stage.borrow()
     }
 
+    /// Ends when the process has just time left to answer; never while it was not told to stop.
+    pub async fn last_answers(&self) {
+        let mut stage = self.stage.subscribe();
+        loop {
+            if let Some(at) = self.answers_by.get() {
+                return sleep_until(at).await;
+            }
+            if stage.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         self.stage() == Stage::Serving && self.table.borrow().is_some()
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -232,7 +232,13 @@
             drop(run.connection);
             drop(run.body);
             run.place.end(Outcome::Failed);
-            let Some(next) = self.resume().await else {
+            let (node, route) = (Rc::clone(&self.node), Rc::clone(&self.life.route));
+            let over = time_over(&node, &route, self.life.received);
+            let next = tokio::select! {
+                next = self.resume() => next,
+                _ = over => None,
+            };
+            let Some(next) = next else {
                 return;
             };
             run = next;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -94,7 +94,11 @@
     let received = Instant::now();
     let (head, body) = req.into_parts();
     let call = node.dialect.call(&head);
-    let result = match read_body(&node, body).await {
+    let body = tokio::select! {
+        body = read_body(&node, body) => body,
+        () = node.last_answers() => Err(unavailable("this instance ends before the body came in")),
+    };
+    let result = match body {
         Ok(body) => admitted(&node, received, head, call.clone(), body, active).await,
         Err(refusal) => Err(refusal),
     };
@@ -230,7 +234,9 @@
     /// When its whole answer must have come: its caller leaves then, or the process ends.
     fn ends_by(&self, node: &Node) -> Instant {
         let deadline = Instant::now() + self.left(node);
-        node.ends_at.get().map_or(deadline, |end| end.min(deadline))
+        node.answers_by
+            .get()
+            .map_or(deadline, |end| end.min(deadline))
     }
 
     fn job(&self, node: &Node) -> Job {
@@ -599,21 +605,16 @@
 /// request ran nor when to come back.
 pub async fn time_over(node: &Rc<Node>, route: &Route, received: Instant) -> Over {
     let mut version = node.version.subscribe();
-    let mut stage = node.stage.subscribe();
+    let mut last_answers = std::pin::pin!(node.last_answers());
     loop {
         let timeout = node
             .table()
             .and_then(|t| t.route(&route.host, &route.prefix).map(|r| r.timeout))
             .unwrap_or(route.timeout);
-        let over = received + timeout;
-        let (until, why) = match node.ends_at.get() {
-            Some(end) if end < over => (end, Over::Process),
-            _ => (over, Over::Route),
-        };
         tokio::select! {
-            () = sleep_until(until) => return why,
+            () = sleep_until(received + timeout) => return Over::Route,
+            () = &mut last_answers => return Over::Process,
             _ = version.changed() => {}
-            _ = stage.changed() => {}
         }
     }
 }
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -66,7 +66,7 @@
             stage: PhantomData,
         };
         tell(node, format_args!("event=stopping"));
-        node.ends_at
+        node.answers_by
             .set(Some(stop.before_kill(ANSWERED_BEFORE_KILL)));
         node.stage.send_replace(Stage::Leaving);
         stop
