Guard the queue of the listener, count what is cut by connections, name things by their terms

`stopped cut=` counted requests, and an answer that was still to be written to a slow caller was cut with `cut=0`; it counts connections. A failed accept while the queue is taken no longer ends it without a word, and the small listeners pause after one.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -1,6 +1,7 @@
 //! Connections of callers, of the balancer's readiness checks and of peers.
 
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
+use crate::log::Weight;
 use crate::node::{Node, Stage};
 use crate::request;
 use crate::snapshot::{SNAPSHOT_PATH, Snapshot};
@@ -48,7 +50,7 @@
     }
 }
 
-/// Answers callers, and takes connections until the door is shut.
+/// Answers callers, and takes connections until the instance listens no more.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     let mut stage = node.stage.subscribe();
     loop {
@@ -67,14 +69,25 @@
 /// Takes the connections that wait in the listener's queue, and closes the listener: a connection
 /// that is closed with it is reset, and its caller may have sent a request already.
 fn take_queued(node: &Rc<Node>, listener: TcpListener) {
-    let Ok(listener) = listener.into_std() else {
-        return;
-    };
-    while let Ok((stream, _)) = listener.accept() {
-        let stream = stream.set_nonblocking(true).map(|()| stream);
-        if let Ok(stream) = stream.and_then(TcpStream::from_std) {
-            take(node, stream);
+    let result = listener.into_std().and_then(|listener| {
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    take(node, TcpStream::from_std(stream)?);
+                }
+                Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) => return Err(e),
+            }
         }
+    });
+    if let Err(e) = result {
+        // The rest of the queue is reset; its callers may ask another instance.
+        node.log.line(
+            Weight::Notable,
+            format_args!("event=queue_cut reason={e:?}"),
+        );
     }
 }
 
@@ -173,6 +186,8 @@
 async fn serve_small(node: Rc<Node>, listener: TcpListener, answer: Answer) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors: asked again at once, the system would only say so again.
+            sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let node = Rc::clone(&node);
--- a/crates/entry/src/life.rs
+++ b/crates/entry/src/life.rs
@@ -71,7 +71,7 @@
         ),
     );
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
-    let door = spawn(Box::pin(callers::serve(Rc::clone(&node), callers)));
+    let accepting = spawn(Box::pin(callers::serve(Rc::clone(&node), callers)));
     spawn(Box::pin(callers::serve_ready(Rc::clone(&node), ready)));
     spawn(Box::pin(callers::serve_peers(Rc::clone(&node), peers)));
     spawn(Box::pin(gossip::run(
@@ -88,7 +88,13 @@
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
-    Stop::new(&node).close().await.shut(door).await.end().await;
+    Stop::new(&node)
+        .close()
+        .await
+        .shut(accepting)
+        .await
+        .end()
+        .await;
     Ok(node)
 }
 
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -1,10 +1,11 @@
-//! The end of a process, in stages that only lead onward: it leaves, closes, shuts its door, ends.
+//! The end of a process, in stages that only lead onward: it leaves, closes, listens no more, ends.
 //!
 //! A process that looked whether it has no request, and ended then, would drop the request that came
-//! between the look and the end: its replica has run it, and its caller gets no answer. So the door
-//! is shut before the last look. From then on nothing comes in, the number of open connections only
-//! falls, and once it is zero nothing can be lost any more. Connections are counted from the moment
-//! they are accepted until the last byte of their answer is written, which requests are not.
+//! between the look and the end: its replica has run it, and its caller gets no answer. So the listener
+//! is closed before the last look. From then on nothing comes in, the number of open connections only
+//! falls, and a zero stays true: nothing is left that could be lost, however long the rest takes.
+//! Connections are counted from the moment they are accepted until the last byte of their answer is
+//! handed to the system, which requests are not.
 
 use std::marker::PhantomData;
 use std::rc::Rc;
@@ -20,11 +21,11 @@
 /// questions, a second apart.
 const BALANCER_NOTICES: Duration = Duration::from_millis(2600);
 
-/// How long the door stays open at least after idle connections were closed, for what the balancer
+/// How long the listener stays open at least after idle connections were closed, for what the balancer
 /// sent just before it noticed.
 const LAST_COMERS: Duration = Duration::from_millis(300);
 
-/// The door is shut this long before the process would be killed, though callers still come.
+/// The listener is closed this long before the process would be killed, though callers still come.
 const SHUT_BEFORE_KILL: Duration = Duration::from_millis(750);
 
 /// Requests that have no answer by then get the instance's own, and time to write it is left.
@@ -33,6 +34,10 @@
 /// The process ends this long before it would be killed.
 const ENDS_BEFORE_KILL: Duration = Duration::from_millis(450);
 
+// Nothing comes in after the last answers, and they are written before the end.
+const _: () = assert!(SHUT_BEFORE_KILL.as_millis() > ANSWERED_BEFORE_KILL.as_millis());
+const _: () = assert!(ANSWERED_BEFORE_KILL.as_millis() > ENDS_BEFORE_KILL.as_millis());
+
 /// Says that it is not ready, and still answers what comes.
 #[derive(Debug)]
 pub struct Leaving;
@@ -82,16 +87,19 @@
 }
 
 impl Stop<Closing> {
-    /// Shuts the door as soon as no caller has a connection, or when time is running out.
+    /// Closes the listener as soon as no caller has a connection, or when time is running out.
     ///
-    /// `door` ends when the last connection was accepted.
-    pub async fn shut(self, door: JoinHandle<()>) -> Stop<Shut> {
+    /// `accepting` ends when the last connection was accepted.
+    pub async fn shut(self, accepting: JoinHandle<()>) -> Stop<Shut> {
         let latest = self.before_kill(SHUT_BEFORE_KILL);
         sleep_until((Instant::now() + LAST_COMERS).min(latest)).await;
-        self.callers_gone(latest).await;
+        self.wait_for_callers(latest).await;
         let stop = self.enter(Stage::Shut);
-        if let Err(e) = door.await {
-            tell(&stop.node, format_args!("event=door_failed reason={e:?}"));
+        if let Err(e) = accepting.await {
+            tell(
+                &stop.node,
+                format_args!("event=accepting_failed reason={e:?}"),
+            );
         }
         tell(&stop.node, format_args!("event=shut"));
         stop
@@ -101,15 +109,17 @@
 impl Stop<Shut> {
     /// Ends when the last connection has ended.
     pub async fn end(self) {
-        self.callers_gone(self.before_kill(ENDS_BEFORE_KILL)).await;
-        let cut = self.node.active.get();
+        self.wait_for_callers(self.before_kill(ENDS_BEFORE_KILL))
+            .await;
+        // A connection counts that has all but the rest of its answer: that is cut too.
+        let cut = *self.node.connections.borrow();
         tell(&self.node, format_args!("event=stopped cut={cut}"));
     }
 }
 
 impl<S> Stop<S> {
     /// Waits until no caller has a connection, but not beyond `latest`.
-    async fn callers_gone(&self, latest: Instant) {
+    async fn wait_for_callers(&self, latest: Instant) {
         let mut connections = self.node.connections.subscribe();
         // Beyond that time what is left is cut, which the log tells.
         let _ = timeout_at(latest, connections.wait_for(|open| *open == 0)).await;
