Tell in the log what an instance knew of an organisation's spending

Until now the lines of an admitted request told nothing of its limit, and a refusal told what was left and not what that rested on. A remainder that was large because nobody had told yet looked like one that was free.

The lines of both now tell what was spent here, what was heard of and what was assumed; a refusal also tells how old the oldest word was. Decisions are the same.

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -86,43 +86,81 @@
 /// never would, though it is within the rate over time.
 const ENOUGH: f64 = 0.9;
 
+/// Where an instance has a part of an organisation's spending from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// It admitted the requests itself.
+    Own,
+    /// Another instance told.
+    Heard,
+    /// Nobody told: it is what may have been spent before this instance started.
+    Assumed,
+}
+
+/// What an instance takes an organisation to have spent within the operator's span, by where it has
+/// that from.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Spent {
+    /// Admitted here.
+    pub own: f64,
+    /// Told by other instances.
+    pub heard: f64,
+    /// Assumed for the time before this instance started.
+    pub assumed: f64,
+}
+
+impl Spent {
+    fn sum(&self) -> f64 {
+        self.own + self.heard + self.assumed
+    }
+
+    fn of(&mut self, source: Source) -> &mut f64 {
+        match source {
+            Source::Own => &mut self.own,
+            Source::Heard => &mut self.heard,
+            Source::Assumed => &mut self.assumed,
+        }
+    }
+}
+
 /// What an organisation has spent, anywhere, in the span over which the operator counts.
 #[derive(Debug, Default)]
 struct Window {
-    costs: VecDeque<(Instant, f64)>,
-    sum: f64,
+    costs: VecDeque<(Instant, Source, f64)>,
+    spent: Spent,
 }
 
 impl Window {
-    fn push(&mut self, now: Instant, cost: f64) {
-        self.costs.push_back((now, cost));
-        self.sum += cost;
+    fn push(&mut self, now: Instant, source: Source, cost: f64) {
+        self.costs.push_back((now, source, cost));
+        *self.spent.of(source) += cost;
     }
 
     /// Takes back what was counted at `charged`. Counted as a gain of now, it would outlast the cost
     /// that it cancels, and the organisation could spend it once more.
     fn take_back(&mut self, charged: Instant, cost: f64) {
-        let after = self.costs.partition_point(|(at, _)| *at <= charged);
-        if let Some(counted) = after.checked_sub(1) {
-            self.costs[counted].1 -= cost;
-            self.sum -= cost;
+        let after = self.costs.partition_point(|(at, _, _)| *at <= charged);
+        let own = |(_, source, _): &(Instant, Source, f64)| *source == Source::Own;
+        if let Some(at) = self.costs.iter().take(after).rposition(own) {
+            self.costs[at].2 -= cost;
+            self.spent.own -= cost;
         }
     }
 
     fn forget(&mut self, now: Instant, span: Duration) {
-        while let Some((at, cost)) = self.costs.front().copied() {
+        while let Some((at, source, cost)) = self.costs.front().copied() {
             if at + span > now {
                 return;
             }
             self.costs.pop_front();
-            self.sum -= cost;
+            *self.spent.of(source) -= cost;
         }
     }
 
     /// After how many seconds `excess` has left the window.
     fn seconds_to_lose(&self, now: Instant, span: Duration, excess: f64) -> f64 {
         let mut lost = 0.0;
-        for (at, cost) in &self.costs {
+        for (at, _, cost) in &self.costs {
             lost += cost;
             if lost >= excess {
                 return (*at + span).saturating_duration_since(now).as_secs_f64();
@@ -164,7 +202,7 @@
 
     /// By how much a request would pass the limit over the span, of which `kept` is to be left.
     fn exceeds(&self, cost: f64, kept: f64, whole: f64) -> f64 {
-        self.window.sum + (cost + kept * whole).min(whole * ENOUGH) - whole
+        self.window.spent.sum() + (cost + kept * whole).min(whole * ENOUGH) - whole
     }
 
     /// Notes the class of a request, and returns the part of the limit that it leaves to others.
@@ -225,7 +263,7 @@
         }
         account.level -= charge.cost;
         account.spent += charge.cost;
-        account.window.push(now, charge.cost);
+        account.window.push(now, Source::Own, charge.cost);
         Ok(())
     }
 
@@ -250,7 +288,7 @@
         let account = self.account(now, organisation, limit);
         let debt = -limit.rate * MOST_DEBT_S;
         account.level = (account.level - cost).max(debt.min(account.level));
-        account.window.push(now, cost);
+        account.window.push(now, Source::Heard, cost);
     }
 
     /// Takes a peer's word on what the bucket holds, at an instance that started just now.
@@ -276,10 +314,18 @@
         found.map_or((0.0, 0.0), |at| {
             let account = &self.accounts[at];
             let whole = account.limit.over(self.span);
-            (account.level, whole - account.window.sum)
+            (account.level, whole - account.window.spent.sum())
         })
     }
 
+    /// What one organisation has spent within the span, as far as this instance knows.
+    pub fn known(&self, organisation: &OrganisationId) -> Spent {
+        let found = self
+            .accounts
+            .binary_search_by(|a| a.organisation.cmp(organisation));
+        found.map_or(Spent::default(), |at| self.accounts[at].window.spent)
+    }
+
     /// What this instance has spent of each organisation since it started.
     pub fn spent(&self) -> impl Iterator<Item = (&OrganisationId, f64)> {
         self.accounts.iter().map(|a| (&a.organisation, a.spent))
@@ -306,7 +352,7 @@
         let at = found.unwrap_or_else(|at| {
             // Until one span has passed since the start, only the bucket counts.
             let mut window = Window::default();
-            window.push(started, limit.over(span));
+            window.push(started, Source::Assumed, limit.over(span));
             let account = Account {
                 organisation: organisation.clone(),
                 limit,
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -8,7 +8,7 @@
 use http::request::Parts;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use kingcupfield_decisions::allowance::Charge;
+use kingcupfield_decisions::allowance::{Charge, Spent};
 use kingcupfield_decisions::id::ServiceId;
 use rand::RngExt as _;
 use tokio::time::Instant;
@@ -100,6 +100,15 @@
     None
 }
 
+/// What a request was charged, and what that rested on.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Charged {
+    /// What it took of the limit.
+    pub cost: f64,
+    /// What the instance took to be spent, with this request.
+    pub known: Spent,
+}
+
 /// Takes a request's cost from its organisation's limit.
 pub fn charge(
     node: &Node,
@@ -107,12 +116,12 @@
     route: &Route,
     service: &ServiceId,
     call: &Call,
-) -> Result<f64, Refusal> {
+) -> Result<Charged, Refusal> {
     let Some(organisation) = organisation else {
-        return Ok(0.0);
+        return Ok(Charged::default());
     };
     let Some(limit) = organisation.limit else {
-        return Ok(0.0);
+        return Ok(Charged::default());
     };
     let cost = if organisation.in_tokens {
         let tokens = match (call.prompt_tokens, call.output_tokens) {
@@ -131,14 +140,21 @@
     };
     let mut allowances = node.allowances.borrow_mut();
     let taken = allowances.take(now, &organisation.name, limit, part, charge);
+    let known = allowances.known(&organisation.name);
     match taken {
-        Ok(()) => Ok(cost),
+        Ok(()) => Ok(Charged { cost, known }),
         Err(seconds) => {
             let after = seconds.clamp(0.2, 10.0) * rand::rng().random_range(1.0..1.3);
             let (bucket, span) = allowances.left(&organisation.name);
             let reason = format!(
-                "limit of {}: {cost:.0} wanted in tier {}, class {}, {bucket:.0} left in the bucket and {span:.0} over the span, {part:.2} of the instances heard",
-                organisation.name, route.rank, charge.class,
+                "limit of {}: {cost:.0} wanted in tier {}, class {}, {bucket:.0} left in the bucket and {span:.0} over the span ({:.0} spent here, {:.0} heard of, {:.0} assumed), {part:.2} of the instances heard, the oldest word {} ms old",
+                organisation.name,
+                route.rank,
+                charge.class,
+                known.own,
+                known.heard,
+                known.assumed,
+                node.peers.borrow().oldest_word(now).as_millis(),
             );
             Err(Refusal::new(Kind::Limited)
                 .with_message(reason)
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -14,7 +14,9 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::account::{self, Unanswered};
-use crate::admission::{COME_BACK_SOON, charge, ends_in_time, pick_service, read_body, resolve};
+use crate::admission::{
+    COME_BACK_SOON, Charged, charge, ends_in_time, pick_service, read_body, resolve,
+};
 use crate::exchange::{self, Answer, Failure};
 use crate::kind::{Kind, Ran, Refusal};
 use crate::metrics::Timing;
@@ -81,7 +83,8 @@
     pub runs: u32,
     /// How long it waited for its last place.
     pub waited: Duration,
-    cost: f64,
+    /// What it was charged.
+    pub charge: Charged,
     /// When it was charged.
     charged: Instant,
 }
@@ -138,7 +141,7 @@
     }
     let service =
         pick_service(&route).ok_or_else(|| unavailable("the route leads to no service"))?;
-    let cost = charge(node, organisation.as_deref(), &route, &service, &call)?;
+    let charge = charge(node, organisation.as_deref(), &route, &service, &call)?;
     node.repeats
         .borrow_mut()
         .on_request(Instant::now(), &service);
@@ -154,7 +157,7 @@
         tried: Vec::new(),
         runs: 0,
         waited: Duration::ZERO,
-        cost,
+        charge,
         charged: Instant::now(),
     };
     life.run(Rc::clone(node), active).await
@@ -304,9 +307,11 @@
 
     fn uncharge(&self, node: &Node) {
         if let Some(organisation) = &self.organisation {
-            node.allowances
-                .borrow_mut()
-                .give_back(self.charged, &organisation.name, self.cost);
+            node.allowances.borrow_mut().give_back(
+                self.charged,
+                &organisation.name,
+                self.charge.cost,
+            );
         }
     }
 
@@ -509,7 +514,7 @@
             tried: std::mem::take(&mut self.tried),
             runs: self.runs,
             waited: self.waited,
-            cost: self.cost,
+            charge: self.charge,
             charged: self.charged,
         }
     }
