Put what instances tell each other of spending into one module

What is told and what is made of it stood in the sender's and the receiver's loop, where only a whole instance could play it. It is the same code, and it can now be driven without a network.

--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -14,6 +14,7 @@
 use crate::log;
 use crate::node::{Node, Stage};
 use crate::peers::{Digest, Nearness};
+use crate::spending::Teller;
 
 /// Time between messages to the other zones while the load changes: a place at a replica is held
 /// for about a second, so a count is a tenth of that old.
@@ -44,7 +45,7 @@
         region: short_name(&node.settings().region),
         last_loads: [Vec::new(), Vec::new(), Vec::new()],
         last_waiting: [Vec::new(), Vec::new(), Vec::new()],
-        last_spent: [Vec::new(), Vec::new(), Vec::new()],
+        teller: Teller::default(),
         full_at: None,
         far_full_at: None,
     };
@@ -77,7 +78,7 @@
     /// What each nearness was told last.
     last_loads: [Vec<Load>; 3],
     last_waiting: [Vec<(ShortName, Class)>; 3],
-    last_spent: [Vec<(ShortName, u64)>; 3],
+    teller: Teller,
     full_at: Option<Instant>,
     far_full_at: Option<Instant>,
 }
@@ -154,13 +155,6 @@
     }
 
     fn digest(&mut self, node: &Node, loads: Vec<Load>, nearness: Nearness, full: bool) -> Digest {
-        let spent = own_spent(node);
-        let last = std::mem::replace(&mut self.last_spent[nearness as usize], spent.clone());
-        let changed = if full {
-            spent
-        } else {
-            spent.into_iter().filter(|s| !last.contains(s)).collect()
-        };
         let mut digest = Digest {
             incarnation: self.incarnation,
             zone: self.zone,
@@ -171,14 +165,18 @@
             unreachable: own_unreachable(node),
             loads,
             waiting: own_waiting(node),
-            spent: changed,
             ..Digest::default()
         };
+        self.teller.fill(
+            Instant::now(),
+            &node.peers.borrow(),
+            &node.allowances.borrow(),
+            nearness,
+            full,
+            &mut digest,
+        );
         if full {
             digest.steps = own_steps(node);
-            if node.peers.borrow().age(Instant::now()) > hearing::LEARNS_LEVELS {
-                digest.levels = own_levels(node);
-            }
             digest.members = fresh_members(node);
             digest.time_ms = u64::try_from(log::now_ms()).ok();
         }
@@ -227,22 +225,6 @@
     }
 }
 
-fn own_spent(node: &Node) -> Vec<(ShortName, u64)> {
-    node.allowances
-        .borrow()
-        .spent()
-        .map(|(name, spent)| (short_name(name), spent.max(0.0) as u64))
-        .collect()
-}
-
-fn own_levels(node: &Node) -> Vec<(ShortName, i64)> {
-    node.allowances
-        .borrow()
-        .levels()
-        .map(|(name, level)| (short_name(name), level as i64))
-        .collect()
-}
-
 fn own_unreachable(node: &Node) -> Vec<ShortName> {
     let now = Instant::now();
     let dispatch = node.dispatch.borrow();
--- a/crates/entry/src/hearing.rs
+++ b/crates/entry/src/hearing.rs
@@ -12,7 +12,7 @@
 use crate::log::{self, Weight};
 use crate::node::Node;
 use crate::peers::Digest;
-use crate::table::Table;
+use crate::spending;
 
 /// For this long after its start an instance takes its peers' word on what is left of limits.
 pub const LEARNS_LEVELS: Duration = Duration::from_secs(2);
@@ -59,18 +59,13 @@
         take_clock(node, from, time_ms);
     }
     if let Some(table) = node.table() {
-        for (name, cost) in heard.spent {
-            let Some(organisation) = table.organisation_by_short_name(name) else {
-                continue;
-            };
-            if let Some(limit) = organisation.limit {
-                let mut allowances = node.allowances.borrow_mut();
-                allowances.on_spent_elsewhere(now, &organisation.name, limit, cost as f64);
-            }
-        }
-        if node.peers.borrow().age(now) < LEARNS_LEVELS {
-            take_levels(node, &table, &levels);
-        }
+        let find = |name| {
+            let organisation = table.organisation_by_short_name(name)?;
+            Some((organisation.name.clone(), organisation.limit?))
+        };
+        let mut allowances = node.allowances.borrow_mut();
+        let peers = node.peers.borrow();
+        spending::hear(now, &peers, &mut allowances, &heard.spent, &levels, find);
     }
     if !heard.greet.is_empty() {
         node.greet.borrow_mut().extend(heard.greet);
@@ -116,20 +111,6 @@
     }
 }
 
-fn take_levels(node: &Node, table: &Table, levels: &[(ShortName, i64)]) {
-    let now = Instant::now();
-    for (name, level) in levels {
-        let Some(organisation) = table.organisation_by_short_name(*name) else {
-            continue;
-        };
-        if let Some(limit) = organisation.limit {
-            node.allowances
-                .borrow_mut()
-                .adopt(now, &organisation.name, limit, *level as f64);
-        }
-    }
-}
-
 fn take_unreachable(node: &Node, unreachable: &[ShortName]) {
     let now = Instant::now();
     for name in unreachable {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod request;
 pub mod settings;
 pub mod snapshot;
+pub mod spending;
 pub mod table;
