Hold an organisation's limit in every span though news are late

Callers of other organisations waited behind work that was sold to nobody: an organisation had 4,482,002 tokens run within a span of which 4,308,760 are allowed, around a kill of all sixty-three instances.

Cause: what instances may do without news was bounded for each of them and not for the fleet. The class of fault has three members:

- A start gave out six tenths of a bucket, each of the fleet its own, on top of a span that may have been spent just before.
The log shows it: within 0.75 s of the start 1.03 million tokens beyond the span, at all instances alike.
- Between two messages each instance could spend the whole remainder.
Beside a kill the span was passed by 3 to 6 in 100 of the limit.
- What leavers told, what an instance had spent before it was first heard, and what a lost message to another region told was not counted, the last for up to eight seconds.

Now the sum is bounded. Untold spending stays within a share of what is left, confirmed by two numbers in each message. A start takes the word of peers that know; where nobody knows it assumes the most that a limit allows, less a part of the operator's tolerance. That is bearable as only a part of a span may come at once, so that what may have been spent leaves the span early. Leavers and late-heard instances are counted, and changes are told again with the next heartbeat.

Tests of allowances: they name what an instance knows of the others in place of one number, and a level of the bucket became what was spent; no bound changed.

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -4,24 +4,35 @@
 //! Without counts of the others each instance would admit the whole limit; with a fixed part an
 //! organisation whose connections end at one instance would be refused far below its limit.
 //!
-//! A request passes if a bucket of the size of the burst holds it, which fills at the rate. That
-//! alone refuses an organisation that was silent for seconds what it was owed in them: at opticians
-//! whose reports take up to three quarters of a bucket, 42 of 1,630 requests of a calm day. What the
-//! bucket lacks therefore passes as well while the organisation stays within what the operator
-//! counts, its rate times a span and its burst in any such span, less a part that is kept for the
-//! more urgent and the shorter of its requests.
+//! A request passes if its organisation stays within what the operator counts, its rate times a span
+//! and its burst in any such span, less a part that is kept for the more urgent and the shorter of
+//! its requests. A bucket of the burst beside that would refuse an organisation that was silent for
+//! seconds what it was owed in them.
 //!
-//! Each instance keeps the whole account and counts what it spends and what the others report.
-//! While some are silent they may be cut off and spending, so only the part of those that are heard
-//! may be spent: each side of a cut keeps to its share, and the sum stays at the limit.
+//! Each instance keeps the whole account: what it spends, what the others report, and what may have been
+//! spent before it started. Three things keep the sum of all instances at the limit though their news
+//! are late:
+//!
+//! - While some instances are silent they may be cut off and spending, so only the part of those that
+//!   are heard may be spent: each side of a cut keeps to its share.
+//! - Until the others have heard of what an instance spends, it spends no more than its share of what is
+//!   left. Else each instance of a large fleet would spend the whole remainder between two messages.
+//! - An instance that starts takes its peers' word on what was spent. Where nobody knows, as after a
+//!   kill of all, most of the limit counts as spent for one span.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::id::OrganisationId;
 
+mod bucket;
+mod window;
+
+use bucket::Bucket;
+use window::{Before, Source, Window};
+pub use window::{Spent, Told};
+
 /// A limit of an organisation, in the unit that it is charged in.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limit {
@@ -32,13 +43,18 @@
 }
 
 impl Limit {
-    /// Units that a bucket holds: a second's worth at least.
-    fn bucket(&self) -> f64 {
+    /// Units that come at once in ordinary use: a second's worth at least.
+    fn burst(&self) -> f64 {
         self.burst.max(self.rate)
     }
 
+    /// Units that may come at once.
+    fn rush(&self, span: Duration) -> f64 {
+        (self.over(span) * RUSH).max(self.burst())
+    }
+
     /// Units that may be spent in a span.
-    fn over(&self, span: Duration) -> f64 {
+    pub fn over(&self, span: Duration) -> f64 {
         self.rate * span.as_secs_f64() + self.burst
     }
 }
@@ -53,9 +69,48 @@
     pub class: u32,
 }
 
-/// The part of the burst that a new bucket holds: what was spent before a start is not known. The
-/// instances of a fleet that starts at once hear each other within some tenths of a second.
-const FIRST_PART: f64 = 0.6;
+/// What an instance knows of the others when it admits a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Fleet {
+    /// Share of the known instances that are heard now, from 0 to 1.
+    pub part: f64,
+    /// How many are heard now, with this one.
+    pub instances: usize,
+    /// All of them have heard what this instance spent up to here.
+    pub confirmed: Instant,
+    /// Whether this instance started just now and does not know yet how many there are.
+    pub gathering: bool,
+}
+
+/// Part of a limit over a span that may come at once. With all of it, nothing could be said of when it was
+/// spent before a kill of the whole fleet, and everybody would be refused for a span after it.
+const RUSH: f64 = 0.55;
+
+/// Part of what is left that the instances may spend untold, in equal shares.
+const UNTOLD_EQUAL: f64 = 0.75;
+
+/// The same, in the shares in which they spent last, in limits: an organisation whose connections end
+/// at few instances would wait there for news of what the others don't spend.
+const UNTOLD_BY_USE: f64 = 0.5;
+
+/// How many shares an instance may spend untold while news are fresh: requests come in lumps, and not
+/// at all instances at the same time.
+const AHEAD: f64 = 4.0;
+
+/// The same after a start: what was spent before is only assumed, and the operator's tolerance is used up.
+const AHEAD_AT_START: f64 = 1.0;
+
+/// News older than this may be those of a cut.
+const LATE: Duration = Duration::from_millis(1800);
+
+/// When to come back to an instance that waits for the others' word: until the next of their messages.
+const TOLD_S: f64 = 0.5;
+
+/// When to come back while what is left is kept for others.
+const KEPT_S: f64 = 1.0;
+
+/// When to come back to an instance that only assumes what was spent: another one may know better.
+const ELSEWHERE_S: f64 = 0.8;
 
 /// What a request leaves of the limit for each half of a tier by which it stands behind what its
 /// organisation usually sends: beyond its limit an organisation gets its urgent and its short
@@ -65,7 +120,7 @@
 /// no longer than for them.
 const KEPT_BY_CLASS: f64 = 0.1;
 
-/// Part of the bucket below which a request is so cheap that it leaves nothing: an order of 200 tokens
+/// Part of the burst below which a request is so cheap that it leaves nothing: an order of 200 tokens
 /// takes nothing from a report of 10,000.
 const CHEAP: f64 = 0.01;
 
@@ -78,142 +133,86 @@
 /// The most that one request weighs in it.
 const MOST_WEIGHT: f64 = 0.5;
 
-/// How many seconds of the rate a bucket may lie in debt by late reports of the others: about the
-/// span over which the users count, so that what was spent too much at first is made up for in it.
-const MOST_DEBT_S: f64 = 8.0;
-
-/// A request that needs more than this part of the limit passes once that much is free; else it
-/// never would, though it is within the rate over time.
+/// A request that needs more than this part of the limit, with what it leaves, passes once that much is
+/// free; else it never would, though it is within the limit over time.
 const ENOUGH: f64 = 0.9;
 
-/// Where an instance has a part of an organisation's spending from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Source {
-    /// It admitted the requests itself.
-    Own,
-    /// Another instance told.
-    Heard,
-    /// Nobody told: it is what may have been spent before this instance started.
-    Assumed,
-}
-
-/// What an instance takes an organisation to have spent within the operator's span, by where it has
-/// that from.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Spent {
-    /// Admitted here.
-    pub own: f64,
-    /// Told by other instances.
-    pub heard: f64,
-    /// Assumed for the time before this instance started.
-    pub assumed: f64,
-}
-
-impl Spent {
-    fn sum(&self) -> f64 {
-        self.own + self.heard + self.assumed
-    }
-
-    fn of(&mut self, source: Source) -> &mut f64 {
-        match source {
-            Source::Own => &mut self.own,
-            Source::Heard => &mut self.heard,
-            Source::Assumed => &mut self.assumed,
-        }
-    }
-}
-
-/// What an organisation has spent, anywhere, in the span over which the operator counts.
-#[derive(Debug, Default)]
-struct Window {
-    costs: VecDeque<(Instant, Source, f64)>,
-    spent: Spent,
-}
-
-impl Window {
-    fn push(&mut self, now: Instant, source: Source, cost: f64) {
-        self.costs.push_back((now, source, cost));
-        *self.spent.of(source) += cost;
-    }
-
-    /// Takes back what was counted at `charged`. Counted as a gain of now, it would outlast the cost
-    /// that it cancels, and the organisation could spend it once more.
-    fn take_back(&mut self, charged: Instant, cost: f64) {
-        let after = self.costs.partition_point(|(at, _, _)| *at <= charged);
-        let own = |(_, source, _): &(Instant, Source, f64)| *source == Source::Own;
-        if let Some(at) = self.costs.iter().take(after).rposition(own) {
-            self.costs[at].2 -= cost;
-            self.spent.own -= cost;
-        }
-    }
-
-    fn forget(&mut self, now: Instant, span: Duration) {
-        while let Some((at, source, cost)) = self.costs.front().copied() {
-            if at + span > now {
-                return;
-            }
-            self.costs.pop_front();
-            *self.spent.of(source) -= cost;
-        }
-    }
-
-    /// After how many seconds `excess` has left the window.
-    fn seconds_to_lose(&self, now: Instant, span: Duration, excess: f64) -> f64 {
-        let mut lost = 0.0;
-        for (at, _, cost) in &self.costs {
-            lost += cost;
-            if lost >= excess {
-                return (*at + span).saturating_duration_since(now).as_secs_f64();
-            }
-        }
-        span.as_secs_f64()
-    }
-}
-
 #[derive(Debug)]
 struct Account {
     organisation: OrganisationId,
     limit: Limit,
-    /// What the bucket holds, and since when.
-    level: f64,
-    filled: Instant,
+    /// What may come at once.
+    rush: Bucket,
+    /// What may come in ordinary use, behind which requests are kept back for others.
+    usual: Bucket,
     window: Window,
+    before: Before,
+    /// Whether all that was spent within the span is known, by own sight or from a peer.
+    informed: bool,
     /// What this instance has spent since it started.
     spent: f64,
     /// Mean class of what is asked for, by cost.
-    usual_class: f64,
+    usual_class: Option<f64>,
 }
 
 impl Account {
-    fn fill(&mut self, now: Instant, part: f64) {
-        let seconds = now.saturating_duration_since(self.filled).as_secs_f64();
-        let top = self.limit.bucket() * part;
-        self.filled = now;
-        if self.level < top {
-            self.level = (self.level + seconds * self.limit.rate * part).min(top);
+    fn fill(&mut self, now: Instant, span: Duration) {
+        let limit = self.limit;
+        self.rush.fill(now, limit.rate, limit.rush(span));
+        self.usual.fill(now, limit.rate, limit.burst());
+    }
+
+    fn drain(&mut self, cost: f64, span: Duration) {
+        let most_debt = self.limit.over(span);
+        self.rush.drain(cost, most_debt);
+        self.usual.drain(cost, most_debt);
+    }
+
+    /// What is within the span, as far as this instance knows.
+    fn spent(&self, now: Instant, span: Duration) -> Spent {
+        Spent {
+            before: self.before.left(now, &self.limit, span),
+            ..self.window.spent
         }
     }
 
-    /// By how much the bucket lacks a request, of which `kept` is to be left.
-    fn lacks(&self, cost: f64, kept: f64, part: f64) -> f64 {
-        let top = self.limit.bucket() * part;
-        (cost + kept * top).min(top * ENOUGH) - self.level
+    /// Whether a request leaves the part `kept` to others, either of ordinary use or of the span.
+    ///
+    /// Both together would refuse requests that stand far behind for seconds after a rush that is over.
+    fn leaves(&self, cost: f64, kept: f64, left: f64, free: f64) -> bool {
+        let burst = self.limit.burst();
+        let of_burst = (cost + kept * burst).min(burst * ENOUGH);
+        let of_span = (cost + kept * free).min(free * ENOUGH);
+        of_burst <= self.usual.level.min(left) || of_span <= left
     }
 
-    /// By how much a request would pass the limit over the span, of which `kept` is to be left.
-    fn exceeds(&self, cost: f64, kept: f64, whole: f64) -> f64 {
-        self.window.spent.sum() + (cost + kept * whole).min(whole * ENOUGH) - whole
+    /// Whether the others have to hear of earlier requests before one more passes.
+    ///
+    /// The request itself does not count: in a large fleet a share is smaller than many requests.
+    fn waits_for_news(&self, now: Instant, left: f64, whole: f64, fleet: &Fleet) -> bool {
+        let untold = self.window.own_after(fleet.confirmed);
+        let use_here = self.window.spent.own / whole;
+        let share = UNTOLD_EQUAL / fleet.instances as f64 + UNTOLD_BY_USE * use_here;
+        let age = now.saturating_duration_since(fleet.confirmed);
+        let ahead = match self.informed {
+            true if age < LATE => AHEAD,
+            true => 1.0,
+            false => AHEAD_AT_START,
+        };
+        untold > (left + untold) * share * ahead
     }
 
     /// Notes the class of a request, and returns the part of the limit that it leaves to others.
     fn kept_from(&mut self, charge: &Charge, whole: f64) -> f64 {
         let class = f64::from(charge.class);
         let weight = (charge.cost / whole * USUAL_WEIGHT).clamp(0.0, MOST_WEIGHT);
-        self.usual_class += (class - self.usual_class) * weight;
-        if charge.cost < self.limit.bucket() * CHEAP {
+        let usual = self.usual_class.get_or_insert(class);
+        *usual += (class - *usual) * weight;
+        let behind = class - *usual;
+        if charge.cost < self.limit.burst() * CHEAP {
             return 0.0;
         }
-        ((class - self.usual_class) * KEPT_BY_CLASS).clamp(0.0, MOST_KEPT)
+        (behind * KEPT_BY_CLASS).clamp(0.0, MOST_KEPT)
     }
 }
 
@@ -223,6 +222,8 @@
     accounts: Vec<Account>,
     span: Duration,
     started: Instant,
+    /// Whether nothing can have been spent before the start.
+    first_start: bool,
 }
 
 impl Allowances {
@@ -232,36 +233,72 @@
             accounts: Vec::new(),
             span,
             started: now,
+            first_start: false,
         }
     }
 
+    /// The whole fleet starts for the first time, so that nothing was spent before.
+    #[must_use]
+    pub fn with_first_start(mut self, first_start: bool) -> Self {
+        self.first_start = first_start;
+        self
+    }
+
+    /// For how long this instance has seen what is spent, a span at most; all of one if nothing can have
+    /// been spent before its start.
+    pub fn sees(&self, now: Instant) -> Duration {
+        if self.first_start {
+            return self.span;
+        }
+        now.saturating_duration_since(self.started).min(self.span)
+    }
+
+    /// The time over which the operator counts.
+    pub fn span(&self) -> Duration {
+        self.span
+    }
+
     /// Takes another span from the operator; what was spent stays spent.
     pub fn set_span(&mut self, span: Duration) {
         self.span = span;
     }
 
     /// Charges a request to the organisation, or says after how many seconds it would pass.
-    ///
-    /// `part` is the share of the known instances that are heard now, from 0 to 1.
     pub fn take(
         &mut self,
         now: Instant,
         organisation: &OrganisationId,
         limit: Limit,
-        part: f64,
+        fleet: &Fleet,
         charge: Charge,
     ) -> Result<(), f64> {
         let span = self.span;
         let account = self.account(now, organisation, limit);
-        account.fill(now, part);
+        account.fill(now, span);
         let kept = account.kept_from(&charge, limit.over(span));
-        let lacks = account.lacks(charge.cost, kept, part);
-        let exceeds = account.exceeds(charge.cost, kept, limit.over(span) * part);
-        if lacks > 0.0 && exceeds > 0.0 {
-            let filled = lacks / (limit.rate * part).max(f64::MIN_POSITIVE);
-            return Err(filled.min(account.window.seconds_to_lose(now, span, exceeds)));
+        let whole = limit.over(span) * fleet.part;
+        let spent = account.spent(now, span);
+        let left = whole - spent.sum();
+        let lacks = charge.cost.min(limit.rush(span) * ENOUGH) - account.rush.level;
+        let exceeds = charge.cost - left;
+        if lacks > 0.0 || exceeds > 0.0 {
+            let filled = lacks.max(0.0) / limit.rate.max(f64::MIN_POSITIVE);
+            let lost = account.window.seconds_to_lose(now, span, exceeds);
+            let wait = filled.max(lost);
+            return Err(if spent.before > 0.0 {
+                wait.min(ELSEWHERE_S)
+            } else {
+                wait
+            });
+        }
+        let free = (whole - spent.before).max(0.0);
+        if !account.leaves(charge.cost, kept, left, free) {
+            return Err(KEPT_S);
+        }
+        if fleet.gathering || account.waits_for_news(now, left, whole, fleet) {
+            return Err(TOLD_S);
         }
-        account.level -= charge.cost;
+        account.drain(charge.cost, span);
         account.spent += charge.cost;
         account.window.push(now, Source::Own, charge.cost);
         Ok(())
@@ -270,7 +307,8 @@
     /// Gives back what a request was charged, at the time `charged`, that never ran.
     pub fn give_back(&mut self, charged: Instant, organisation: &OrganisationId, cost: f64) {
         if let Some(account) = self.find(organisation) {
-            account.level += cost;
+            account.rush.level += cost;
+            account.usual.level += cost;
             account.spent -= cost;
             account.window.take_back(charged, cost);
         }
@@ -285,45 +323,64 @@
         limit: Limit,
         cost: f64,
     ) {
+        let span = self.span;
         let account = self.account(now, organisation, limit);
-        let debt = -limit.rate * MOST_DEBT_S;
-        account.level = (account.level - cost).max(debt.min(account.level));
+        account.fill(now, span);
+        account.drain(cost, span);
         account.window.push(now, Source::Heard, cost);
     }
 
-    /// Takes a peer's word on what the bucket holds, at an instance that started just now.
+    /// Takes a peer's word on what was spent in all, while this instance has just started.
     ///
-    /// Without it each instance of a rolling restart would begin with a full bucket, and an
-    /// organisation far beyond its limit would spend it once more at each.
-    pub fn adopt(&mut self, now: Instant, organisation: &OrganisationId, limit: Limit, level: f64) {
+    /// The first word of a peer that is `informed` replaces what is assumed; else of several words the
+    /// highest counts. Without it an instance of a rolling restart would refuse an organisation that is
+    /// far within its limit, or give out once more what others have spent.
+    pub fn adopt(
+        &mut self,
+        now: Instant,
+        organisation: &OrganisationId,
+        limit: Limit,
+        told: Told,
+        informed: bool,
+    ) {
+        let span = self.span;
         let account = self.account(now, organisation, limit);
-        account.level = account.level.min(level);
-    }
-
-    /// What each organisation's bucket holds, as this instance sees it.
-    pub fn levels(&self) -> impl Iterator<Item = (&OrganisationId, f64)> {
-        self.accounts.iter().map(|a| (&a.organisation, a.level))
+        let counted = account.spent(now, span);
+        let missing = told.whole - counted.own - counted.heard;
+        let first = informed && !account.informed;
+        // Who only assumes must not add to what is known: in a rolling restart each would add to the one
+        // before it.
+        let weighs = informed || !account.informed;
+        if first || weighs && missing > counted.before {
+            let whole = missing.max(0.0);
+            let late = told.late.min(whole);
+            account.before = Before::told(now, Told { whole, late });
+        }
+        account.informed |= informed;
     }
 
-    /// What one organisation has left, as this instance sees it: in its bucket, and of its limit
-    /// over the span.
-    pub fn left(&self, organisation: &OrganisationId) -> (f64, f64) {
-        let found = self
-            .accounts
-            .binary_search_by(|a| a.organisation.cmp(organisation));
-        found.map_or((0.0, 0.0), |at| {
-            let account = &self.accounts[at];
-            let whole = account.limit.over(self.span);
-            (account.level, whole - account.window.spent.sum())
+    /// What each organisation has spent within the span, as far as this instance knows.
+    pub fn all_known(&self, now: Instant) -> impl Iterator<Item = (&OrganisationId, Told)> {
+        self.accounts.iter().map(move |a| {
+            let spent = a.spent(now, self.span);
+            let half = now.checked_sub(self.span / 2);
+            let late = half.map_or(spent.own + spent.heard, |half| a.window.after(half));
+            let told = Told {
+                whole: spent.sum(),
+                late: late + spent.before,
+            };
+            (&a.organisation, told)
         })
     }
 
     /// What one organisation has spent within the span, as far as this instance knows.
-    pub fn known(&self, organisation: &OrganisationId) -> Spent {
+    pub fn known(&self, now: Instant, organisation: &OrganisationId) -> Spent {
         let found = self
             .accounts
             .binary_search_by(|a| a.organisation.cmp(organisation));
-        found.map_or(Spent::default(), |at| self.accounts[at].window.spent)
+        found.map_or(Spent::default(), |at| {
+            self.accounts[at].spent(now, self.span)
+        })
     }
 
     /// What this instance has spent of each organisation since it started.
@@ -345,29 +402,33 @@
         organisation: &OrganisationId,
         limit: Limit,
     ) -> &mut Account {
-        let (started, span) = (self.started, self.span);
+        let (started, span, first_start) = (self.started, self.span, self.first_start);
+        let before = if first_start {
+            Before::told(started, Told::default())
+        } else {
+            Before::unknown(started)
+        };
         let found = self
             .accounts
             .binary_search_by(|a| a.organisation.cmp(organisation));
         let at = found.unwrap_or_else(|at| {
-            // Until one span has passed since the start, only the bucket counts.
-            let mut window = Window::default();
-            window.push(started, Source::Assumed, limit.over(span));
             let account = Account {
                 organisation: organisation.clone(),
                 limit,
-                level: limit.bucket() * FIRST_PART,
-                filled: now,
-                window,
+                rush: Bucket::full(now, limit.rush(span)),
+                usual: Bucket::full(now, limit.burst()),
+                window: Window::default(),
+                before,
+                informed: first_start,
                 spent: 0.0,
-                usual_class: 0.0,
+                usual_class: None,
             };
             self.accounts.insert(at, account);
             at
         });
         let account = &mut self.accounts[at];
         account.limit = limit;
-        account.level = account.level.min(limit.bucket());
+        account.informed |= now.saturating_duration_since(started) >= span;
         account.window.forget(now, span);
         account
     }
--- /dev/null
+++ b/crates/decisions/src/allowance/window.rs
@@ -0,0 +1,158 @@
+//! What an organisation has spent within the operator's span, as one instance sees it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::Limit;
+
+/// Where an instance has a part of an organisation's spending from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Source {
+    /// It admitted the requests itself.
+    Own,
+    /// Another instance told.
+    Heard,
+}
+
+/// What an instance takes an organisation to have spent within the operator's span, by where it has
+/// that from.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Spent {
+    /// Admitted here.
+    pub own: f64,
+    /// Told by other instances.
+    pub heard: f64,
+    /// Before this instance started, as far as that may still be within the span.
+    pub before: f64,
+}
+
+impl Spent {
+    /// All of it.
+    pub fn sum(&self) -> f64 {
+        self.own + self.heard + self.before
+    }
+
+    fn of(&mut self, source: Source) -> &mut f64 {
+        match source {
+            Source::Own => &mut self.own,
+            Source::Heard => &mut self.heard,
+        }
+    }
+}
+
+/// What an organisation has spent, anywhere, in the span over which the operator counts.
+#[derive(Debug, Default)]
+pub(super) struct Window {
+    costs: VecDeque<(Instant, Source, f64)>,
+    /// What is within the span, but for what was spent before the start.
+    pub(super) spent: Spent,
+}
+
+impl Window {
+    pub(super) fn push(&mut self, now: Instant, source: Source, cost: f64) {
+        self.costs.push_back((now, source, cost));
+        *self.spent.of(source) += cost;
+    }
+
+    /// Takes back what was counted at `charged`. Counted as a gain of now, it would outlast the cost
+    /// that it cancels, and the organisation could spend it once more.
+    pub(super) fn take_back(&mut self, charged: Instant, cost: f64) {
+        let after = self.costs.partition_point(|(at, _, _)| *at <= charged);
+        let own = |(_, source, _): &(Instant, Source, f64)| *source == Source::Own;
+        if let Some(at) = self.costs.iter().take(after).rposition(own) {
+            self.costs[at].2 -= cost;
+            self.spent.own -= cost;
+        }
+    }
+
+    /// What was spent here after `since`.
+    pub(super) fn own_after(&self, since: Instant) -> f64 {
+        let late = self.costs.iter().rev().take_while(|(at, _, _)| *at > since);
+        let own = late.filter(|(_, source, _)| *source == Source::Own);
+        own.map(|(_, _, cost)| cost).sum()
+    }
+
+    /// What was spent after `since`.
+    pub(super) fn after(&self, since: Instant) -> f64 {
+        let late = self.costs.iter().rev().take_while(|(at, _, _)| *at > since);
+        late.map(|(_, _, cost)| cost).sum()
+    }
+
+    pub(super) fn forget(&mut self, now: Instant, span: Duration) {
+        while let Some((at, source, cost)) = self.costs.front().copied() {
+            if at + span > now {
+                return;
+            }
+            self.costs.pop_front();
+            *self.spent.of(source) -= cost;
+        }
+    }
+
+    /// After how many seconds `excess` has left the window.
+    pub(super) fn seconds_to_lose(&self, now: Instant, span: Duration, excess: f64) -> f64 {
+        let mut lost = 0.0;
+        for (at, _, cost) in &self.costs {
+            lost += cost;
+            if lost >= excess {
+                return (*at + span).saturating_duration_since(now).as_secs_f64();
+            }
+        }
+        span.as_secs_f64()
+    }
+}
+
+/// Part of a limit by which an operator has to bear that a fleet passes it when all of it is killed
+/// at once and nobody knows what was spent before: less than the quarter that operators allow, as news
+/// are late also then.
+const TOLERATED: f64 = 0.2;
+
+/// What was spent before an instance started, or before it was told of it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Before {
+    at: Instant,
+    /// What was told of it, if anybody did.
+    told: Option<Told>,
+}
+
+/// What an instance tells a started one that an organisation has spent.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Told {
+    /// Within the span.
+    pub whole: f64,
+    /// Within its later half: the rest has left the span when half of it has passed.
+    pub late: f64,
+}
+
+impl Before {
+    /// Nobody has told yet.
+    pub(super) fn unknown(at: Instant) -> Self {
+        Self { at, told: None }
+    }
+
+    /// It was at most that.
+    pub(super) fn told(at: Instant, told: Told) -> Self {
+        let told = Some(told);
+        Self { at, told }
+    }
+
+    /// How much of it may still be within the span.
+    ///
+    /// All of it may have been spent at the last moment, but only as fast as a limit allows: a rush, and
+    /// the rate before. So what leaves the span is known though nobody saw it, and the organisations of
+    /// a fleet that was killed whole need not be refused until a span has passed.
+    pub(super) fn left(&self, now: Instant, limit: &Limit, span: Duration) -> f64 {
+        let passed = now.saturating_duration_since(self.at);
+        let Some(rest) = span.checked_sub(passed).filter(|r| !r.is_zero()) else {
+            return 0.0;
+        };
+        let whole = limit.over(span);
+        let fastest = (limit.rush(span) + limit.rate * rest.as_secs_f64()).min(whole);
+        match self.told {
+            Some(told) if passed * 2 >= span => told.late.min(fastest),
+            Some(told) => told.whole.min(fastest),
+            None => (fastest - whole * TOLERATED).max(0.0),
+        }
+    }
+}
--- a/crates/decisions/tests/allowance.rs
+++ b/crates/decisions/tests/allowance.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kingcupfield_decisions::allowance::{Allowances, Charge, Limit};
+use kingcupfield_decisions::allowance::{Allowances, Charge, Fleet, Limit, Told};
 use kingcupfield_decisions::id::OrganisationId;
 use tokio::time::Instant;
 use yare::parameterized;
@@ -16,6 +16,16 @@
 /// Span over which the users count.
 const WINDOW: Duration = Duration::from_secs(8);
 
+/// One instance that knows of no other.
+fn alone(now: Instant) -> Fleet {
+    Fleet {
+        part: 1.0,
+        instances: 1,
+        confirmed: now,
+        gathering: false,
+    }
+}
+
 struct Case {
     instances: usize,
     /// Requests of the organisation a second at each instance.
@@ -39,16 +49,24 @@
         1.0
     };
     let each = Duration::from_secs(1) / case.rate;
+    let mut fleet_seen = Fleet {
+        part,
+        instances: case.instances,
+        ..alone(start)
+    };
     let mut admitted = Vec::new();
     let mut step = 0;
     while STEP * step < Duration::from_secs(24) {
         let now = start + STEP * step;
+        if case.cut {
+            fleet_seen = Fleet { part, ..alone(now) };
+        }
         for (at, allowances) in fleet.iter_mut().enumerate() {
             let due = (STEP * step).as_millis() / each.as_millis();
             let before = (STEP * step.saturating_sub(1)).as_millis() / each.as_millis();
             if due != before
                 && allowances
-                    .take(now, &organisation, LIMIT, part, ask(0))
+                    .take(now, &organisation, LIMIT, &fleet_seen, ask(0))
                     .is_ok()
             {
                 admitted.push((now, COST));
@@ -61,6 +79,7 @@
                 .is_multiple_of(case.report.as_millis())
         {
             report(now, &mut fleet, &mut unreported, &organisation);
+            fleet_seen.confirmed = now;
         }
         step += 1;
     }
@@ -126,7 +145,7 @@
     for step in 0..1000 {
         let now = start + STEP * step;
         for (at, class) in [(1, 4), (0, 0)] {
-            let taken = allowances.take(now, &organisation, LIMIT, 1.0, ask(class));
+            let taken = allowances.take(now, &organisation, LIMIT, &alone(now), ask(class));
             admitted[at] += u32::from(taken.is_ok());
         }
     }
@@ -140,8 +159,13 @@
     let organisation: OrganisationId = "hot".into();
     let now = Instant::now();
     let mut allowances = Allowances::new(now, WINDOW);
-    allowances.adopt(now, &organisation, LIMIT, -10_000.0);
-    let taken = allowances.take(now, &organisation, LIMIT, 1.0, ask(0));
+    let whole = LIMIT.rate * WINDOW.as_secs_f64() + LIMIT.burst;
+    let told = Told {
+        whole: whole + 10_000.0,
+        late: whole,
+    };
+    allowances.adopt(now, &organisation, LIMIT, told, true);
+    let taken = allowances.take(now, &organisation, LIMIT, &alone(now), ask(0));
     let wait = taken.expect_err("nothing is left");
     assert!((0.2..1.0).contains(&wait), "{wait}");
 }
@@ -157,7 +181,7 @@
     let opening = start + WINDOW;
     let asked = ((LIMIT.rate * 5.0) / COST) as u32;
     for step in 0..asked {
-        let taken = allowances.take(opening, &organisation, LIMIT, 1.0, ask(0));
+        let taken = allowances.take(opening, &organisation, LIMIT, &alone(opening), ask(0));
         assert_eq!(taken, Ok(()), "request {step} of {asked}");
     }
 }
@@ -173,7 +197,7 @@
     let mut spent = 0.0;
     for step in 0..1000 {
         let now = start + Duration::from_millis(step);
-        let taken = allowances.take(now, &organisation, LIMIT, 1.0, ask(0));
+        let taken = allowances.take(now, &organisation, LIMIT, &alone(now), ask(0));
         spent += if taken.is_ok() { COST } else { 0.0 };
     }
     assert!(
@@ -190,13 +214,13 @@
     let start = Instant::now() + WINDOW;
     let mut allowances = Allowances::new(start - WINDOW, WINDOW);
     let wait = loop {
-        if let Err(wait) = allowances.take(start, &organisation, LIMIT, 1.0, ask(0)) {
+        if let Err(wait) = allowances.take(start, &organisation, LIMIT, &alone(start), ask(0)) {
             break wait;
         }
     };
     assert!(wait <= WINDOW.as_secs_f64(), "{wait}");
     let back = start + Duration::from_secs_f64(wait) + Duration::from_millis(1);
-    let taken = allowances.take(back, &organisation, LIMIT, 1.0, ask(0));
+    let taken = allowances.take(back, &organisation, LIMIT, &alone(back), ask(0));
     assert_eq!(taken, Ok(()));
 }
 
@@ -209,14 +233,14 @@
     let start = Instant::now() + WINDOW;
     let mut allowances = Allowances::new(start - WINDOW, WINDOW);
     while allowances
-        .take(start, &organisation, LIMIT, 1.0, ask(0))
+        .take(start, &organisation, LIMIT, &alone(start), ask(0))
         .is_ok()
     {}
     let order = Charge {
         cost: 200.0,
         class: 8,
     };
-    let taken = allowances.take(start, &organisation, LIMIT, 1.0, order);
+    let taken = allowances.take(start, &organisation, LIMIT, &alone(start), order);
     assert_eq!(taken, Ok(()));
 }
 
@@ -231,7 +255,7 @@
     let fill = |allowances: &mut Allowances, now| {
         let taken = || {
             allowances
-                .take(now, &organisation, LIMIT, 1.0, ask(0))
+                .take(now, &organisation, LIMIT, &alone(now), ask(0))
                 .is_ok()
         };
         std::iter::repeat_with(taken).take_while(|t| *t).count() as f64 * COST
@@ -257,6 +281,6 @@
     let mut allowances = Allowances::new(start, WINDOW);
     let whole = LIMIT.rate * WINDOW.as_secs_f64() + LIMIT.burst;
     allowances.on_spent_elsewhere(now, &organisation, LIMIT, whole);
-    let taken = allowances.take(now, &organisation, LIMIT, 1.0, ask(0));
+    let taken = allowances.take(now, &organisation, LIMIT, &alone(now), ask(0));
     assert!(taken.is_err(), "{taken:?}");
 }
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -133,28 +133,30 @@
         1.0
     };
     let now = Instant::now();
-    let part = node.peers.borrow().part(now);
+    let fleet = node.peers.borrow().fleet(now);
     let charge = Charge {
         cost,
         class: class(node, route, service, call),
     };
     let mut allowances = node.allowances.borrow_mut();
-    let taken = allowances.take(now, &organisation.name, limit, part, charge);
-    let known = allowances.known(&organisation.name);
+    let taken = allowances.take(now, &organisation.name, limit, &fleet, charge);
+    let known = allowances.known(now, &organisation.name);
     match taken {
         Ok(()) => Ok(Charged { cost, known }),
         Err(seconds) => {
             let after = seconds.clamp(0.2, 10.0) * rand::rng().random_range(1.0..1.3);
-            let (bucket, span) = allowances.left(&organisation.name);
+            let left = limit.over(allowances.span()) - known.sum();
             let reason = format!(
-                "limit of {}: {cost:.0} wanted in tier {}, class {}, {bucket:.0} left in the bucket and {span:.0} over the span ({:.0} spent here, {:.0} heard of, {:.0} assumed), {part:.2} of the instances heard, the oldest word {} ms old",
+                "limit of {}: {cost:.0} wanted in tier {}, class {}, {left:.0} left over the span ({:.0} spent here, {:.0} heard of, {:.0} before the start), {:.2} of the instances heard, the oldest word {} ms old, own spending confirmed up to {} ms ago",
                 organisation.name,
                 route.rank,
                 charge.class,
                 known.own,
                 known.heard,
-                known.assumed,
+                known.before,
+                fleet.part,
                 node.peers.borrow().oldest_word(now).as_millis(),
+                now.saturating_duration_since(fleet.confirmed).as_millis(),
             );
             Err(Refusal::new(Kind::Limited)
                 .with_message(reason)
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -14,7 +14,7 @@
 use crate::log;
 use crate::node::{Node, Stage};
 use crate::peers::{Digest, Nearness};
-use crate::spending::Teller;
+use crate::spending::{Teller, Telling};
 
 /// Time between messages to the other zones while the load changes: a place at a replica is held
 /// for about a second, so a count is a tenth of that old.
@@ -64,7 +64,7 @@
             }
             () = node.greeting.notified() => sender.greet(&node, &socket),
             () = node.changed.notified() => {
-                sender.send(&node, &socket, Nearness::Zone, Kind::Change);
+                sender.send(&node, &socket, Nearness::Zone, Telling::Change);
                 sleep(ZONE_GAP).await;
             }
         }
@@ -83,24 +83,13 @@
     far_full_at: Option<Instant>,
 }
 
-/// What a message is sent for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Kind {
-    /// The load has changed.
-    Change,
-    /// To show that the instance lives.
-    Heartbeat,
-    /// To tell everything, also to those that are silent.
-    Full,
-}
-
 impl Sender {
     /// Tells everything to instances that have just become known: a fleet that starts at once is
     /// whole after a few round trips instead of some seconds.
     fn greet(&mut self, node: &Node, socket: &UdpSocket) {
         let now = Instant::now();
         let to = std::mem::take(&mut *node.greet.borrow_mut());
-        let digest = self.digest(node, own_loads(node), Nearness::Region, true);
+        let digest = self.digest(node, own_loads(node), Nearness::Region, Telling::Full);
         let Ok(message) = rmp_serde::to_vec(&digest) else {
             return;
         };
@@ -118,34 +107,38 @@
         if full {
             self.full_at = Some(now);
         }
-        let kind = if full { Kind::Full } else { Kind::Change };
-        self.send(node, socket, Nearness::Zone, kind);
-        self.send(node, socket, Nearness::Region, kind);
+        let telling = if full { Telling::Full } else { Telling::Change };
+        self.send(node, socket, Nearness::Zone, telling);
+        self.send(node, socket, Nearness::Region, telling);
         let far = self.receivers(node, now, Nearness::Far, false).len();
         if full && self.far_full_at.is_none_or(|at| now - at >= FAR_FULL) {
             self.far_full_at = Some(now);
-            self.send(node, socket, Nearness::Far, Kind::Full);
+            self.send(node, socket, Nearness::Far, Telling::Full);
         } else if full || tick.is_multiple_of(far.div_ceil(FEW_FAR).max(1)) {
-            let kind = if full { Kind::Heartbeat } else { Kind::Change };
-            self.send(node, socket, Nearness::Far, kind);
+            let telling = if full {
+                Telling::Heartbeat
+            } else {
+                Telling::Change
+            };
+            self.send(node, socket, Nearness::Far, telling);
         }
     }
 
     /// Tells the instances of one nearness what has changed, or everything.
-    fn send(&mut self, node: &Node, socket: &UdpSocket, nearness: Nearness, kind: Kind) {
+    fn send(&mut self, node: &Node, socket: &UdpSocket, nearness: Nearness, telling: Telling) {
         let now = Instant::now();
         let loads = own_loads(node);
         let waiting = own_waiting(node);
         let told = nearness as usize;
         let same = loads == self.last_loads[told] && waiting == self.last_waiting[told];
-        if kind == Kind::Change && same {
+        if telling == Telling::Change && same {
             return;
         }
-        let receivers = self.receivers(node, now, nearness, kind != Kind::Change);
+        let receivers = self.receivers(node, now, nearness, telling != Telling::Change);
         if receivers.is_empty() {
             return;
         }
-        let digest = self.digest(node, loads, nearness, kind == Kind::Full);
+        let digest = self.digest(node, loads, nearness, telling);
         let Ok(message) = rmp_serde::to_vec(&digest) else {
             return;
         };
@@ -154,7 +147,13 @@
         send_to_all(node, socket, &message, &receivers);
     }
 
-    fn digest(&mut self, node: &Node, loads: Vec<Load>, nearness: Nearness, full: bool) -> Digest {
+    fn digest(
+        &mut self,
+        node: &Node,
+        loads: Vec<Load>,
+        nearness: Nearness,
+        telling: Telling,
+    ) -> Digest {
         let mut digest = Digest {
             incarnation: self.incarnation,
             zone: self.zone,
@@ -172,10 +171,10 @@
             &node.peers.borrow(),
             &node.allowances.borrow(),
             nearness,
-            full,
+            telling,
             &mut digest,
         );
-        if full {
+        if telling == Telling::Full {
             digest.steps = own_steps(node);
             digest.members = fresh_members(node);
             digest.time_ms = u64::try_from(log::now_ms()).ok();
--- a/crates/entry/src/hearing.rs
+++ b/crates/entry/src/hearing.rs
@@ -14,9 +14,6 @@
 use crate::peers::Digest;
 use crate::spending;
 
-/// For this long after its start an instance takes its peers' word on what is left of limits.
-pub const LEARNS_LEVELS: Duration = Duration::from_secs(2);
-
 /// How long the directory may take to tell what a peer already knows, before the peer is asked.
 const BEHIND: Duration = Duration::from_millis(250);
 
@@ -45,7 +42,7 @@
     let upto = digest.upto;
     let steps = digest.steps.clone();
     let unreachable = digest.unreachable.clone();
-    let levels = digest.levels.clone();
+    let known = spending::Known::of(&digest);
     let time_ms = digest.time_ms;
     let heard = node.peers.borrow_mut().on_digest(now, from, digest);
     tell_silent(node, &heard.silent);
@@ -65,7 +62,7 @@
         };
         let mut allowances = node.allowances.borrow_mut();
         let peers = node.peers.borrow();
-        spending::hear(now, &peers, &mut allowances, &heard.spent, &levels, find);
+        spending::hear(now, &peers, &mut allowances, &heard.spent, &known, find);
     }
     if !heard.greet.is_empty() {
         node.greet.borrow_mut().extend(heard.greet);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -147,10 +147,15 @@
             log: Log::new(),
             clock: Clock::new(),
             metrics: Metrics::new(),
-            allowances: RefCell::new(Allowances::new(now, cfg.limit_window())),
+            allowances: RefCell::new(
+                Allowances::new(now, cfg.limit_window()).with_first_start(cfg.first_start),
+            ),
             repeats: RefCell::new(Repeats::new(cfg.repeat_bounds())),
             known: RefCell::new(Known::new()),
-            peers: RefCell::new(Peers::new(now, cfg.address(), !cfg.contacts.is_empty())),
+            peers: RefCell::new(
+                Peers::new(now, cfg.address(), !cfg.contacts.is_empty())
+                    .with_first_start(cfg.first_start),
+            ),
             dispatch: RefCell::new(Dispatch::new().with_key(cfg.address().to_bits())),
             reread: Notify::new(),
             greet: RefCell::new(Vec::new()),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -7,6 +7,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use kingcupfield_decisions::allowance::Fleet;
 use kingcupfield_decisions::dispatch::Class;
 use kingcupfield_decisions::elsewhere::{Elsewhere, Load, Sum};
 use kingcupfield_decisions::id::ShortName;
@@ -25,6 +26,9 @@
 /// An instance that was told everything this lately is not told again when its first word comes.
 const GREETED: Duration = Duration::from_millis(500);
 
+/// For this long after its start an instance takes its peers' word on what was spent before.
+pub const LEARNS: Duration = Duration::from_secs(2);
+
 /// Instances that are assumed while none was ever heard: about what the firms run today. An
 /// instance that starts behind a cut then spends its share alone.
 const ASSUMED: usize = 7;
@@ -36,6 +40,21 @@
 /// A reading that is worse by this is told as well: messages are held up for less.
 const CLOCK_SET_BACK_MS: i64 = 1000;
 
+/// An instance that starts finds the others within this time: some messages to another region and back.
+const GATHERING: Duration = Duration::from_millis(500);
+
+/// It has found all once none was new for this long.
+const SETTLED: Duration = Duration::from_millis(300);
+
+/// After this it stops to wait, as in a fleet that grows.
+const GATHERED: Duration = Duration::from_secs(3);
+
+/// Part of the others that need not have heard: fewer than a zone of a small fleet, which a cut takes.
+const UNCONFIRMED: f64 = 0.25;
+
+/// What a message and its answer may take between regions, with a margin.
+const TRAVEL: Duration = Duration::from_millis(100);
+
 /// Instances that read the store at least, in a fleet of one zone.
 const READERS: usize = 2;
 
@@ -65,8 +84,18 @@
     pub spent: Vec<(ShortName, u64)>,
     /// Microseconds a step that it has learned of replicas; not in every message.
     pub steps: Vec<(ShortName, u32)>,
-    /// What it sees as left of organisations' limits; not in every message.
-    pub levels: Vec<(ShortName, i64)>,
+    /// What it takes organisations to have spent within the operator's span and within its later half;
+    /// not in every message.
+    pub known: Vec<(ShortName, u64, u64)>,
+    /// Milliseconds for which it has seen what is spent, up to the operator's span; the rest of `known`
+    /// is assumed.
+    pub sees_ms: u32,
+    /// Whether it has seen all of that span.
+    pub informed: bool,
+    /// How many instances it hears, with itself.
+    pub hears: u16,
+    /// Milliseconds since the most silent of those spoke that are as near as the receiver.
+    pub oldest_ms: u16,
     /// Instances that it has heard lately; not in every message.
     pub members: Vec<Ipv4Addr>,
     /// Its time of day in milliseconds; not in every message.
@@ -88,6 +117,8 @@
     pub digest: Digest,
     /// What it has spent of each organisation in this life.
     spent: Vec<(ShortName, u64)>,
+    /// It has heard what was told to it up to here.
+    confirmed: Instant,
     /// By how many milliseconds its time of day was ahead when that was told last.
     ahead_ms: Option<i64>,
     /// Whether its load is counted: it was heard and has not fallen silent since.
@@ -149,6 +180,19 @@
         more
     }
 
+    /// Takes from a message up to when it has heard everything that it was told.
+    ///
+    /// One that hears fewer than this instance does may not hear this one.
+    fn confirm(&mut self, now: Instant, digest: &Digest, fresh: usize) {
+        if usize::from(digest.hears) < fresh {
+            return;
+        }
+        let old = Duration::from_millis(u64::from(digest.oldest_ms)) + TRAVEL;
+        if let Some(upto) = now.checked_sub(old) {
+            self.confirmed = self.confirmed.max(upto);
+        }
+    }
+
     /// Counts its load, in place of what was counted before.
     fn count(&mut self, elsewhere: &mut Elsewhere, loads: &[Load]) {
         let before: &[Load] = if self.counted {
@@ -190,8 +234,15 @@
     own: Ipv4Addr,
     has_contacts: bool,
     others: Vec<Peer>,
+    /// Instances that end, which no longer count but still tell what they spend.
+    leavers: Vec<Peer>,
     elsewhere: Elsewhere,
     started: Instant,
+    /// When another instance became known last.
+    learned: Instant,
+    /// Whether an instance that knows the fleet has named its members.
+    introduced: bool,
+    first_start: bool,
 }
 
 impl Peers {
@@ -201,11 +252,22 @@
             own,
             has_contacts,
             others: Vec::new(),
+            leavers: Vec::new(),
             elsewhere: Elsewhere::new(),
             started: now,
+            learned: now,
+            introduced: false,
+            first_start: false,
         }
     }
 
+    /// The whole fleet starts for the first time: no caller waits yet.
+    #[must_use]
+    pub fn with_first_start(mut self, first_start: bool) -> Self {
+        self.first_start = first_start;
+        self
+    }
+
     /// The other instances that are known.
     pub fn all(&self) -> &[Peer] {
         &self.others
@@ -233,11 +295,54 @@
         oldest.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
     }
 
+    /// How long ago the most silent of one nearness spoke last.
+    pub fn oldest_of(
+        &self,
+        now: Instant,
+        place: (ShortName, ShortName),
+        nearness: Nearness,
+    ) -> Duration {
+        let near = |p: &&Peer| p.is_fresh(now) && p.nearness(place.0, place.1) == nearness;
+        let oldest = self
+            .others
+            .iter()
+            .filter(near)
+            .filter_map(|p| p.heard)
+            .min();
+        oldest.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
     /// Share of the known instances that are heard now.
     pub fn part(&self, now: Instant) -> f64 {
         self.fresh(now) as f64 / self.known() as f64
     }
 
+    /// What a limit of the whole fleet has to go by at this instance.
+    pub fn fleet(&self, now: Instant) -> Fleet {
+        let heard = self.others.iter().filter(|p| p.is_fresh(now));
+        let mut confirmed: Vec<Instant> = heard.map(|p| p.confirmed).collect();
+        confirmed.sort_unstable();
+        let slowest = (confirmed.len() as f64 * UNCONFIRMED) as usize;
+        Fleet {
+            part: self.part(now),
+            instances: self.fresh(now),
+            confirmed: confirmed.get(slowest).copied().unwrap_or(now),
+            gathering: self.is_gathering(now),
+        }
+    }
+
+    /// Whether this instance has not found the others yet. Each of a fleet that starts anew would take
+    /// the share of one among few.
+    fn is_gathering(&self, now: Instant) -> bool {
+        let age = self.age(now);
+        let since = now.saturating_duration_since(self.learned);
+        !self.first_start
+            && !self.introduced
+            && self.has_contacts
+            && age < GATHERED
+            && (age < GATHERING || since < SETTLED)
+    }
+
     /// Makes an instance known by its address.
     ///
     /// Returns whether it was not known before.
@@ -253,10 +358,12 @@
                 told: None,
                 digest: Digest::default(),
                 spent: Vec::new(),
+                confirmed: now,
                 ahead_ms: None,
                 counted: false,
             };
             self.others.insert(at, peer);
+            self.learned = now;
             return true;
         }
         false
@@ -275,30 +382,33 @@
             return Heard::default();
         }
         let mut greet = Vec::new();
+        self.introduced |= digest.informed;
         for member in std::mem::take(&mut digest.members) {
             if self.learn(now, member) {
                 greet.push(member);
             }
         }
+        if digest.leaving || self.has_left(from, digest.incarnation) {
+            return self.on_leaver(now, from, &digest);
+        }
         self.learn(now, from);
         let Ok(at) = self.others.binary_search_by(|p| p.address.cmp(&from)) else {
             return Heard::default();
         };
-        if digest.leaving {
-            let mut leaver = self.others.remove(at);
-            leaver.count_nothing(&mut self.elsewhere);
-            return Heard::default();
-        }
+        let settled = self.age(now) >= LEARNS;
+        let fresh = self.fresh(now);
         let silent = self.silence(now);
         let peer = &mut self.others[at];
         let same_life = peer.digest.incarnation == digest.incarnation;
         let is_new = !same_life || !peer.is_fresh(now);
-        // The first word of an instance that has run for long says nothing of now.
-        let first_word = peer.heard.is_none();
+        // A started instance has what others spent before from their word on the whole; later, an
+        // instance that was never heard is new, and all that it spent is of now.
+        let first_word = peer.heard.is_none() && !settled;
         if !same_life {
             peer.spent.clear();
         }
         let spent = peer.take_spent(&digest.spent, first_word);
+        peer.confirm(now, &digest, fresh);
         digest.upto = digest.upto.max(peer.digest.upto);
         peer.count(&mut self.elsewhere, &digest.loads);
         peer.digest = digest;
@@ -317,6 +427,39 @@
         }
     }
 
+    fn has_left(&self, address: Ipv4Addr, incarnation: u64) -> bool {
+        let same = |p: &Peer| p.address == address && p.digest.incarnation == incarnation;
+        self.leavers.iter().any(same)
+    }
+
+    /// Takes the word of an instance that ends: it has no share and no load any more, but what it still
+    /// admits would be spent once more by the others if it were not counted.
+    fn on_leaver(&mut self, now: Instant, from: Ipv4Addr, digest: &Digest) -> Heard {
+        if let Ok(at) = self.others.binary_search_by(|p| p.address.cmp(&from)) {
+            if self.others[at].digest.incarnation != digest.incarnation
+                && self.has_left(from, digest.incarnation)
+            {
+                return Heard::default();
+            }
+            let mut leaver = self.others.remove(at);
+            leaver.count_nothing(&mut self.elsewhere);
+            self.leavers.retain(|p| p.address != from);
+            self.leavers.push(leaver);
+        }
+        let Some(leaver) = self.leavers.iter_mut().find(|p| p.address == from) else {
+            return Heard::default();
+        };
+        leaver.heard = Some(now);
+        if leaver.digest.incarnation != digest.incarnation {
+            leaver.digest.incarnation = digest.incarnation;
+            leaver.spent.clear();
+        }
+        Heard {
+            spent: leaver.take_spent(&digest.spent, false),
+            ..Heard::default()
+        }
+    }
+
     /// Stops to count the load of instances that have fallen silent, and names them.
     pub fn silence(&mut self, now: Instant) -> Vec<Ipv4Addr> {
         let mut silent = Vec::new();
@@ -349,6 +492,7 @@
     /// Forgets the instances that are gone.
     pub fn forget(&mut self, now: Instant) {
         self.others.retain(|p| !p.is_forgotten(now));
+        self.leavers.retain(|p| !p.is_forgotten(now));
     }
 
     /// What waits at the others of a zone: the instance, the service, the most urgent class.
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -16,7 +16,7 @@
 use kingcupfield_decisions::allowance::{Allowances, Charge, Limit};
 use kingcupfield_decisions::id::{OrganisationId, ShortName, short_name};
 use kingcupfield_entry::peers::{Digest, Nearness, Peers};
-use kingcupfield_entry::spending::{self, Teller};
+use kingcupfield_entry::spending::{self, Teller, Telling};
 use rand::seq::IndexedRandom as _;
 use rand::{Rng, RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -311,7 +311,7 @@
             if !to.up {
                 continue;
             }
-            let levels = message.digest.levels.clone();
+            let known = spending::Known::of(&message.digest);
             let heard = to
                 .peers
                 .on_digest(due, address(message.from), message.digest);
@@ -319,13 +319,13 @@
                 (name == short_name(&organisation)).then(|| (organisation.clone(), limit))
             };
             let (peers, allowances) = (&to.peers, &mut to.allowances);
-            spending::hear(due, peers, allowances, &heard.spent, &levels, find);
+            spending::hear(due, peers, allowances, &heard.spent, &known, find);
             let greet: Vec<usize> = heard.greet.iter().map(|a| number(*a)).collect();
             for other in greet {
                 self.instances[message.to]
                     .peers
                     .on_told(due, address(other));
-                self.send(message.to, &[other], Nearness::Region, true);
+                self.send(message.to, &[other], Nearness::Region, Telling::Full);
             }
         }
     }
@@ -348,16 +348,22 @@
             }
             let tick = me.tick;
             let full = ticked && tick.is_multiple_of(10);
+            let telling = |beat, otherwise| if full { beat } else { otherwise };
+            let near = telling(Telling::Full, Telling::Change);
             if std::mem::take(&mut self.instances[i].changed) || full {
-                self.send(i, &groups[0], Nearness::Zone, full);
+                self.send(i, &groups[0], Nearness::Zone, near);
             }
             if ticked {
-                self.send(i, &groups[1], Nearness::Region, full);
+                self.send(i, &groups[1], Nearness::Region, near);
             }
-            let far_full = full && tick.is_multiple_of(80);
+            let far = if tick.is_multiple_of(80) {
+                near
+            } else {
+                telling(Telling::Heartbeat, Telling::Change)
+            };
             let far_due = tick.is_multiple_of(groups[2].len().div_ceil(8).max(1));
             if ticked && (far_due || full) {
-                self.send(i, &groups[2], Nearness::Far, far_full);
+                self.send(i, &groups[2], Nearness::Far, far);
             }
         }
     }
@@ -379,7 +385,7 @@
         groups
     }
 
-    fn send(&mut self, from: usize, to: &[usize], nearness: Nearness, full: bool) {
+    fn send(&mut self, from: usize, to: &[usize], nearness: Nearness, telling: Telling) {
         let me = &mut self.instances[from];
         let (zone, region) = place(me.zone);
         let mut digest = Digest {
@@ -391,8 +397,8 @@
         };
         let (peers, allowances) = (&me.peers, &me.allowances);
         me.teller
-            .fill(self.now, peers, allowances, nearness, full, &mut digest);
-        if full {
+            .fill(self.now, peers, allowances, nearness, telling, &mut digest);
+        if telling == Telling::Full {
             let fresh = me.peers.all().iter().filter(|p| p.is_fresh(self.now));
             digest.members = fresh.map(|p| p.address).collect();
         }
@@ -451,11 +457,11 @@
         let hot = self.rng.random_bool(self.case.hot_instance) && self.instances[0].up;
         let at = if hot { 0 } else { any };
         let me = &mut self.instances[at];
-        let part = me.peers.part(self.now);
+        let fleet = me.peers.fleet(self.now);
         let charge = Charge { cost, class: 0 };
         let taken = me
             .allowances
-            .take(self.now, &self.organisation, self.limit, part, charge);
+            .take(self.now, &self.organisation, self.limit, &fleet, charge);
         if taken.is_ok() {
             me.changed = true;
             self.spent.push((self.now, cost));
@@ -502,8 +508,8 @@
         up: true,
         leaving: false,
         incarnation: life,
-        peers: Peers::new(now, address(at), true),
-        allowances: Allowances::new(now, SPAN),
+        peers: Peers::new(now, address(at), true).with_first_start(life == 1),
+        allowances: Allowances::new(now, SPAN).with_first_start(life == 1),
         teller: Teller::default(),
         changed: false,
         tick: 0,
