Leave the share of zones that a started instance has not heard

The instances of a zone that are restarted while it is cut off find only each other.

For a minute after its start an instance now counts as many instances in zones that it never heard as in those it did.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -154,6 +154,10 @@
             known: RefCell::new(Known::new()),
             peers: RefCell::new(
                 Peers::new(now, cfg.address(), !cfg.contacts.is_empty())
+                    .with_zones(
+                        short_name(&cfg.availability_zone),
+                        cfg.regions_by_zone.len(),
+                    )
                     .with_first_start(cfg.first_start),
             ),
             dispatch: RefCell::new(Dispatch::new().with_key(cfg.address().to_bits())),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -29,9 +29,9 @@
 /// For this long after its start an instance takes its peers' word on what was spent before.
 pub const LEARNS: Duration = Duration::from_secs(2);
 
-/// Instances that are assumed while none was ever heard: about what the firms run today. An
+/// Instances that are assumed while none was ever heard: as many as the largest fleets have today. An
 /// instance that starts behind a cut then spends its share alone.
-const ASSUMED: usize = 7;
+const ASSUMED: usize = 64;
 
 /// A reading of the difference between two clocks that is better by this is told again: the lines
 /// that are put in order by it lie some milliseconds apart.
@@ -232,6 +232,8 @@
 #[derive(Debug)]
 pub struct Peers {
     own: Ipv4Addr,
+    zone: ShortName,
+    zones: usize,
     has_contacts: bool,
     others: Vec<Peer>,
     /// Instances that end, which no longer count but still tell what they spend.
@@ -250,6 +252,8 @@
     pub fn new(now: Instant, own: Ipv4Addr, has_contacts: bool) -> Self {
         Self {
             own,
+            zone: ShortName::default(),
+            zones: 1,
             has_contacts,
             others: Vec::new(),
             leavers: Vec::new(),
@@ -261,6 +265,14 @@
         }
     }
 
+    /// Tells the zone of this instance and how many there are.
+    #[must_use]
+    pub fn with_zones(mut self, own: ShortName, zones: usize) -> Self {
+        self.zone = own;
+        self.zones = zones;
+        self
+    }
+
     /// The whole fleet starts for the first time: no caller waits yet.
     #[must_use]
     pub fn with_first_start(mut self, first_start: bool) -> Self {
@@ -314,7 +326,25 @@
 
     /// Share of the known instances that are heard now.
     pub fn part(&self, now: Instant) -> f64 {
-        self.fresh(now) as f64 / self.known() as f64
+        let known = self.known().max(self.expected(now));
+        self.fresh(now) as f64 / known as f64
+    }
+
+    /// How many instances there are if those zones that were never heard have as many as the others.
+    ///
+    /// The instances of a zone that are restarted while it is cut off find only each other, and would
+    /// spend the whole of a limit beside the rest of the fleet.
+    fn expected(&self, now: Instant) -> usize {
+        if self.first_start || self.age(now) >= FORGOTTEN {
+            return 0;
+        }
+        let heard = self.others.iter().filter(|p| p.heard.is_some());
+        let mut zones: Vec<ShortName> = heard.map(|p| p.digest.zone).collect();
+        let instances = zones.len() + 1;
+        zones.push(self.zone);
+        zones.sort_unstable();
+        zones.dedup();
+        instances * self.zones.max(zones.len()) / zones.len()
     }
 
     /// What a limit of the whole fleet has to go by at this instance.
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -76,6 +76,8 @@
     CutZone,
     /// A zone hears the others and is not heard.
     MuteZone,
+    /// A zone is cut off for long, and its instances are killed and start again meanwhile.
+    RestartInCut,
     /// Instances join.
     Join,
     /// The limit falls to a third.
@@ -162,7 +164,11 @@
     Kill(usize),
     Start(usize),
     Leave(usize),
-    Cut { zone: usize, both_ways: bool },
+    Cut {
+        zone: usize,
+        both_ways: bool,
+        lasts: Duration,
+    },
     LowerLimit,
     Hot,
 }
@@ -189,7 +195,9 @@
         };
         for at in 0..case.instances {
             let zone = at % case.zones;
-            world.instances.push(instance(start, at, zone, 1));
+            world
+                .instances
+                .push(instance(start, at, zone, case.zones, 1));
         }
         for fault in case.faults {
             world.arrange(*fault);
@@ -243,7 +251,28 @@
             Fault::CutZone | Fault::MuteZone => {
                 let zone = self.rng.random_range(0..self.case.zones);
                 let both_ways = fault == Fault::CutZone;
-                self.plan.push((at, Event::Cut { zone, both_ways }));
+                let lasts = second.mul_f64(self.rng.random_range(3.0..12.0));
+                let cut = Event::Cut {
+                    zone,
+                    both_ways,
+                    lasts,
+                };
+                self.plan.push((at, cut));
+            }
+            Fault::RestartInCut => {
+                let zone = self.rng.random_range(0..self.case.zones);
+                let (both_ways, lasts) = (true, second * 20);
+                let cut = Event::Cut {
+                    zone,
+                    both_ways,
+                    lasts,
+                };
+                self.plan.push((at, cut));
+                let zones = self.case.zones;
+                for i in (0..all).filter(|i| i % zones == zone) {
+                    self.plan.push((at + second, Event::Kill(i)));
+                    self.plan.push((at + second * 2, Event::Start(i)));
+                }
             }
             Fault::Join => {
                 for i in (0..all).filter(|i| i % 5 == 4) {
@@ -279,10 +308,14 @@
             Event::Leave(i) => self.instances[i].leaving = true,
             Event::Start(i) => {
                 let before = &self.instances[i];
-                self.instances[i] = instance(now, i, before.zone, before.incarnation + 1);
+                self.instances[i] =
+                    instance(now, i, before.zone, self.case.zones, before.incarnation + 1);
             }
-            Event::Cut { zone, both_ways } => {
-                let lasts = Duration::from_secs_f64(self.rng.random_range(3.0..12.0));
+            Event::Cut {
+                zone,
+                both_ways,
+                lasts,
+            } => {
                 let until = now + lasts;
                 self.cuts.push(Cut {
                     zone,
@@ -501,14 +534,16 @@
     (limit.rate * SPAN.as_secs_f64() + limit.burst) * (1.0 + OVER) + SLACK
 }
 
-fn instance(now: Instant, at: usize, zone: usize, life: u64) -> Instance {
+fn instance(now: Instant, at: usize, zone: usize, zones: usize, life: u64) -> Instance {
     let since = Duration::from_millis(at as u64 * 7 % 100);
     Instance {
         zone,
         up: true,
         leaving: false,
         incarnation: life,
-        peers: Peers::new(now, address(at), true).with_first_start(life == 1),
+        peers: Peers::new(now, address(at), true)
+            .with_zones(place(zone).0, zones)
+            .with_first_start(life == 1),
         allowances: Allowances::new(now, SPAN).with_first_start(life == 1),
         teller: Teller::default(),
         changed: false,
@@ -539,7 +574,7 @@
     (800.0 * (spread * 4.0).exp()).min(LARGEST)
 }
 
-const FAULTS: [Fault; 10] = [
+const FAULTS: [Fault; 11] = [
     Fault::KillAll,
     Fault::KillAllAfterRush,
     Fault::KillSome,
@@ -547,6 +582,7 @@
     Fault::Leave,
     Fault::CutZone,
     Fault::MuteZone,
+    Fault::RestartInCut,
     Fault::Join,
     Fault::LowerLimit,
     Fault::Hot,
@@ -573,6 +609,7 @@
     leavers = { Case { faults: &[Fault::Leave, Fault::Hot], ..CALM } },
     joined = { Case { faults: &[Fault::Join, Fault::Hot], ..CALM } },
     zone_cut = { Case { faults: &[Fault::CutZone, Fault::Hot], ..CALM } },
+    restart_in_a_cut = { Case { asks: 4.0, faults: &[Fault::RestartInCut], ..CALM } },
     zone_mute = { Case { faults: &[Fault::MuteZone, Fault::Hot], ..CALM } },
     lowered = { Case { faults: &[Fault::LowerLimit], ..CALM } },
     becomes_hot = { Case { faults: &[Fault::Hot], asks: 0.4, ..CALM } },
