Bound the first requests of a fleet that starts anew

As long as what was spent before is only assumed, a request that is larger than its instance's share passes with the chance that keeps the sum of all at their shares. An even draw comes with each charge.

Ruled out: no request beyond a share, which refuses all large ones of a small organisation; credit that grows with time, which all instances would have at the same moment.

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -67,6 +67,8 @@
     /// Its place in the order of service, in halves of a tier: its tier, and its size beside those
     /// of its service.
     pub class: u32,
+    /// An even draw from 0 to 1, for what instances can't agree on in time.
+    pub luck: f64,
 }
 
 /// What an instance knows of the others when it admits a request.
@@ -97,8 +99,8 @@
 /// at all instances at the same time.
 const AHEAD: f64 = 4.0;
 
-/// The same after a start: what was spent before is only assumed, and the operator's tolerance is used up.
-const AHEAD_AT_START: f64 = 1.0;
+/// The same after a start, when what was spent before is only assumed.
+const AHEAD_AT_START: f64 = 2.0;
 
 /// News older than this may be those of a cut.
 const LATE: Duration = Duration::from_millis(1800);
@@ -188,18 +190,27 @@
 
     /// Whether the others have to hear of earlier requests before one more passes.
     ///
-    /// The request itself does not count: in a large fleet a share is smaller than many requests.
-    fn waits_for_news(&self, now: Instant, left: f64, whole: f64, fleet: &Fleet) -> bool {
+    /// The request itself does not count: in a large fleet a share is smaller than many requests. After
+    /// a start, when little is given out, one request at each instance would be too much; so many of them
+    /// pass as the shares of all hold.
+    fn waits_for_news(
+        &self,
+        now: Instant,
+        charge: &Charge,
+        (left, whole): (f64, f64),
+        fleet: &Fleet,
+    ) -> bool {
         let untold = self.window.own_after(fleet.confirmed);
         let use_here = self.window.spent.own / whole;
-        let share = UNTOLD_EQUAL / fleet.instances as f64 + UNTOLD_BY_USE * use_here;
+        let part = UNTOLD_EQUAL / fleet.instances as f64 + UNTOLD_BY_USE * use_here;
+        let share = (left + untold) * part;
         let age = now.saturating_duration_since(fleet.confirmed);
-        let ahead = match self.informed {
-            true if age < LATE => AHEAD,
-            true => 1.0,
-            false => AHEAD_AT_START,
-        };
-        untold > (left + untold) * share * ahead
+        if self.informed {
+            let ahead = if age < LATE { AHEAD } else { 1.0 };
+            return untold > share * ahead;
+        }
+        let rest = share * AHEAD_AT_START - untold;
+        charge.luck * charge.cost > rest
     }
 
     /// Notes the class of a request, and returns the part of the limit that it leaves to others.
@@ -295,7 +306,7 @@
         if !account.leaves(charge.cost, kept, left, free) {
             return Err(KEPT_S);
         }
-        if fleet.gathering || account.waits_for_news(now, left, whole, fleet) {
+        if fleet.gathering || account.waits_for_news(now, &charge, (left, whole), fleet) {
             return Err(TOLD_S);
         }
         account.drain(charge.cost, span);
--- a/crates/decisions/tests/allowance.rs
+++ b/crates/decisions/tests/allowance.rs
@@ -88,7 +88,11 @@
 
 /// A request of the usual cost and a class.
 fn ask(class: u32) -> Charge {
-    Charge { cost: COST, class }
+    Charge {
+        cost: COST,
+        class,
+        luck: 0.5,
+    }
 }
 
 fn report(
@@ -239,6 +243,7 @@
     let order = Charge {
         cost: 200.0,
         class: 8,
+        luck: 0.5,
     };
     let taken = allowances.take(start, &organisation, LIMIT, &alone(start), order);
     assert_eq!(taken, Ok(()));
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -137,6 +137,7 @@
     let charge = Charge {
         cost,
         class: class(node, route, service, call),
+        luck: rand::rng().random(),
     };
     let mut allowances = node.allowances.borrow_mut();
     let taken = allowances.take(now, &organisation.name, limit, &fleet, charge);
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -491,7 +491,12 @@
         let at = if hot { 0 } else { any };
         let me = &mut self.instances[at];
         let fleet = me.peers.fleet(self.now);
-        let charge = Charge { cost, class: 0 };
+        let luck = self.rng.random_range(0.0..1.0);
+        let charge = Charge {
+            cost,
+            class: 0,
+            luck,
+        };
         let taken = me
             .allowances
             .take(self.now, &self.organisation, self.limit, &fleet, charge);
