--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -8,7 +8,7 @@
 use http::request::Parts;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use kingcupfield_decisions::allowance::Charge;
+use kingcupfield_decisions::allowance::{Charge, Spent};
 use kingcupfield_decisions::id::ServiceId;
 use rand::RngExt as _;
 use tokio::time::Instant;
@@ -108,6 +108,15 @@
     None
 }
 
+/// What a request was charged, and what that rested on.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Charged {
+    /// What it took of the limit.
+    pub cost: f64,
+    /// What the instance took to be spent, with this request.
+    pub known: Spent,
+}
+
 /// Takes a request's cost from its organisation's limit.
 pub fn charge(
     node: &Node,
@@ -115,12 +124,12 @@
     route: &Route,
     service: &ServiceId,
     call: &Call,
-) -> Result<f64, Refusal> {
+) -> Result<Charged, Refusal> {
     let Some(organisation) = organisation else {
-        return Ok(0.0);
+        return Ok(Charged::default());
     };
     let Some(limit) = organisation.limit else {
-        return Ok(0.0);
+        return Ok(Charged::default());
     };
     let cost = if organisation.in_tokens {
         let tokens = match (call.prompt_tokens, call.output_tokens) {
@@ -132,21 +141,31 @@
         1.0
     };
     let now = Instant::now();
-    let part = node.peers.borrow().part(now);
+    let fleet = node.peers.borrow().fleet(now);
     let charge = Charge {
         cost,
         class: class(node, route, service, call),
+        luck: rand::rng().random(),
     };
     let mut allowances = node.allowances.borrow_mut();
-    let taken = allowances.take(now, &organisation.name, limit, part, charge);
+    let taken = allowances.take(now, &organisation.name, limit, &fleet, charge);
+    let known = allowances.known(now, &organisation.name);
     match taken {
-        Ok(()) => Ok(cost),
+        Ok(()) => Ok(Charged { cost, known }),
         Err(seconds) => {
             let after = seconds.clamp(0.2, 10.0) * rand::rng().random_range(1.0..1.3);
-            let (bucket, span) = allowances.left(&organisation.name);
+            let left = limit.over(allowances.span()) - known.sum();
             let reason = format!(
-                "limit of {}: {cost:.0} wanted in tier {}, class {}, {bucket:.0} left in the bucket and {span:.0} over the span, {part:.2} of the instances heard",
-                organisation.name, route.rank, charge.class,
+                "limit of {}: {cost:.0} wanted in tier {}, class {}, {left:.0} left over the span ({:.0} spent here, {:.0} heard of, {:.0} before the start), {:.2} of the instances heard, the oldest word {} ms old, own spending confirmed up to {} ms ago",
+                organisation.name,
+                route.rank,
+                charge.class,
+                known.own,
+                known.heard,
+                known.before,
+                fleet.part,
+                node.peers.borrow().oldest_word(now).as_millis(),
+                now.saturating_duration_since(fleet.confirmed).as_millis(),
             );
             Err(Refusal::new(Kind::Limited)
                 .with_message(reason)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod request;
 pub mod settings;
 pub mod snapshot;
+pub mod spending;
 pub mod stop;
 pub mod table;
