Take the operator's tolerance of limits from the settings

After a kill of the whole fleet nobody knows what was spent, and a fifth of a limit was given out until that had left the span. What the operator bears beside a limit is far more for a small organisation, whose requests were refused for seconds in which replicas stood idle. Now seven tenths of that tolerance are given out then and the rest is left to late news; the bare limit still holds otherwise.

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -31,7 +31,7 @@
 
 use bucket::Bucket;
 use window::{Before, Source, Window};
-pub use window::{Spent, Told};
+pub use window::{Spent, Told, Tolerance};
 
 /// A limit of an organisation, in the unit that it is charged in.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -235,6 +235,7 @@
     started: Instant,
     /// Whether nothing can have been spent before the start.
     first_start: bool,
+    tolerance: Tolerance,
 }
 
 impl Allowances {
@@ -245,6 +246,7 @@
             span,
             started: now,
             first_start: false,
+            tolerance: Tolerance::default(),
         }
     }
 
@@ -255,6 +257,11 @@
         self
     }
 
+    /// Takes from the operator by how much a limit may be passed where nobody knows what was spent.
+    pub fn set_tolerance(&mut self, tolerance: Tolerance) {
+        self.tolerance = tolerance;
+    }
+
     /// For how long this instance has seen what is spent, a span at most; all of one if nothing can have
     /// been spent before its start.
     pub fn sees(&self, now: Instant) -> Duration {
@@ -417,7 +424,7 @@
         let before = if first_start {
             Before::told(started, Told::default())
         } else {
-            Before::unknown(started)
+            Before::unknown(started, self.tolerance)
         };
         let found = self
             .accounts
--- a/crates/decisions/src/allowance/window.rs
+++ b/crates/decisions/src/allowance/window.rs
@@ -103,10 +103,18 @@
     }
 }
 
-/// Part of a limit by which an operator has to bear that a fleet passes it when all of it is killed
-/// at once and nobody knows what was spent before: less than the quarter that operators allow, as news
-/// are late also then.
-const TOLERATED: f64 = 0.2;
+/// By how much the operator bears that an organisation passes its limit over the span.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Tolerance {
+    /// As a part of it.
+    pub part: f64,
+    /// Beside that, in the unit of the limit.
+    pub fixed: f64,
+}
+
+/// Part of the tolerance that a fleet gives out that was killed whole, as nobody knows what was spent
+/// before. The rest is left to news that come late.
+const AT_START: f64 = 0.7;
 
 /// What was spent before an instance started, or before it was told of it.
 #[derive(Debug, Clone, Copy)]
@@ -114,6 +122,7 @@
     at: Instant,
     /// What was told of it, if anybody did.
     told: Option<Told>,
+    tolerance: Tolerance,
 }
 
 /// What an instance tells a started one that an organisation has spent.
@@ -127,14 +136,21 @@
 
 impl Before {
     /// Nobody has told yet.
-    pub(super) fn unknown(at: Instant) -> Self {
-        Self { at, told: None }
+    pub(super) fn unknown(at: Instant, tolerance: Tolerance) -> Self {
+        Self {
+            at,
+            told: None,
+            tolerance,
+        }
     }
 
     /// It was at most that.
     pub(super) fn told(at: Instant, told: Told) -> Self {
-        let told = Some(told);
-        Self { at, told }
+        Self {
+            at,
+            told: Some(told),
+            tolerance: Tolerance::default(),
+        }
     }
 
     /// How much of it may still be within the span.
@@ -152,7 +168,10 @@
         match self.told {
             Some(told) if passed * 2 >= span => told.late.min(fastest),
             Some(told) => told.whole.min(fastest),
-            None => (fastest - whole * TOLERATED).max(0.0),
+            None => {
+                let borne = whole * self.tolerance.part + self.tolerance.fixed;
+                (fastest - borne * AT_START).max(0.0)
+            }
         }
     }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -141,15 +141,16 @@
     /// Makes an instance that knows nothing yet.
     pub fn new(cfg: Settings, dialect: Rc<dyn Dialect>, source: Rc<dyn Source>) -> Rc<Self> {
         let now = Instant::now();
+        let allowances = Allowances::new(now, cfg.limit_window());
+        let mut allowances = allowances.with_first_start(cfg.first_start);
+        allowances.set_tolerance(cfg.tolerance());
         Rc::new(Self {
             dialect,
             source,
             log: Log::new(),
             clock: Clock::new(),
             metrics: Metrics::new(),
-            allowances: RefCell::new(
-                Allowances::new(now, cfg.limit_window()).with_first_start(cfg.first_start),
-            ),
+            allowances: RefCell::new(allowances),
             repeats: RefCell::new(Repeats::new(cfg.repeat_bounds())),
             known: RefCell::new(Known::new()),
             peers: RefCell::new(
@@ -193,7 +194,10 @@
         let mut cfg = Settings::clone(&self.settings());
         cfg.adjust(newer);
         self.repeats.borrow_mut().set_bounds(cfg.repeat_bounds());
-        self.allowances.borrow_mut().set_span(cfg.limit_window());
+        let mut allowances = self.allowances.borrow_mut();
+        allowances.set_span(cfg.limit_window());
+        allowances.set_tolerance(cfg.tolerance());
+        drop(allowances);
         *self.cfg.borrow_mut() = Rc::new(cfg);
     }
 
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use kingcupfield_decisions::allowance::Tolerance;
 use kingcupfield_decisions::id::{InstanceId, RegionId, ZoneId};
 use kingcupfield_decisions::repeats::RepeatBounds;
 use serde::Deserialize;
@@ -59,10 +60,23 @@
     pub grace_s: f64,
     /// Seconds over which what organisations spend is held against their limits.
     pub limit_window_s: f64,
+    /// By how much an organisation may pass its limit where news can't tell what was spent.
+    #[serde(default)]
+    pub limit_tolerance: ToleranceSettings,
     /// Bounds on requests that are sent to one more replica.
     pub repeats: RepeatSettings,
 }
 
+/// Tolerance of limits, as the operator gives it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ToleranceSettings {
+    /// As a part of what a limit allows in the window.
+    pub part: f64,
+    /// Beside that, in the unit of the limit.
+    pub fixed: f64,
+}
+
 /// Bounds on repeats, as the operator gives them.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -77,7 +91,13 @@
 
 impl Settings {
     /// Fields that take effect while the process runs.
-    pub const ADJUSTABLE: [&'static str; 4] = ["contacts", "grace_s", "limit_window_s", "repeats"];
+    pub const ADJUSTABLE: [&'static str; 5] = [
+        "contacts",
+        "grace_s",
+        "limit_window_s",
+        "limit_tolerance",
+        "repeats",
+    ];
 
     /// Names of the fields in which `other` differs.
     pub fn differences(&self, other: &Self) -> Vec<&'static str> {
@@ -89,7 +109,7 @@
             .collect()
     }
 
-    fn compared(&self, other: &Self) -> [(&'static str, bool); 14] {
+    fn compared(&self, other: &Self) -> [(&'static str, bool); 15] {
         [
             ("instance", self.instance == other.instance),
             (
@@ -113,6 +133,10 @@
                 "limit_window_s",
                 self.limit_window_s.total_cmp(&other.limit_window_s).is_eq(),
             ),
+            (
+                "limit_tolerance",
+                self.limit_tolerance == other.limit_tolerance,
+            ),
             ("repeats", self.repeats == other.repeats),
         ]
     }
@@ -122,6 +146,7 @@
         self.contacts.clone_from(&other.contacts);
         self.grace_s = other.grace_s;
         self.limit_window_s = other.limit_window_s;
+        self.limit_tolerance = other.limit_tolerance;
         self.repeats = other.repeats;
     }
 
@@ -160,6 +185,14 @@
         Duration::from_secs_f64(self.limit_window_s)
     }
 
+    /// By how much a limit may be passed.
+    pub fn tolerance(&self) -> Tolerance {
+        Tolerance {
+            part: self.limit_tolerance.part,
+            fixed: self.limit_tolerance.fixed,
+        }
+    }
+
     /// Bounds on repeats.
     pub fn repeat_bounds(&self) -> RepeatBounds {
         RepeatBounds {
@@ -173,6 +206,8 @@
         positive("grace_s", self.grace_s)?;
         positive("limit_window_s", self.limit_window_s)?;
         positive("repeats.window_s", self.repeats.window_s)?;
+        at_least_zero("limit_tolerance.part", self.limit_tolerance.part)?;
+        at_least_zero("limit_tolerance.fixed", self.limit_tolerance.fixed)?;
         at_least_zero("repeats.ratio", self.repeats.ratio)?;
         at_least_zero("repeats.extra", self.repeats.extra)?;
         if !self.listen.is_ipv4() {
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -13,7 +13,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use kingcupfield_decisions::allowance::{Allowances, Charge, Limit};
+use kingcupfield_decisions::allowance::{Allowances, Charge, Limit, Tolerance};
 use kingcupfield_decisions::id::{OrganisationId, ShortName, short_name};
 use kingcupfield_entry::peers::{Digest, Nearness, Peers};
 use kingcupfield_entry::spending::{self, Teller, Telling};
@@ -541,6 +541,11 @@
 
 fn instance(now: Instant, at: usize, zone: usize, zones: usize, life: u64) -> Instance {
     let since = Duration::from_millis(at as u64 * 7 % 100);
+    let mut allowances = Allowances::new(now, SPAN).with_first_start(life == 1);
+    allowances.set_tolerance(Tolerance {
+        part: OVER,
+        fixed: SLACK,
+    });
     Instance {
         zone,
         up: true,
@@ -549,7 +554,7 @@
         peers: Peers::new(now, address(at), true)
             .with_zones(place(zone).0, zones)
             .with_first_start(life == 1),
-        allowances: Allowances::new(now, SPAN).with_first_start(life == 1),
+        allowances,
         teller: Teller::default(),
         changed: false,
         tick: 0,
