Serve within one instance's share while a started instance finds the others

A started instance refused everything under a limit until it had found the others, for about 1.3 s on a fleet of seven, and all were refused after a kill of all. It now counts as one of the largest fleets meanwhile.

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -80,8 +80,6 @@
     pub instances: usize,
     /// All of them have heard what this instance spent up to here.
     pub confirmed: Instant,
-    /// Whether this instance started just now and does not know yet how many there are.
-    pub gathering: bool,
 }
 
 /// Part of a limit over a span that may come at once. With all of it, nothing could be said of when it was
@@ -100,7 +98,7 @@
 const AHEAD: f64 = 4.0;
 
 /// The same after a start, when what was spent before is only assumed.
-const AHEAD_AT_START: f64 = 2.0;
+const AHEAD_AT_START: f64 = 1.5;
 
 /// News older than this may be those of a cut.
 const LATE: Duration = Duration::from_millis(1800);
@@ -313,7 +311,7 @@
         if !account.leaves(charge.cost, kept, left, free) {
             return Err(KEPT_S);
         }
-        if fleet.gathering || account.waits_for_news(now, &charge, (left, whole), fleet) {
+        if account.waits_for_news(now, &charge, (left, whole), fleet) {
             return Err(TOLD_S);
         }
         account.drain(charge.cost, span);
--- a/crates/decisions/src/allowance/window.rs
+++ b/crates/decisions/src/allowance/window.rs
@@ -114,7 +114,7 @@
 
 /// Part of the tolerance that a fleet gives out that was killed whole, as nobody knows what was spent
 /// before. The rest is left to news that come late.
-const AT_START: f64 = 0.7;
+const AT_START: f64 = 0.45;
 
 /// What was spent before an instance started, or before it was told of it.
 #[derive(Debug, Clone, Copy)]
--- a/crates/decisions/tests/allowance.rs
+++ b/crates/decisions/tests/allowance.rs
@@ -22,7 +22,6 @@
         part: 1.0,
         instances: 1,
         confirmed: now,
-        gathering: false,
     }
 }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -349,6 +349,13 @@
 
     /// What a limit of the whole fleet has to go by at this instance.
     pub fn fleet(&self, now: Instant) -> Fleet {
+        if self.is_gathering(now) {
+            return Fleet {
+                part: 1.0,
+                instances: self.fresh(now).max(ASSUMED),
+                confirmed: self.started,
+            };
+        }
         let heard = self.others.iter().filter(|p| p.is_fresh(now));
         let mut confirmed: Vec<Instant> = heard.map(|p| p.confirmed).collect();
         confirmed.sort_unstable();
@@ -357,12 +364,11 @@
             part: self.part(now),
             instances: self.fresh(now),
             confirmed: confirmed.get(slowest).copied().unwrap_or(now),
-            gathering: self.is_gathering(now),
         }
     }
 
     /// Whether this instance has not found the others yet. Each of a fleet that starts anew would take
-    /// the share of one among few.
+    /// the share of one among few; until it knows better it is one of the largest fleet.
     fn is_gathering(&self, now: Instant) -> bool {
         let age = self.age(now);
         let since = now.saturating_duration_since(self.learned);
