--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -31,7 +31,7 @@
 
 use bucket::Bucket;
 use window::{Before, Source, Window};
-pub use window::{Spent, Told};
+pub use window::{Spent, Told, Tolerance};
 
 /// A limit of an organisation, in the unit that it is charged in.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -80,8 +80,6 @@
     pub instances: usize,
     /// All of them have heard what this instance spent up to here.
     pub confirmed: Instant,
-    /// Whether this instance started just now and does not know yet how many there are.
-    pub gathering: bool,
 }
 
 /// Part of a limit over a span that may come at once. With all of it, nothing could be said of when it was
@@ -100,7 +98,7 @@
 const AHEAD: f64 = 4.0;
 
 /// The same after a start, when what was spent before is only assumed.
-const AHEAD_AT_START: f64 = 2.0;
+const AHEAD_AT_START: f64 = 1.5;
 
 /// News older than this may be those of a cut.
 const LATE: Duration = Duration::from_millis(1800);
@@ -235,6 +233,7 @@
     started: Instant,
     /// Whether nothing can have been spent before the start.
     first_start: bool,
+    tolerance: Tolerance,
 }
 
 impl Allowances {
@@ -245,6 +244,7 @@
             span,
             started: now,
             first_start: false,
+            tolerance: Tolerance::default(),
         }
     }
 
@@ -255,6 +255,11 @@
         self
     }
 
+    /// Takes from the operator by how much a limit may be passed where nobody knows what was spent.
+    pub fn set_tolerance(&mut self, tolerance: Tolerance) {
+        self.tolerance = tolerance;
+    }
+
     /// For how long this instance has seen what is spent, a span at most; all of one if nothing can have
     /// been spent before its start.
     pub fn sees(&self, now: Instant) -> Duration {
@@ -306,7 +311,7 @@
         if !account.leaves(charge.cost, kept, left, free) {
             return Err(KEPT_S);
         }
-        if fleet.gathering || account.waits_for_news(now, &charge, (left, whole), fleet) {
+        if account.waits_for_news(now, &charge, (left, whole), fleet) {
             return Err(TOLD_S);
         }
         account.drain(charge.cost, span);
@@ -417,7 +422,7 @@
         let before = if first_start {
             Before::told(started, Told::default())
         } else {
-            Before::unknown(started)
+            Before::unknown(started, self.tolerance)
         };
         let found = self
             .accounts
