--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -30,7 +30,7 @@
 mod window;
 
 use bucket::Bucket;
-use window::{Before, Source, Window};
+use window::{Before, Source, Window, few};
 pub use window::{Spent, Told, Tolerance};
 
 /// A limit of an organisation, in the unit that it is charged in.
@@ -99,6 +99,7 @@
 
 /// The same after a start, when what was spent before is only assumed.
 const AHEAD_AT_START: f64 = 1.5;
+const AHEAD_AT_START_OF_FEW: f64 = 2.0;
 
 /// News older than this may be those of a cut.
 const LATE: Duration = Duration::from_millis(1800);
@@ -151,6 +152,8 @@
     informed: bool,
     /// What this instance has spent since it started.
     spent: f64,
+    /// Instances that are known, by the last request.
+    fleet: f64,
     /// Mean class of what is asked for, by cost.
     usual_class: Option<f64>,
 }
@@ -171,7 +174,7 @@
     /// What is within the span, as far as this instance knows.
     fn spent(&self, now: Instant, span: Duration) -> Spent {
         Spent {
-            before: self.before.left(now, &self.limit, span),
+            before: self.before.left(now, &self.limit, span, self.fleet),
             ..self.window.spent
         }
     }
@@ -207,7 +210,8 @@
             let ahead = if age < LATE { AHEAD } else { 1.0 };
             return untold > share * ahead;
         }
-        let rest = share * AHEAD_AT_START - untold;
+        let ahead = AHEAD_AT_START + (AHEAD_AT_START_OF_FEW - AHEAD_AT_START) * few(self.fleet);
+        let rest = share * ahead - untold;
         charge.luck * charge.cost > rest
     }
 
@@ -291,6 +295,7 @@
         let span = self.span;
         let account = self.account(now, organisation, limit);
         account.fill(now, span);
+        account.fleet = fleet.instances as f64 / fleet.part.max(f64::MIN_POSITIVE);
         let kept = account.kept_from(&charge, limit.over(span));
         let whole = limit.over(span) * fleet.part;
         let spent = account.spent(now, span);
@@ -437,6 +442,7 @@
                 before,
                 informed: first_start,
                 spent: 0.0,
+                fleet: f64::MAX,
                 usual_class: None,
             };
             self.accounts.insert(at, account);
--- a/crates/decisions/src/allowance/window.rs
+++ b/crates/decisions/src/allowance/window.rs
@@ -113,8 +113,18 @@
 }
 
 /// Part of the tolerance that a fleet gives out that was killed whole, as nobody knows what was spent
-/// before. The rest is left to news that come late.
+/// before. The rest is left to news that come late: each instance may have requests of which the others
+/// have not heard, so a large fleet keeps more of it.
 const AT_START: f64 = 0.45;
+const AT_START_OF_FEW: f64 = 0.7;
+
+/// So many instances are few.
+const FEW: f64 = 8.0;
+
+/// How much a fleet of so many instances is one of few, from 0 to 1.
+pub(super) fn few(fleet: f64) -> f64 {
+    (FEW / fleet.max(1.0)).min(1.0).powi(2)
+}
 
 /// What was spent before an instance started, or before it was told of it.
 #[derive(Debug, Clone, Copy)]
@@ -158,7 +168,7 @@
     /// All of it may have been spent at the last moment, but only as fast as a limit allows: a rush, and
     /// the rate before. So what leaves the span is known though nobody saw it, and the organisations of
     /// a fleet that was killed whole need not be refused until a span has passed.
-    pub(super) fn left(&self, now: Instant, limit: &Limit, span: Duration) -> f64 {
+    pub(super) fn left(&self, now: Instant, limit: &Limit, span: Duration, fleet: f64) -> f64 {
         let passed = now.saturating_duration_since(self.at);
         let Some(rest) = span.checked_sub(passed).filter(|r| !r.is_zero()) else {
             return 0.0;
@@ -170,7 +180,8 @@
             Some(told) => told.whole.min(fastest),
             None => {
                 let borne = whole * self.tolerance.part + self.tolerance.fixed;
-                (fastest - borne * AT_START).max(0.0)
+                let part = AT_START + (AT_START_OF_FEW - AT_START) * few(fleet);
+                (fastest - borne * part).max(0.0)
             }
         }
     }
