Give out more after a kill of the whole fleet where instances are few

Hypothesis: what a fleet gives out then has to leave room for requests of which the others have not heard, and each instance has some; eight instances have far less of them than sixty. So the part of the tolerance that is given out, and how much an instance may be ahead of the news, shrink with the fleet (85 in 100 and 2.5 shares for eight, 45 in 100 and 1.5 for many). And 45 in place of 55 in 100 of a span may come at once, so that what may have been spent before leaves the span a second earlier.

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -84,7 +84,7 @@
 
 /// Part of a limit over a span that may come at once. With all of it, nothing could be said of when it was
 /// spent before a kill of the whole fleet, and everybody would be refused for a span after it.
-const RUSH: f64 = 0.55;
+const RUSH: f64 = 0.45;
 
 /// Part of what is left that the instances may spend untold, in equal shares.
 const UNTOLD_EQUAL: f64 = 0.75;
@@ -99,7 +99,7 @@
 
 /// The same after a start, when what was spent before is only assumed.
 const AHEAD_AT_START: f64 = 1.5;
-const AHEAD_AT_START_OF_FEW: f64 = 2.0;
+const AHEAD_AT_START_OF_FEW: f64 = 2.5;
 
 /// News older than this may be those of a cut.
 const LATE: Duration = Duration::from_millis(1800);
--- a/crates/decisions/src/allowance/window.rs
+++ b/crates/decisions/src/allowance/window.rs
@@ -116,7 +116,7 @@
 /// before. The rest is left to news that come late: each instance may have requests of which the others
 /// have not heard, so a large fleet keeps more of it.
 const AT_START: f64 = 0.45;
-const AT_START_OF_FEW: f64 = 0.7;
+const AT_START_OF_FEW: f64 = 0.85;
 
 /// So many instances are few.
 const FEW: f64 = 8.0;
