Let more than half of a span come at once again

The test is right, an organisation that was silent for five seconds is owed what its rate brings in them. Back to 55 in 100; what is given out after a kill of all where instances are few stays.

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -84,7 +84,7 @@
 
 /// Part of a limit over a span that may come at once. With all of it, nothing could be said of when it was
 /// spent before a kill of the whole fleet, and everybody would be refused for a span after it.
-const RUSH: f64 = 0.45;
+const RUSH: f64 = 0.55;
 
 /// Part of what is left that the instances may spend untold, in equal shares.
 const UNTOLD_EQUAL: f64 = 0.75;
