Keep the time of a request in a file of its own, and take figures out of comments

request.rs held the life of a request and how long it may take; the latter is waited for by the relay too. Comments that told what was measured when a value was chosen say now only what it protects. No behaviour changes.

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -115,10 +115,8 @@
 
 /// What a request leaves of the limit for each half of a tier by which it stands behind what its
 /// organisation usually sends: beyond its limit an organisation gets its urgent and its short
-/// requests first, as at a replica that is full. Between 0.05 and 0.2 nothing measurable changes;
-/// with 0 the users' calm days lose 0.02 of their worth, and with the tier alone in place of the
-/// class opticians lose 0.04, whose short checks then yield to reports that a customer waits for
-/// no longer than for them.
+/// requests first, as at a replica that is full. By the tier alone short checks would yield to reports
+/// that a customer waits for no longer than for them.
 const KEPT_BY_CLASS: f64 = 0.1;
 
 /// Part of the burst below which a request is so cheap that it leaves nothing: an order of 200 tokens
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod log;
 pub mod metrics;
 pub mod node;
+pub mod over;
 pub mod peers;
 pub mod pool;
 pub mod port;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -35,8 +35,7 @@
 const TRAVEL_REGION: Duration = Duration::from_millis(60);
 
 /// What the bytes of a request that cross zones or regions cost the users, counted as time: they pay
-/// for them by volume. On the users' fleet of sixty instances the cost of the way between zones takes
-/// a third off the bytes there, for 30 ms that hardly any answer is later by.
+/// for them by volume.
 const ZONE_COST: Duration = Duration::from_millis(30);
 const REGION_COST: Duration = Duration::from_millis(60);
 
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -23,8 +23,9 @@
 use crate::exchange::{self, Answer};
 use crate::metrics::Timing;
 use crate::node::{Node, Place, Target};
+use crate::over::{Over, time_over};
 use crate::pool::Connection;
-use crate::request::{Active, Life, Over, time_over};
+use crate::request::{Active, Life};
 
 /// Chunks that may wait for a slow caller before the replica is made to wait.
 const CHUNKS: usize = 8;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -11,7 +11,7 @@
 use kingcupfield_decisions::dispatch::{Job, Outcome};
 use kingcupfield_decisions::id::{ServiceId, UpstreamId};
 use rand::RngExt as _;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 use crate::account::{self, Unanswered};
 use crate::admission::{
@@ -21,6 +21,7 @@
 use crate::kind::{Kind, Ran, Refusal};
 use crate::metrics::Timing;
 use crate::node::{Node, Place, Stage, Target};
+use crate::over::{Over, time_over};
 use crate::port::{Call, Onward};
 use crate::relay::{self, Body};
 use crate::table::{Organisation, Route};
@@ -33,8 +34,7 @@
 
 /// A request that got no place is given up at this part of its caller's patience: the other half is
 /// left for the one time that a caller comes back, when the burst has passed, and less waits in vain
-/// meanwhile. At 0.8 and with a return after 1 to 2.5 s, opticians had 8 in 1,000 more requests
-/// unserved under load with eight instances, and 7 with sixty.
+/// meanwhile.
 const GIVE_UP_AT: f64 = 0.5;
 
 /// The rest of a stream that broke off is given up while its caller still waits, so that the end of
@@ -596,34 +596,6 @@
     }
 }
 
-/// What ends the time of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Over {
-    /// The route's time is over.
-    Route,
-    /// The process ends.
-    Process,
-}
-
-/// Ends when the route's time is over, by what the table says at that moment, or when the process has
-/// just time left to answer: a caller whose connection is closed instead knows neither whether its
-/// request ran nor when to come back.
-pub async fn time_over(node: &Rc<Node>, route: &Route, received: Instant) -> Over {
-    let mut version = node.version.subscribe();
-    let mut last_answers = std::pin::pin!(node.last_answers());
-    loop {
-        let timeout = node
-            .table()
-            .and_then(|t| t.route(&route.host, &route.prefix).map(|r| r.timeout))
-            .unwrap_or(route.timeout);
-        tokio::select! {
-            () = sleep_until(received + timeout) => return Over::Route,
-            () = &mut last_answers => return Over::Process,
-            _ = version.changed() => {}
-        }
-    }
-}
-
 /// An answer without content.
 pub fn empty(status: http::StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
