--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -640,20 +640,31 @@
 #[test]
 fn a_limit_holds_whatever_comes_together() {
     for seed in 0..seeds().end * 4 {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut faults = FAULTS.to_vec();
-        faults.retain(|_| rng.random_bool(0.35));
-        let case = Case {
-            instances: rng.random_range(4..66),
-            zones: [3, 6][rng.random_range(0..2)],
-            limit: if rng.random_bool(0.5) { SMALL } else { LARGE },
-            asks: rng.random_range(0.4..4.0),
-            hot_instance: rng.random_range(0.0..0.5),
-            lost: rng.random_range(0.0..0.2),
-            late: Duration::from_millis(rng.random_range(0..600)),
-            faults: faults.leak(),
-        };
-        holds(case, seed);
+        holds(mixture(seed), seed);
+    }
+}
+
+/// All are killed, a zone is cut off, some leave and all are restarted in turn, while an organisation asks
+/// for three times its limit, much of it at one instance. It got a seventeenth more than the operator
+/// allows in one span. Which of the faults brings it about is not known.
+#[test]
+fn a_limit_holds_in_a_cut_while_all_restart() {
+    holds(mixture(71), 71);
+}
+
+fn mixture(seed: u64) -> Case {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut faults = FAULTS.to_vec();
+    faults.retain(|_| rng.random_bool(0.35));
+    Case {
+        instances: rng.random_range(4..66),
+        zones: [3, 6][rng.random_range(0..2)],
+        limit: if rng.random_bool(0.5) { SMALL } else { LARGE },
+        asks: rng.random_range(0.4..4.0),
+        hot_instance: rng.random_range(0.0..0.5),
+        lost: rng.random_range(0.0..0.2),
+        late: Duration::from_millis(rng.random_range(0..600)),
+        faults: faults.leak(),
     }
 }
 
