Take a closing listener's queue in one place

Both kinds of instance took the queue of a listener that they close, each with a loop and a list of errors of its own. One type now asks the system for the next connection; what is done with it, permits or a count, stays with each. Behaviour is the same, and each keeps its test of the queue.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -1,7 +1,6 @@
 //! Connections of callers, of the balancer's readiness checks and of peers.
 
 use std::convert::Infallible;
-use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,6 +17,7 @@
 
 use crate::log::Weight;
 use crate::node::{Node, Stage};
+use crate::queue::Queue;
 use crate::request;
 use crate::snapshot::{SNAPSHOT_PATH, Snapshot};
 
@@ -69,18 +69,11 @@
 /// Takes the connections that wait in the listener's queue, and closes the listener: a connection
 /// that is closed with it is reset, and its caller may have sent a request already.
 fn take_queued(node: &Rc<Node>, listener: TcpListener) {
-    let result = listener.into_std().and_then(|listener| {
-        loop {
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    stream.set_nonblocking(true)?;
-                    take(node, TcpStream::from_std(stream)?);
-                }
-                Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
-                Err(e) => return Err(e),
-            }
+    let result = Queue::new(listener).and_then(|queue| {
+        while let Some(stream) = queue.next()? {
+            take(node, stream);
         }
+        Ok(())
     });
     if let Err(e) = result {
         // The rest of the queue is reset; its callers may ask another instance.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod peers;
 pub mod pool;
 pub mod port;
+pub mod queue;
 pub mod relay;
 pub mod reload;
 pub mod replica;
--- a/src/server.rs
+++ b/src/server.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
+use kingcupfield_entry::queue::Queue;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::sleep;
@@ -94,46 +95,38 @@
 
     /// Accepts what is in the listen queue, then closes it.
     ///
-    /// The system resets what is still in the queue, though its callers are connected and have
-    /// sent their requests. What connects between the last look and the close is reset all the
-    /// same: by then the balancer has to send elsewhere.
+    /// What connects between the last look and the close is reset all the same: by then the
+    /// balancer has to send elsewhere.
     async fn accept_queued(
         self,
         router: &Router,
         permits: &Arc<Semaphore>,
         stop: &watch::Receiver<bool>,
     ) {
-        // Asked of the system, as the runtime may not have heard yet of what has connected.
-        let listener = match self.listener.into_std() {
-            Ok(listener) => listener,
-            Err(e) => {
-                log::warn!("event=queue_cut reason={}", crate::logging::value(e));
-                return;
-            }
-        };
+        if let Err(e) = self.try_accept_queued(router, permits, stop).await {
+            log::warn!("event=queue_cut reason={}", crate::logging::value(e));
+        }
+    }
+
+    async fn try_accept_queued(
+        self,
+        router: &Router,
+        permits: &Arc<Semaphore>,
+        stop: &watch::Receiver<bool>,
+    ) -> io::Result<()> {
+        let queue = Queue::new(self.listener)?;
         for _ in 0..MAX_CONNECTIONS {
             let permit = permits.clone().acquire_owned().await;
             let permit = permit.expect("never closed");
-            match accept_now(&listener) {
-                Ok(socket) => spawn(socket, router.clone(), stop.clone(), permit),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(e) => {
-                    // For want of file descriptors, say: the rest would fail in the same way.
-                    log::warn!("event=queue_cut reason={}", crate::logging::value(e));
-                    return;
-                }
-            }
+            let Some(socket) = queue.next()? else {
+                break;
+            };
+            spawn(socket, router.clone(), stop.clone(), permit);
         }
+        Ok(())
     }
 }
 
-fn accept_now(listener: &std::net::TcpListener) -> io::Result<TcpStream> {
-    let (socket, _) = listener.accept()?;
-    socket.set_nonblocking(true)?;
-    TcpStream::from_std(socket)
-}
-
 fn spawn(
     socket: TcpStream,
     router: Router,
