Say once what a second look at a waiting request gives back, and why it is refused

The second look took the charge back at each of its three ways out, and the refusal of a request that outlasts the process stood beside its twin at admission. Now the look only says yes or no, what it cost is given back in one place, and one function refuses. Behaviour is the same.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -143,9 +143,7 @@
     }
     let service =
         pick_service(&route).ok_or_else(|| unavailable("the route leads to no service"))?;
-    if !ends_in_time(node, &service, &call) {
-        return Err(unavailable("this instance ends before the request could"));
-    }
+    check_end(node, &service, &call)?;
     let charge = charge(node, organisation.as_deref(), &route, &service, &call)?;
     node.repeats
         .borrow_mut()
@@ -168,6 +166,14 @@
     life.run(Rc::clone(node), active).await
 }
 
+/// Refuses a request that could not end before the process does.
+fn check_end(node: &Node, service: &ServiceId, call: &Call) -> Result<(), Refusal> {
+    if ends_in_time(node, service, call) {
+        return Ok(());
+    }
+    Err(unavailable("this instance ends before the request could"))
+}
+
 /// Another instance, or this one a moment later, can serve the request.
 fn unavailable(reason: &str) -> Refusal {
     Refusal::new(Kind::Unavailable)
@@ -277,22 +283,23 @@
     /// A request that waited is sent by what holds now: its key or route may be gone, and the process
     /// may end before the request could.
     fn recheck(&mut self, node: &Node) -> Result<(), Refusal> {
+        let result = self.check_again(node);
+        if result.is_err() && self.runs == 0 {
+            self.uncharge(node);
+        }
+        result
+    }
+
+    fn check_again(&mut self, node: &Node) -> Result<(), Refusal> {
         let Some(table) = node.table() else {
             return Ok(());
         };
-        let resolved = resolve(&table, &self.head, &self.call);
-        let (route, organisation) = resolved.inspect_err(|_| {
-            if self.runs == 0 {
-                self.uncharge(node);
+        let (route, organisation) = resolve(&table, &self.head, &self.call)?;
+        if self.runs == 0 {
+            if !route.targets.iter().any(|(s, _)| *s == self.service) {
+                return Err(unavailable("the route leads to other services now"));
             }
-        })?;
-        if !route.targets.iter().any(|(s, _)| *s == self.service) && self.runs == 0 {
-            self.uncharge(node);
-            return Err(unavailable("the route leads to other services now"));
-        }
-        if self.runs == 0 && !ends_in_time(node, &self.service, &self.call) {
-            self.uncharge(node);
-            return Err(unavailable("this instance ends before the request could"));
+            check_end(node, &self.service, &self.call)?;
         }
         self.route = route;
         self.organisation = organisation;
