Find an organisation's account by one search, and assume nothing for accounts that are there

Three functions searched the accounts each in a way of its own, and what may have been spent before the start was made up for each request, though only a new account uses it. Behaviour is the same.

--- a/crates/decisions/src/allowance.rs
+++ b/crates/decisions/src/allowance.rs
@@ -394,9 +394,7 @@
 
     /// What one organisation has spent within the span, as far as this instance knows.
     pub fn known(&self, now: Instant, organisation: &OrganisationId) -> Spent {
-        let found = self
-            .accounts
-            .binary_search_by(|a| a.organisation.cmp(organisation));
+        let found = self.position(organisation);
         found.map_or(Spent::default(), |at| {
             self.accounts[at].spent(now, self.span)
         })
@@ -408,13 +406,16 @@
     }
 
     fn find(&mut self, organisation: &OrganisationId) -> Option<&mut Account> {
-        let at = self
-            .accounts
-            .binary_search_by(|a| a.organisation.cmp(organisation))
-            .ok()?;
+        let at = self.position(organisation).ok()?;
         Some(&mut self.accounts[at])
     }
 
+    /// Where an organisation's account stands, or where it would.
+    fn position(&self, organisation: &OrganisationId) -> Result<usize, usize> {
+        self.accounts
+            .binary_search_by(|a| a.organisation.cmp(organisation))
+    }
+
     fn account(
         &mut self,
         now: Instant,
@@ -422,15 +423,12 @@
         limit: Limit,
     ) -> &mut Account {
         let (started, span, first_start) = (self.started, self.span, self.first_start);
-        let before = if first_start {
-            Before::told(started, Told::default())
-        } else {
-            Before::unknown(started, self.tolerance)
-        };
-        let found = self
-            .accounts
-            .binary_search_by(|a| a.organisation.cmp(organisation));
-        let at = found.unwrap_or_else(|at| {
+        let at = self.position(organisation).unwrap_or_else(|at| {
+            let before = if first_start {
+                Before::told(started, Told::default())
+            } else {
+                Before::unknown(started, self.tolerance)
+            };
             let account = Account {
                 organisation: organisation.clone(),
                 limit,
