Look at the waiting requests once for each message

A message asked the dispatcher twice what waits most urgently, once to see whether it is news and once to write it down. It now writes down what it compared. Behaviour is the same.

--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -89,7 +89,8 @@
     fn greet(&mut self, node: &Node, socket: &UdpSocket) {
         let now = Instant::now();
         let to = std::mem::take(&mut *node.greet.borrow_mut());
-        let digest = self.digest(node, own_loads(node), Nearness::Region, Telling::Full);
+        let news = (own_loads(node), own_waiting(node));
+        let digest = self.digest(node, news, Nearness::Region, Telling::Full);
         let Ok(message) = rmp_serde::to_vec(&digest) else {
             return;
         };
@@ -138,7 +139,7 @@
         if receivers.is_empty() {
             return;
         }
-        let digest = self.digest(node, loads, nearness, telling);
+        let digest = self.digest(node, (loads, waiting), nearness, telling);
         let Ok(message) = rmp_serde::to_vec(&digest) else {
             return;
         };
@@ -150,7 +151,7 @@
     fn digest(
         &mut self,
         node: &Node,
-        loads: Vec<Load>,
+        (loads, waiting): (Vec<Load>, Vec<(ShortName, Class)>),
         nearness: Nearness,
         telling: Telling,
     ) -> Digest {
@@ -163,7 +164,7 @@
             leaving: node.stage() >= Stage::Closing,
             unreachable: own_unreachable(node),
             loads,
-            waiting: own_waiting(node),
+            waiting,
             ..Digest::default()
         };
         self.teller.fill(
