Issue keys for tests in one place

Two new tests of leaving instances each had the same sixteen lines that fetch keys; they ask the fleet of the tests now. Their assertions are as they were.

--- a/tests/processes/leaving_issuer.rs
+++ b/tests/processes/leaving_issuer.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use http::Method;
-use serde_json::json;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -27,24 +26,6 @@
 /// How long they go on after its end.
 const AFTER_END: Duration = Duration::from_millis(500);
 
-async fn keys(fleet: &Fleet) -> Vec<String> {
-    let call = Call::new(Method::POST, "/v1/idempotency-keys")
-        .with_json(&json!({}))
-        .with_key(&key_of("terminal-a"));
-    let mut keys = Vec::new();
-    while keys.len() < KEYS {
-        let reply = fleet.caller.call(fleet.entries[0].addr, &call).await;
-        let issued = reply.expect("an answer").json();
-        keys.push(
-            issued["idempotency_key"]
-                .as_str()
-                .expect("a key")
-                .to_owned(),
-        );
-    }
-    keys
-}
-
 /// Books with one key after the other until told to stop.
 async fn book(
     addr: SocketAddr,
@@ -71,7 +52,7 @@
     let mut cfg = FleetConfig::small();
     cfg.service_args = vec!["--service-time-ms", SERVICE_TIME_MS];
     let mut fleet = Fleet::start(cfg).await;
-    let keys = Arc::new(Mutex::new(keys(&fleet).await));
+    let keys = Arc::new(Mutex::new(fleet.issue_keys(KEYS).await));
     fleet.entries[0].process.terminate();
     sleep(AFTER_STOP).await;
     let stop = watch::Sender::new(false);
--- a/tests/processes/stopped_issuer.rs
+++ b/tests/processes/stopped_issuer.rs
@@ -13,7 +13,6 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use http::Method;
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::rpc_params;
 use jsonrpsee::ws_client::WsClient;
@@ -23,13 +22,11 @@
 use kingcupfield_decisions::idempotency::{FromIssuer, Outcome};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde_json::json;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use yare::parameterized;
 
-use crate::caller::Call;
-use crate::fleet::{BOOKING, Fleet, FleetConfig, SECRET, key_of};
+use crate::fleet::{BOOKING, Fleet, FleetConfig, SECRET};
 use crate::process::{Process, wait_for};
 
 /// Keys that were issued before the stop.
@@ -68,24 +65,6 @@
     answer: Option<KeyReply>,
 }
 
-async fn keys(fleet: &Fleet) -> Vec<String> {
-    let call = Call::new(Method::POST, "/v1/idempotency-keys")
-        .with_json(&json!({}))
-        .with_key(&key_of("terminal-a"));
-    let mut keys = Vec::new();
-    while keys.len() < KEYS {
-        let reply = fleet.caller.call(fleet.entries[0].addr, &call).await;
-        let issued = reply.expect("an answer").json();
-        keys.push(
-            issued["idempotency_key"]
-                .as_str()
-                .expect("a key")
-                .to_owned(),
-        );
-    }
-    keys
-}
-
 fn booking(key: &str) -> KeyedCall {
     KeyedCall {
         request: key.into(),
@@ -173,7 +152,7 @@
     cfg.zones = vec![("north-sea", 1)];
     cfg.service_args = vec!["--service-time-ms", pace.service_time_ms];
     let mut fleet = Fleet::start(cfg).await;
-    let keys = Arc::new(Mutex::new(keys(&fleet).await));
+    let keys = Arc::new(Mutex::new(fleet.issue_keys(KEYS).await));
     fleet.entries[0].process.terminate();
     sleep(AFTER_STOP).await;
     let mut peers = JoinSet::new();
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -411,6 +411,21 @@
         }
     }
 
+    /// Lets the first instance issue keys to the organisation that books.
+    pub async fn issue_keys(&self, count: usize) -> Vec<String> {
+        let call = Call::new(http::Method::POST, "/v1/idempotency-keys")
+            .with_json(&json!({}))
+            .with_key(&key_of("terminal-a"));
+        let mut keys = Vec::with_capacity(count);
+        while keys.len() < count {
+            let reply = self.caller.call(self.entries[0].addr, &call).await;
+            let issued = reply.expect("an answer").json();
+            let key = issued["idempotency_key"].as_str();
+            keys.push(key.expect("a key").to_owned());
+        }
+        keys
+    }
+
     /// Everything that the upstreams ran.
     pub async fn runs(&self) -> Vec<Ran> {
         let mut all = Vec::new();
