--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -131,15 +131,7 @@
     let Some(limit) = organisation.limit else {
         return Ok(Charged::default());
     };
-    let cost = if organisation.in_tokens {
-        let tokens = match (call.prompt_tokens, call.output_tokens) {
-            (None, None) => organisation.plain_tokens,
-            (p, o) => p.unwrap_or(0).saturating_add(o.unwrap_or(0)),
-        };
-        f64::from(tokens)
-    } else {
-        1.0
-    };
+    let cost = cost(organisation, call);
     let now = Instant::now();
     let fleet = node.peers.borrow().fleet(now);
     let charge = Charge {
@@ -150,11 +142,10 @@
     let mut allowances = node.allowances.borrow_mut();
     let taken = allowances.take(now, &organisation.name, limit, &fleet, charge);
     let known = allowances.known(now, &organisation.name);
-    match taken {
-        Ok(()) => Ok(Charged { cost, known }),
-        Err(seconds) => {
-            let after = seconds.clamp(0.2, 10.0) * rand::rng().random_range(1.0..1.3);
-            let left = limit.over(allowances.span()) - known.sum();
+    let left = limit.over(allowances.span()) - known.sum();
+    taken
+        .map(|()| Charged { cost, known })
+        .map_err(|seconds| {
             let reason = format!(
                 "limit of {}: {cost:.0} wanted in tier {}, class {}, {left:.0} left over the span ({:.0} spent here, {:.0} heard of, {:.0} before the start), {:.2} of the instances heard, the oldest word {} ms old, own spending confirmed up to {} ms ago",
                 organisation.name,
@@ -167,11 +158,28 @@
                 node.peers.borrow().oldest_word(now).as_millis(),
                 now.saturating_duration_since(fleet.confirmed).as_millis(),
             );
-            Err(Refusal::new(Kind::Limited)
-                .with_message(reason)
-                .with_retry_after(Duration::from_secs_f64(after)))
-        }
+            limited(seconds, reason)
+        })
+}
+
+/// What a request takes of its organisation's limit.
+fn cost(organisation: &Organisation, call: &Call) -> f64 {
+    if !organisation.in_tokens {
+        return 1.0;
     }
+    let tokens = match (call.prompt_tokens, call.output_tokens) {
+        (None, None) => organisation.plain_tokens,
+        (p, o) => p.unwrap_or(0).saturating_add(o.unwrap_or(0)),
+    };
+    f64::from(tokens)
+}
+
+/// Refuses a request that would pass after `seconds`.
+fn limited(seconds: f64, reason: String) -> Refusal {
+    let after = seconds.clamp(0.2, 10.0) * rand::rng().random_range(1.0..1.3);
+    Refusal::new(Kind::Limited)
+        .with_message(reason)
+        .with_retry_after(Duration::from_secs_f64(after))
 }
 
 /// Place of a request in the order of service, in halves of a tier, before it waits.
