Serve requests only in the regions that their route and organisation allow

Cause: `allowed-regions` of routes and organisations was not read. Bodies go to replicas alone, never to another instance, so the choice of a replica is the one place that has to know.

The regions of both lists together are data of a job; each choice (first, repeat, rescue, rest of a stream, last resort) goes by one function, `serves`. A request that waits follows a newer table; one whose lists have nothing in common is refused at once with when to come back. The refusal names the regions, and how many replicas stand elsewhere. A failed replica is the last resort also when those that serve stand where the request may not go.

Ruled out: filtering after the choice (the request would give a place up that it has, and the three far replicas that it looks at would mostly be useless ones).

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -23,6 +23,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::id::{ServiceId, UpstreamId};
+use crate::regions::Regions;
 
 use size::{Reading, Sizes};
 use upstream::{Running, Upstream};
@@ -64,6 +65,8 @@
     pub give_up: Instant,
     /// The service that may run it.
     pub service: ServiceId,
+    /// The regions in which it may be served.
+    pub regions: Regions,
     /// Tokens of its prompt.
     pub prompt: f64,
     /// Tokens that it likely generates.
@@ -118,9 +121,11 @@
 pub struct Standing {
     /// Replicas that may get work.
     pub usable: u32,
-    /// Those of them that are left alone after a failure, on trial or silent.
+    /// Those of them that stand in a region where the request may not be served.
+    pub not_allowed: u32,
+    /// Those of the others that are left alone after a failure, on trial or silent.
     pub left_alone: u32,
-    /// Those of the others that are full.
+    /// Those of the rest that are full.
     pub full: u32,
     /// Requests that wait here for the service.
     pub waiting: u32,
@@ -297,16 +302,25 @@
         if self.waiting.is_empty() {
             return placed;
         }
+        let mut last_resorts = self.last_resorts(now);
         self.waiting.sort_by_key(|w| (w.class(now), w.job.received));
         let mut at = 0;
-        while at < self.waiting.len() && !open.is_empty() {
-            match self.choose(now, &self.waiting[at], &open, &warm) {
+        while at < self.waiting.len() && !(open.is_empty() && last_resorts.is_empty()) {
+            let w = &self.waiting[at];
+            let resorts: &[usize] = match &last_resorts[..] {
+                [] => &[],
+                _ if self.takes_work(now, &w.job) => &[],
+                resorts => resorts,
+            };
+            let candidates = open.iter().chain(resorts).copied();
+            match self.choose(now, w, candidates, &warm) {
                 Some((index, why)) => {
                     let job = self.waiting.remove(at).job;
                     placed.push(self.start(now, &job, index, why));
                     if !self.upstreams[index].note_room(now) {
                         open.retain(|i| *i != index);
                     }
+                    last_resorts.retain(|i| *i != index);
                 }
                 None => at += 1,
             }
@@ -318,21 +332,23 @@
     /// requests wait, nothing else is looked at.
     fn open(&mut self, now: Instant) -> Vec<usize> {
         let upstreams = self.upstreams.iter_mut().enumerate();
-        let mut open: Vec<usize> = upstreams
+        upstreams
             .filter_map(|(index, u)| u.note_room(now).then_some(index))
-            .collect();
-        let last_resorts =
-            self.upstreams.iter().enumerate().filter(|(_, u)| {
-                u.is_last_resort(now) && !self.takes_work(now, &u.replica.service)
-            });
-        open.extend(last_resorts.map(|(index, _)| index));
-        open
+            .collect()
+    }
+
+    /// The replicas that a request may try though they are left alone, if no other one takes it.
+    fn last_resorts(&self, now: Instant) -> Vec<usize> {
+        let upstreams = self.upstreams.iter().enumerate();
+        upstreams
+            .filter_map(|(index, u)| u.is_last_resort(now).then_some(index))
+            .collect()
     }
 
-    /// Whether any replica of a service takes work, though it may be full now.
-    fn takes_work(&self, now: Instant, service: &ServiceId) -> bool {
+    /// Whether any replica that may run the request takes work, though it may be full now.
+    fn takes_work(&self, now: Instant, job: &Job) -> bool {
         let mut replicas = self.upstreams.iter();
-        replicas.any(|u| u.replica.usable && u.replica.service == *service && u.takes_work(now))
+        replicas.any(|u| u.replica.usable && serves(u, job) && u.takes_work(now))
     }
 
     /// Whether some replica of a service would end an answer within `left`, once it has a place there.
@@ -351,8 +367,8 @@
         ends.is_empty() || ends.contains(&true)
     }
 
-    /// How the replicas of a service stand now.
-    pub fn standing(&self, now: Instant, service: &ServiceId) -> Standing {
+    /// How the replicas of a service stand now for a request that may be served in `regions`.
+    pub fn standing(&self, now: Instant, service: &ServiceId, regions: &Regions) -> Standing {
         let mut standing = Standing::default();
         let usable = self
             .upstreams
@@ -360,7 +376,9 @@
             .filter(|u| u.replica.usable && u.replica.service == *service);
         for u in usable {
             standing.usable += 1;
-            if !u.takes_work(now) {
+            if !regions.allows(&u.replica.region) {
+                standing.not_allowed += 1;
+            } else if !u.takes_work(now) {
                 standing.left_alone += 1;
             } else if !u.has_room() {
                 standing.full += 1;
@@ -472,8 +490,15 @@
         }
     }
 
-    fn choose<W>(&self, now: Instant, w: &Waiting, open: &[usize], warm: &W) -> Option<(usize, Why)>
+    fn choose<C, W>(
+        &self,
+        now: Instant,
+        w: &Waiting,
+        candidates: C,
+        warm: &W,
+    ) -> Option<(usize, Why)>
     where
+        C: Iterator<Item = usize>,
         W: Fn(&UpstreamId) -> bool,
     {
         let job = &w.job;
@@ -483,7 +508,7 @@
         let far = self.upstreams.iter().filter(|u| is_far(u, job)).count() as u64;
         let mut best: Option<(usize, Why)> = None;
         let mut with_room = 0;
-        for &index in open {
+        for index in candidates {
             let u = &self.upstreams[index];
             if !fits(u, job)
                 || !self.may_take(now, u, w)
@@ -572,7 +597,7 @@
 
 /// Whether a replica stands so far off that its load is known late.
 fn is_far(u: &Upstream, job: &Job) -> bool {
-    u.replica.travel >= FAR && u.replica.service == job.service
+    u.replica.travel >= FAR && serves(u, job)
 }
 
 /// Whether a far replica is among the few that this request looks at.
@@ -581,6 +606,11 @@
     xxh3_64(&key) % far.max(1) < FAR_CHOICES
 }
 
+/// Whether a replica is one of those that may run the request.
+fn serves(u: &Upstream, job: &Job) -> bool {
+    u.replica.service == job.service && job.regions.allows(&u.replica.region)
+}
+
 fn fits(u: &Upstream, job: &Job) -> bool {
-    u.replica.service == job.service && !job.tried.contains(&u.replica.id)
+    serves(u, job) && !job.tried.contains(&u.replica.id)
 }
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use crate::dispatch::{Job, JobId, pace::Pace, size::Reading};
-use crate::id::{ServiceId, UpstreamId};
+use crate::id::{RegionId, ServiceId, UpstreamId};
 
 /// Steps within which a replica is expected to bring something to somebody: four times what an
 /// engine needs for a first token beside the prompt, about 120 ms at 7 ms a step.
@@ -70,6 +70,8 @@
     pub born: u64,
     /// Its service.
     pub service: ServiceId,
+    /// Region of its availability zone.
+    pub region: RegionId,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Time of a message there and back.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod ownership;
 pub mod pace;
 pub mod prefixes;
+pub mod regions;
 pub mod repeats;
 pub mod retries;
 pub mod routing;
--- a/crates/decisions/tests/dispatch.rs
+++ b/crates/decisions/tests/dispatch.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::dispatch::{Contender, Dispatch, Job, JobId, Outcome, Replica};
+use kingcupfield_decisions::regions::Regions;
 use tokio::time::Instant;
 use yare::parameterized;
 
@@ -13,6 +14,7 @@
         id: id.into(),
         born: 1,
         service: "drafting".into(),
+        region: "north".into(),
         slots: SLOTS,
         round_trip: Duration::from_millis(round_trip),
         travel: Duration::from_millis(round_trip),
@@ -32,6 +34,7 @@
         deadline: now + Duration::from_secs(15),
         give_up: now + Duration::from_secs(4),
         service: "drafting".into(),
+        regions: Regions::all(),
         prompt: 2000.0,
         output: 120.0,
         longest_pause: Duration::from_millis(300),
@@ -506,3 +509,73 @@
     let ends = dispatch.could_end(case.left, &"drafting".into(), 1000.0, case.output);
     assert_eq!(ends, case.expected);
 }
+
+/// The replicas `home` in the region north and `away` in the region south.
+fn two_regions() -> Dispatch {
+    let mut dispatch = Dispatch::new();
+    let away = Replica {
+        region: "south".into(),
+        ..replica("away", 60)
+    };
+    dispatch.set_replicas(&[away, replica("home", 0)]);
+    dispatch
+}
+
+fn bound_to(region: &str, now: Instant) -> Job {
+    Job {
+        regions: Regions::named([region.into()]),
+        ..job(9, 0, now)
+    }
+}
+
+struct Home {
+    /// What befalls the replica in the region to which the request is bound.
+    befalls: fn(&mut Dispatch, Instant),
+    /// Whether the request gets a place there all the same.
+    placed: bool,
+}
+
+/// A request that is bound to a region goes to no other one, whatever happens at home.
+#[parameterized(
+    nothing = { Home { befalls: |_, _| (), placed: true } },
+    full = { Home { befalls: |d, _| d.set_elsewhere(&"home".into(), SLOTS + 1, 0.0), placed: false } },
+    unreachable = { Home { befalls: |d, now| d.on_end(now, &"home".into(), 1, Outcome::Unreachable), placed: false } },
+    gone = { Home { befalls: |d, _| d.set_replicas(&[Replica { region: "south".into(), ..replica("away", 60) }]), placed: false } },
+    leaving = { Home { befalls: |d, _| d.set_replicas(&[Replica { usable: false, ..replica("home", 0) }, Replica { region: "south".into(), ..replica("away", 60) }]), placed: false } },
+)]
+fn a_request_stays_in_its_regions(case: Home) {
+    let now = Instant::now();
+    let mut dispatch = two_regions();
+    (case.befalls)(&mut dispatch, now);
+    dispatch.enqueue(bound_to("north", now));
+    let placed = dispatch.place(now);
+    let homes: Vec<&str> = placed.iter().map(|p| &*p.upstream).collect();
+    assert_eq!(homes, if case.placed { vec!["home"] } else { vec![] });
+}
+
+/// The only replica of a request's region was out of reach for a while, and those of other regions
+/// serve: it is tried again as soon as if there were no others.
+#[test]
+fn a_failed_replica_is_tried_sooner_when_it_is_the_only_one_allowed() {
+    let now = Instant::now();
+    let mut dispatch = two_regions();
+    for n in 0..4 {
+        dispatch.on_end(now, &"home".into(), n, Outcome::Unreachable);
+    }
+    dispatch.enqueue(bound_to("north", now));
+    let placed = dispatch.place(now + Duration::from_millis(600));
+    assert_eq!(placed.len(), 1);
+}
+
+/// Replicas of regions where a request may not be served are told apart from those that are full.
+#[test]
+fn the_standing_of_a_bound_request_tells_the_replicas_of_other_regions() {
+    let now = Instant::now();
+    let mut dispatch = two_regions();
+    dispatch.set_elsewhere(&"home".into(), SLOTS + 1, 0.0);
+    let standing = dispatch.standing(now, &"drafting".into(), &Regions::named(["north".into()]));
+    assert_eq!(
+        (standing.usable, standing.not_allowed, standing.full),
+        (2, 1, 1)
+    );
+}
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -10,7 +10,7 @@
     Class, Contender, Dispatch, Job, JobId, Outcome, Replica, Why,
 };
 use kingcupfield_decisions::elsewhere::Sum;
-use kingcupfield_decisions::id::{ServiceId, ShortName, UpstreamId, short_name};
+use kingcupfield_decisions::id::{RegionId, ServiceId, ShortName, UpstreamId, short_name};
 use kingcupfield_decisions::known::Known;
 use kingcupfield_decisions::repeats::Repeats;
 use tokio::net::UdpSocket;
@@ -464,6 +464,7 @@
             id: published.id.clone(),
             born: published.born,
             service: published.service.clone(),
+            region: self.region_of(&published.zone),
             slots: published.slots,
             round_trip: self.round_trip(&published.zone),
             travel: self.travel(&published.zone),
@@ -474,6 +475,12 @@
         }
     }
 
+    /// The region of a zone; of one that the settings don't name, a region that is in no list.
+    pub fn region_of(&self, zone: &str) -> RegionId {
+        let cfg = self.settings();
+        cfg.regions_by_zone.get(zone).map_or("", |r| r).into()
+    }
+
     /// Time of a message to a zone and back, with what the way costs the users counted as time.
     pub fn round_trip(&self, zone: &str) -> Duration {
         match self.travel(zone) {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -342,8 +342,7 @@
             if self.tx.is_closed() || !self.life.may_repeat(&self.node) {
                 return None;
             }
-            let place = self.life.place_again(&self.node).await?;
-            let target = self.node.target(&place.upstream)?;
+            let (place, target) = self.life.place_again(&self.node).await?;
             self.life.tried.push(place.upstream.clone());
             self.life.runs += 1;
             let after = self.scanner.last_id().map(str::to_owned);
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use kingcupfield_decisions::dispatch::{Job, Outcome};
 use kingcupfield_decisions::id::{ServiceId, UpstreamId};
+use kingcupfield_decisions::regions::Regions;
 use rand::RngExt as _;
 use tokio::time::Instant;
 
@@ -23,7 +24,7 @@
 use crate::over::{Over, time_over};
 use crate::port::{Call, Onward};
 use crate::relay::{self, Body};
-use crate::table::{Organisation, Route};
+use crate::table::{Organisation, Route, regions};
 
 /// Callers leave a stream, also before its first event, after two seconds, four times the objective
 /// or eight times the longest pause, whichever is longest.
@@ -141,6 +142,7 @@
     let service =
         pick_service(&route).ok_or_else(|| unavailable("the route leads to no service"))?;
     check_end(node, &service, &call)?;
+    check_regions(&route, organisation.as_deref())?;
     let charge = charge(node, organisation.as_deref(), &route, &service, &call).await?;
     node.repeats
         .borrow_mut()
@@ -162,6 +164,28 @@
     life.run(Rc::clone(node), active).await
 }
 
+/// Refuses a request that may be served nowhere, as its route and its organisation name different regions.
+fn check_regions(route: &Route, organisation: Option<&Organisation>) -> Result<(), Refusal> {
+    if !regions(route, organisation).is_none() {
+        return Ok(());
+    }
+    let reason = format!(
+        "no region in common: route {} allows {}, organisation {} allows {}",
+        route.name,
+        route.regions,
+        organisation.map_or("-", |o| &*o.name),
+        organisation.map_or_else(Regions::all, |o| o.regions.clone()),
+    );
+    Err(Refusal::new(Kind::Shed)
+        .with_message(reason)
+        .with_retry_after(come_back()))
+}
+
+/// Advice on when to come back after a refusal for want of room.
+fn come_back() -> Duration {
+    Duration::from_secs_f64(rand::rng().random_range(COME_BACK_S))
+}
+
 /// Refuses a request that could not end before the process does.
 fn check_end(node: &Node, service: &ServiceId, call: &Call) -> Result<(), Refusal> {
     if ends_in_time(node, service, call) {
@@ -214,6 +238,10 @@
             let placed = tokio::select! {
                 placed = node.place(self.job(node)) => placed.map_err(|_| Over::Route),
                 over = time_over(node, &self.route, self.received) => Err(over),
+                () = self.bound_elsewhere(node) => {
+                    self.recheck(node)?;
+                    continue;
+                }
             };
             let place = match placed {
                 Ok(place) => place,
@@ -223,7 +251,7 @@
             self.waited = self.received.elapsed();
             node.metrics.observe(Timing::Wait, self.waited);
             self.recheck(node)?;
-            let Some(target) = node.target(&place.upstream) else {
+            let Some(target) = self.target(node, &place) else {
                 continue;
             };
             account::sent(node, self, &place);
@@ -236,6 +264,32 @@
         }
     }
 
+    /// The replica of a place, unless it has gone or the request may no longer be served there.
+    fn target(&self, node: &Node, place: &Place) -> Option<Rc<Target>> {
+        let target = node.target(&place.upstream)?;
+        let region = node.region_of(&target.published.zone);
+        self.regions().allows(&region).then_some(target)
+    }
+
+    /// Where it may be served.
+    fn regions(&self) -> Regions {
+        regions(&self.route, self.organisation.as_deref())
+    }
+
+    /// Ends when a newer table binds the request to other regions than those it waits for.
+    async fn bound_elsewhere(&self, node: &Node) {
+        let mut version = node.version.subscribe();
+        while version.changed().await.is_ok() {
+            let table = node.table();
+            let found = table.and_then(|t| resolve(&t, &self.head, &self.call).ok());
+            let now = found.map(|(route, organisation)| regions(&route, organisation.as_deref()));
+            if now.is_some_and(|now| now != self.regions()) {
+                return;
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+
     /// When its whole answer must have come: its caller leaves then, or the process ends.
     fn ends_by(&self, node: &Node) -> Instant {
         let deadline = Instant::now() + self.left(node);
@@ -264,6 +318,7 @@
             deadline: self.ends_by(node),
             give_up: self.received + waits.mul_f64(GIVE_UP_AT),
             service: self.service.clone(),
+            regions: self.regions(),
             prompt: f64::from(self.call.prompt_tokens.unwrap_or(0)),
             output: self.call.output(),
             longest_pause: if stream {
@@ -291,6 +346,7 @@
             return Ok(());
         };
         let (route, organisation) = resolve(&table, &self.head, &self.call)?;
+        check_regions(&route, organisation.as_deref())?;
         if self.runs == 0 {
             if !route.targets.iter().any(|(s, _)| *s == self.service) {
                 return Err(unavailable("the route leads to other services now"));
@@ -308,23 +364,25 @@
             return Refusal::new(Kind::UpstreamBroke);
         }
         self.uncharge(node);
+        let regions = self.regions();
         let standing = node
             .dispatch
             .borrow()
-            .standing(Instant::now(), &self.service);
+            .standing(Instant::now(), &self.service, &regions);
         let reason = format!(
-            "no room for {} in {} ms: {} replicas usable, {} of them left alone, {} full, {} requests waiting",
+            "no room for {} in {} ms in regions {regions}, asked in {}: {} replicas usable, {} of them elsewhere, {} left alone, {} full, {} requests waiting",
             self.service,
             self.received.elapsed().as_millis(),
+            node.settings().region,
             standing.usable,
+            standing.not_allowed,
             standing.left_alone,
             standing.full,
             standing.waiting,
         );
-        let after = rand::rng().random_range(COME_BACK_S);
         Refusal::new(Kind::Shed)
             .with_message(reason)
-            .with_retry_after(Duration::from_secs_f64(after))
+            .with_retry_after(come_back())
     }
 
     fn uncharge(&self, node: &Node) {
@@ -583,14 +641,24 @@
             .with_message(format!("{}; {why}", failure.as_str()))
     }
 
-    /// A place for the rest of a stream that broke off.
-    pub async fn place_again(&self, node: &Rc<Node>) -> Option<Place> {
+    /// A place for the rest of a stream that broke off, by what holds now.
+    pub async fn place_again(&mut self, node: &Rc<Node>) -> Option<(Place, Rc<Target>)> {
+        self.follow_table(node);
         let now = Instant::now();
         let mut job = self.job(node);
         job.rank = (0, 0);
         job.due = now + self.route.longest_pause;
         job.give_up = now + PATIENCE.mul_f64(BEFORE_PATIENCE_ENDS);
-        node.place(job).await.ok()
+        let place = node.place(job).await.ok()?;
+        self.follow_table(node);
+        let target = self.target(node, &place)?;
+        Some((place, target))
+    }
+
+    /// Goes by the newest table. A stream whose route or key is no longer there ends by the rules
+    /// under which it began.
+    fn follow_table(&mut self, node: &Node) {
+        let _ = self.check_again(node);
     }
 }
 
--- a/crates/entry/src/table.rs
+++ b/crates/entry/src/table.rs
@@ -5,6 +5,7 @@
 
 use kingcupfield_decisions::credit::Limit;
 use kingcupfield_decisions::id::{OrganisationId, ServiceId, ShortName, Version, short_name};
+use kingcupfield_decisions::regions::Regions;
 
 /// What may be repeated of a route's requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,6 +58,8 @@
     pub attempts: u32,
     /// Whether it needs no key.
     pub public: bool,
+    /// Regions in which its requests may be served.
+    pub regions: Regions,
 }
 
 /// A service that replicas belong to.
@@ -81,6 +84,16 @@
     pub in_tokens: bool,
     /// Tokens that a request counts that names none.
     pub plain_tokens: u32,
+    /// Regions in which its requests may be served.
+    pub regions: Regions,
+}
+
+/// Regions in which a request of the organisation may be served on the route.
+pub fn regions(route: &Route, organisation: Option<&Organisation>) -> Regions {
+    organisation.map_or_else(
+        || route.regions.clone(),
+        |organisation| route.regions.and(&organisation.regions),
+    )
 }
 
 /// Bounds on what a caller sends.
