Send nothing new to the replicas of an emptied zone

Cause: entries below `op/evacuate/` were taken for somebody else's.

A module keeps which zones are emptied, from the first list that names one to the first that doesn't. The entries go the way of the others (store, peers, a list after history that is lost, the first read of a start), so they are known before the table lets the first request in. A replica of an emptied zone is as unusable as one that leaves: no place, no last resort; what runs there ends. The zones stand in the log (zone_emptied, zone_refilled) and in the refusal of a request that found no room.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dispatch;
 pub mod drain;
 pub mod elsewhere;
+pub mod emptied;
 pub mod fairness;
 pub mod fanout;
 pub mod health;
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use kingcupfield_decisions::id::{UpstreamId, short_name};
+use kingcupfield_decisions::id::{UpstreamId, ZoneId, short_name};
 use kingcupfield_decisions::known::{Entry, Revision};
 use rand::RngExt as _;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -69,6 +69,8 @@
     key: String,
     revision: Revision,
     replica: Option<Published>,
+    /// The zone that the entry wants emptied.
+    emptied: Option<ZoneId>,
     /// Until when a lapsed replica is used on.
     fading: Option<Instant>,
 }
@@ -276,6 +278,9 @@
         }
         lapsing |= reader.read.iter().any(|r| r.fading.is_some());
     }
+    // Before the replicas, so that none of an emptied zone is free for a moment.
+    let emptied = node.reader.borrow().emptied();
+    node.set_emptied(now, emptied);
     let replicas = node.reader.borrow_mut().replicas(now);
     node.set_replicas(replicas);
     if lapsing {
@@ -304,10 +309,11 @@
             key: entry.key.clone(),
             revision: entry.revision,
             replica: None,
+            emptied: None,
             fading: None,
         };
         match &entry.value {
-            Some(value) => read.replica = meaning(node, &entry.key, value),
+            Some(value) => read.take(node, &entry.key, value),
             None => lapse(node, now, before, trouble, &mut read),
         }
         match found {
@@ -316,6 +322,10 @@
         }
     }
 
+    fn emptied(&self) -> Vec<ZoneId> {
+        self.read.iter().filter_map(|r| r.emptied.clone()).collect()
+    }
+
     fn replicas(&mut self, now: Instant) -> Vec<Published> {
         for read in &mut self.read {
             if read.fading.is_some_and(|until| now >= until) {
@@ -345,28 +355,31 @@
     }
 }
 
-fn meaning(node: &Node, key: &str, value: &[u8]) -> Option<Published> {
-    match node.source.meaning(key, value) {
-        Meaning::Table(table) => node.set_table(table),
-        Meaning::Replica(replica) => {
-            node.log.line(
+impl Read {
+    /// Takes what the entry means.
+    fn take(&mut self, node: &Node, key: &str, value: &[u8]) {
+        match node.source.meaning(key, value) {
+            Meaning::Table(table) => node.set_table(table),
+            Meaning::Replica(replica) => {
+                node.log.line(
+                    Weight::Notable,
+                    format_args!(
+                        "event=replica replica={} service={} address={} leaving={}",
+                        replica.id, replica.service, replica.address, replica.leaving
+                    ),
+                );
+                self.replica = Some(replica);
+            }
+            Meaning::EmptiedZone(zone) => self.emptied = Some(zone),
+            Meaning::BadReplica(reason) => node.log.line(
                 Weight::Notable,
-                format_args!(
-                    "event=replica replica={} service={} address={} leaving={}",
-                    replica.id, replica.service, replica.address, replica.leaving
-                ),
-            );
-            return Some(replica);
+                format_args!("event=replica_unreadable key={key:?} reason={reason:?}"),
+            ),
+            Meaning::BadTable(reason) => node.log.line(
+                Weight::Notable,
+                format_args!("event=table_unreadable reason={reason:?}"),
+            ),
+            Meaning::Other => {}
         }
-        Meaning::BadReplica(reason) => node.log.line(
-            Weight::Notable,
-            format_args!("event=replica_unreadable key={key:?} reason={reason:?}"),
-        ),
-        Meaning::BadTable(reason) => node.log.line(
-            Weight::Notable,
-            format_args!("event=table_unreadable reason={reason:?}"),
-        ),
-        Meaning::Other => {}
     }
-    None
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -10,7 +10,8 @@
     Class, Contender, Dispatch, Job, JobId, Outcome, Replica, Why,
 };
 use kingcupfield_decisions::elsewhere::Sum;
-use kingcupfield_decisions::id::{RegionId, ServiceId, ShortName, UpstreamId, short_name};
+use kingcupfield_decisions::emptied::EmptiedZones;
+use kingcupfield_decisions::id::{RegionId, ServiceId, ShortName, UpstreamId, ZoneId, short_name};
 use kingcupfield_decisions::known::Known;
 use kingcupfield_decisions::repeats::Repeats;
 use tokio::net::UdpSocket;
@@ -106,6 +107,8 @@
     pub known: RefCell<Known>,
     /// The other instances.
     pub peers: RefCell<Peers>,
+    /// Zones whose replicas get nothing new.
+    pub emptied: RefCell<EmptiedZones>,
     /// Waiting requests and the load of replicas.
     pub dispatch: RefCell<Dispatch>,
     /// Wakes the reader of the directory.
@@ -180,6 +183,7 @@
                     .with_zones(credit::zones(&cfg)),
             ),
             dispatch: RefCell::new(Dispatch::new().with_key(cfg.address().to_bits())),
+            emptied: RefCell::new(EmptiedZones::new()),
             reread: Notify::new(),
             greet: RefCell::new(Vec::new()),
             greeting: Notify::new(),
@@ -286,6 +290,20 @@
         self.version.send_replace(version);
     }
 
+    /// Takes the zones whose replicas are to get nothing new.
+    pub fn set_emptied(&self, now: Instant, zones: Vec<ZoneId>) {
+        let change = self.emptied.borrow_mut().set(now, zones);
+        for (zones, event) in [
+            (change.emptied, "zone_emptied"),
+            (change.refilled, "zone_refilled"),
+        ] {
+            for zone in zones {
+                self.log
+                    .line(Weight::Notable, format_args!("event={event} zone={zone}"));
+            }
+        }
+    }
+
     /// Takes the published replicas that may get work or finish it.
     pub fn set_replicas(&self, published: Vec<Published>) {
         let mut targets = Vec::with_capacity(published.len());
@@ -471,7 +489,7 @@
             news: gossip::news(self, &published.zone),
             engine: service.flatten().is_some(),
             tokens_per_event: service.flatten().unwrap_or(1),
-            usable: !published.leaving,
+            usable: !published.leaving && !self.emptied.borrow().has(&published.zone),
         }
     }
 
--- a/crates/entry/src/port.rs
+++ b/crates/entry/src/port.rs
@@ -7,6 +7,7 @@
 use http::request::Parts as RequestParts;
 use http::response::Parts as ResponseParts;
 use http::{HeaderMap, StatusCode};
+use kingcupfield_decisions::id::ZoneId;
 use kingcupfield_decisions::known::{Entry, Revision};
 
 use crate::kind::Refusal;
@@ -115,6 +116,8 @@
     Table(Rc<Table>),
     /// A replica.
     Replica(Published),
+    /// A zone whose replicas are to get nothing new while the entry is there.
+    EmptiedZone(ZoneId),
     /// An entry that names a replica but can't be read.
     BadReplica(String),
     /// A table that can't be read; the last good one holds.
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -370,7 +370,7 @@
             .borrow()
             .standing(Instant::now(), &self.service, &regions);
         let reason = format!(
-            "no room for {} in {} ms in regions {regions}, asked in {}: {} replicas usable, {} of them elsewhere, {} left alone, {} full, {} requests waiting",
+            "no room for {} in {} ms in regions {regions}, asked in {}: {} replicas usable, {} of them elsewhere, {} left alone, {} full, {} requests waiting, emptied zones [{}]",
             self.service,
             self.received.elapsed().as_millis(),
             node.settings().region,
@@ -379,6 +379,7 @@
             standing.left_alone,
             standing.full,
             standing.waiting,
+            node.emptied.borrow().all().join(","),
         );
         Refusal::new(Kind::Shed)
             .with_message(reason)
