Reach a cold replica through one instance of its zone, at the pace that it bears

A replica that a release starts is empty and looks best to all: 18 requests by 13 instances in its first second, 61 by 28 under a burst, where 13.4 are tolerated and 5.6 are borne. Ruled out: replicas that fail at once, which the issue suspected (107 requests in a second were such, all at the plain service, which is never cold).

A cold replica has one keeper, the first by rendezvous hashing among the known instances of its zone, silent ones too; it gives as many places in any second as the replica bears, and half of what is tolerated at most. Who starts or becomes the keeper waits for a second.

Weighed and not built: (a) credit with the replica as account: two messages for a request, and the dispatcher would have to give a place up when credit is denied; (c) a fixed part for each instance: with 18 in a zone one a second each is 18, more than 13.4, so that it needs a subset anyway; (d) a pace for all at all times: a fast warm replica rightly gets up to 12 a second.

Coldness comes from the replica's own entry, and from a zone that is taken into use again. How long a replica stays cold is no reason any more to drop its kept connections (the pool goes with the replica's life).

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -22,7 +22,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::id::{ServiceId, UpstreamId};
+use crate::cold::{self, Gate};
+use crate::id::{Member, ServiceId, UpstreamId};
 use crate::regions::Regions;
 
 use size::{Reading, Sizes};
@@ -125,6 +126,8 @@
     pub not_allowed: u32,
     /// Those of the others that are left alone after a failure, on trial or silent.
     pub left_alone: u32,
+    /// Those of the rest that are cold, and reached through another instance.
+    pub closed: u32,
     /// Those of the rest that are full.
     pub full: u32,
     /// Requests that wait here for the service.
@@ -157,6 +160,8 @@
     contenders: Vec<Contender>,
     /// This instance, by a number that all give it alike.
     key: u32,
+    /// The instances of this zone with this one, while they are known.
+    members: Option<Vec<Member>>,
 }
 
 impl Dispatch {
@@ -172,7 +177,7 @@
     }
 
     /// Takes the published replicas; what was learned of those that stay is kept.
-    pub fn set_replicas(&mut self, replicas: &[Replica]) {
+    pub fn set_replicas(&mut self, now: Instant, replicas: &[Replica]) {
         let old = std::mem::take(&mut self.upstreams);
         let ids: Vec<UpstreamId> = old.iter().map(|u| u.replica.id.clone()).collect();
         let mut old: Vec<Option<Upstream>> = old.into_iter().map(Some).collect();
@@ -184,7 +189,7 @@
                     known.replica = replica.clone();
                     known
                 }
-                None => Upstream::new(replica.clone()),
+                None => Upstream::new(replica.clone(), Gate::new(now, self.keeps(replica))),
             };
             self.upstreams.push(upstream);
         }
@@ -192,6 +197,29 @@
             .sort_by(|a, b| a.replica.id.cmp(&b.replica.id));
     }
 
+    /// Takes the instances of this zone, with this one and the silent ones; `None` while they are not
+    /// known, or this one ends.
+    pub fn set_members(&mut self, now: Instant, members: Option<Vec<Member>>) {
+        if self.members == members {
+            return;
+        }
+        self.members = members;
+        let keeps: Vec<bool> = self
+            .upstreams
+            .iter()
+            .map(|u| self.keeps(&u.replica))
+            .collect();
+        for (u, keeps) in self.upstreams.iter_mut().zip(keeps) {
+            u.gate.set_keeps(now, keeps);
+        }
+    }
+
+    /// Whether the replica is reached through this instance while it is cold.
+    fn keeps(&self, replica: &Replica) -> bool {
+        let members = self.members.as_deref().filter(|_| replica.home);
+        members.is_some_and(|members| cold::keeper(&replica.id, members) == Some(self.key))
+    }
+
     /// Takes what the other instances have at a replica.
     pub fn set_elsewhere(&mut self, upstream: &UpstreamId, running: u32, prompt: f64) {
         if let Some(u) = self.find(upstream) {
@@ -378,6 +406,8 @@
             standing.usable += 1;
             if !regions.allows(&u.replica.region) {
                 standing.not_allowed += 1;
+            } else if u.is_closed(now) {
+                standing.closed += 1;
             } else if !u.takes_work(now) {
                 standing.left_alone += 1;
             } else if !u.has_room() {
@@ -475,6 +505,7 @@
             Duration::ZERO
         };
         let undelayed = u.replica.engine && u.reads_nothing();
+        u.gate.on_given(now);
         u.running.push(Running {
             job: job.id,
             prompt: if u.replica.engine { job.prompt } else { 0.0 },
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::Instant;
 
+use crate::cold::{Bearable, Gate};
 use crate::dispatch::{Job, JobId, pace::Pace, size::Reading};
 use crate::id::{RegionId, ServiceId, UpstreamId};
 
@@ -87,6 +88,12 @@
     pub tokens_per_event: u32,
     /// Whether it may get new work.
     pub usable: bool,
+    /// Whether it stands in the zone of this instance.
+    pub home: bool,
+    /// Until when it is cold.
+    pub cold_until: Option<Instant>,
+    /// What it bears until then; everything if it is not told.
+    pub bearable: Option<Bearable>,
 }
 
 #[derive(Debug)]
@@ -118,10 +125,12 @@
     pub(super) missed: u32,
     /// When it could not be reached last.
     missed_at: Option<Instant>,
+    /// What is sent to it while it is cold.
+    pub(super) gate: Gate,
 }
 
 impl Upstream {
-    pub(super) fn new(replica: Replica) -> Self {
+    pub(super) fn new(replica: Replica, gate: Gate) -> Self {
         Self {
             replica,
             pace: Pace::default(),
@@ -133,6 +142,7 @@
             free_since: None,
             missed: 0,
             missed_at: None,
+            gate,
         }
     }
 
@@ -152,7 +162,24 @@
 
     /// Whether nothing that happened there lately keeps requests away.
     pub(super) fn takes_work(&self, now: Instant) -> bool {
-        !self.shunned(now) && !self.on_trial() && !self.silent(now)
+        !self.shunned(now) && !self.on_trial() && !self.silent(now) && !self.is_closed(now)
+    }
+
+    /// What it bears, while it is cold.
+    fn bears(&self, now: Instant) -> Option<Bearable> {
+        let is_cold = self.replica.cold_until.is_some_and(|until| now < until);
+        self.replica.bearable.filter(|_| is_cold)
+    }
+
+    /// Whether it is cold and another instance is its keeper.
+    pub(super) fn is_closed(&self, now: Instant) -> bool {
+        self.bears(now).is_some() && !self.gate.is_keeper()
+    }
+
+    /// Whether it bears one more request now.
+    fn admits(&self, now: Instant) -> bool {
+        let bears = self.bears(now);
+        bears.is_none_or(|bears| self.gate.admits(now, bears.share()))
     }
 
     /// Whether one request may try it though it is left alone, as no other replica takes work.
@@ -161,7 +188,7 @@
             .missed_at
             .is_some_and(|at| now.saturating_duration_since(at) >= LAST_RESORT);
         let may_try = self.shunned(now) && !self.on_trial() && !self.silent(now);
-        rested && may_try && self.replica.usable && self.has_room()
+        rested && may_try && self.replica.usable && self.has_room() && self.admits(now)
     }
 
     /// Notes since when it has room, and returns whether it can take one more request now.
@@ -171,7 +198,7 @@
             return false;
         }
         self.free_since.get_or_insert(now);
-        self.replica.usable && self.takes_work(now)
+        self.replica.usable && self.takes_work(now) && self.admits(now)
     }
 
     /// For how long it has had room.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 //! gets actions back, and carries them out. Nothing here opens a socket, reads a file or spawns
 //! a task, so each decision is read and tested alone.
 
+pub mod cold;
 pub mod concurrency;
 pub mod configuration;
 pub mod credit;
--- a/crates/decisions/tests/dispatch.rs
+++ b/crates/decisions/tests/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use kingcupfield_decisions::cold::Bearable;
 use kingcupfield_decisions::dispatch::{Contender, Dispatch, Job, JobId, Outcome, Replica};
 use kingcupfield_decisions::regions::Regions;
 use tokio::time::Instant;
@@ -22,6 +23,9 @@
         engine: true,
         tokens_per_event: 2,
         usable: true,
+        home: round_trip == 0,
+        cold_until: None,
+        bearable: None,
     }
 }
 
@@ -75,7 +79,7 @@
 fn places_go_in_the_right_order(case: Order) {
     let now = Instant::now();
     let mut dispatch = Dispatch::new();
-    dispatch.set_replicas(&[replica("a", 0)]);
+    dispatch.set_replicas(Instant::now(), &[replica("a", 0)]);
     fill(&mut dispatch, now, u64::from(SLOTS) + 1);
     for (id, (tier, late)) in case.waiting.iter().enumerate() {
         let mut job = job(id as JobId, *tier, now + Duration::from_millis(id as u64));
@@ -116,7 +120,7 @@
 fn a_request_goes_where_it_is_served_best(case: Choice) {
     let now = Instant::now();
     let mut dispatch = Dispatch::new();
-    dispatch.set_replicas(&[replica("a", 0), replica("b", 0)]);
+    dispatch.set_replicas(Instant::now(), &[replica("a", 0), replica("b", 0)]);
     for (at, id) in ["a", "b"].into_iter().enumerate() {
         learn_step(&mut dispatch, now, id, case.steps[at]);
         dispatch.set_elsewhere(&id.into(), case.elsewhere[at], 0.0);
@@ -136,7 +140,7 @@
 fn an_unreachable_replica_is_tried_by_one_at_a_time() {
     let now = Instant::now();
     let mut dispatch = Dispatch::new();
-    dispatch.set_replicas(&[replica("a", 0), replica("b", 0)]);
+    dispatch.set_replicas(Instant::now(), &[replica("a", 0), replica("b", 0)]);
     // The other one works and is full, so that nobody is spared by trying the failed one early.
     dispatch.set_elsewhere(&"b".into(), SLOTS + 1, 0.0);
     dispatch.enqueue(job(1, 0, now));
@@ -157,7 +161,7 @@
 fn a_silent_replica_gets_no_more_work() {
     let now = Instant::now();
     let mut dispatch = Dispatch::new();
-    dispatch.set_replicas(&[replica("a", 0), replica("b", 120)]);
+    dispatch.set_replicas(Instant::now(), &[replica("a", 0), replica("b", 120)]);
     dispatch.enqueue(job(1, 0, now));
     assert_eq!(&*dispatch.place(now)[0].upstream, "a");
     let later = now + Duration::from_secs(2);
@@ -174,7 +178,7 @@
 fn a_request_behind_others_is_no_sign_of_silence() {
     let now = Instant::now();
     let mut dispatch = Dispatch::new();
-    dispatch.set_replicas(&[replica("a", 0)]);
+    dispatch.set_replicas(Instant::now(), &[replica("a", 0)]);
     dispatch.set_elsewhere(&"a".into(), SLOTS, 0.0);
     dispatch.enqueue(job(1, 0, now));
     assert_eq!(dispatch.place(now).len(), 1);
@@ -190,7 +194,7 @@
     let mut dispatch = Dispatch::new();
     let mut leaving = replica("a", 0);
     leaving.usable = false;
-    dispatch.set_replicas(&[leaving]);
+    dispatch.set_replicas(Instant::now(), &[leaving]);
     dispatch.enqueue(job(1, 0, now));
     assert!(dispatch.place(now).is_empty());
     assert_eq!(dispatch.give_up(now + Duration::from_secs(4)), [1]);
@@ -202,11 +206,11 @@
 fn a_new_life_starts_without_load() {
     let now = Instant::now();
     let mut dispatch = Dispatch::new();
-    dispatch.set_replicas(&[replica("a", 0)]);
+    dispatch.set_replicas(Instant::now(), &[replica("a", 0)]);
     fill(&mut dispatch, now, 20);
     let mut again = replica("a", 0);
     again.born = 2;
-    dispatch.set_replicas(&[again]);
+    dispatch.set_replicas(Instant::now(), &[again]);
     assert_eq!(dispatch.place(now).len(), SLOTS as usize + 1);
 }
 
@@ -215,10 +219,13 @@
 /// An instance of a zone at which one request waits before a full replica.
 fn waiting(key: u32, tier: u32, now: Instant, news: Duration) -> Dispatch {
     let mut dispatch = Dispatch::new().with_key(key);
-    dispatch.set_replicas(&[Replica {
-        news,
-        ..replica("a", 0)
-    }]);
+    dispatch.set_replicas(
+        Instant::now(),
+        &[Replica {
+            news,
+            ..replica("a", 0)
+        }],
+    );
     dispatch.set_elsewhere(&"a".into(), SLOTS + 1, 0.0);
     dispatch.enqueue(job(1, tier, now));
     assert!(dispatch.place(now).is_empty());
@@ -324,7 +331,7 @@
     if case.other {
         replicas.push(replica("b", 200));
     }
-    dispatch.set_replicas(&replicas);
+    dispatch.set_replicas(Instant::now(), &replicas);
     let id = "a".into();
     for n in 0..4 {
         dispatch.on_end(now, &id, n, Outcome::Unreachable);
@@ -357,7 +364,7 @@
 fn short_requests_go_before_long_ones(case: Sizes) {
     let now = Instant::now();
     let mut dispatch = Dispatch::new();
-    dispatch.set_replicas(&[replica("a", 0)]);
+    dispatch.set_replicas(Instant::now(), &[replica("a", 0)]);
     fill(&mut dispatch, now, u64::from(SLOTS) + 1);
     for (id, (tier, prompt, output)) in case.waiting.iter().enumerate() {
         let mut job = job(id as JobId, *tier, now + Duration::from_millis(id as u64));
@@ -393,7 +400,7 @@
 fn the_reading_of_prompts_is_learned(engine: Engine) {
     let now = Instant::now();
     let mut dispatch = Dispatch::new();
-    dispatch.set_replicas(&[replica("a", 0)]);
+    dispatch.set_replicas(Instant::now(), &[replica("a", 0)]);
     for _ in 0..10 {
         let gap = Duration::from_secs_f64(engine.step * 2.0 / 1e3);
         dispatch.on_events(now, &"a".into(), 1, gap);
@@ -442,7 +449,7 @@
 fn a_long_answer_is_not_begun_where_it_cannot_end(case: Long) {
     let now = Instant::now();
     let mut dispatch = Dispatch::new();
-    dispatch.set_replicas(&[replica("fast", 0), replica("slow", 0)]);
+    dispatch.set_replicas(Instant::now(), &[replica("fast", 0), replica("slow", 0)]);
     learn_step(&mut dispatch, now, "fast", 5);
     learn_step(&mut dispatch, now, "slow", 23);
     let later = now + Duration::from_secs(2);
@@ -466,7 +473,7 @@
 fn nothing_is_learned_from_prompts_of_unknown_length() {
     let now = Instant::now();
     let mut dispatch = Dispatch::new();
-    dispatch.set_replicas(&[replica("a", 0)]);
+    dispatch.set_replicas(Instant::now(), &[replica("a", 0)]);
     learn_step(&mut dispatch, now, "a", 5);
     for id in 0..32 {
         let mut job = job(id, 0, now);
@@ -503,7 +510,7 @@
 fn an_answer_is_begun_where_a_replica_can_end_it(case: Ends) {
     let now = Instant::now();
     let mut dispatch = Dispatch::new();
-    dispatch.set_replicas(&[replica("a", 0), replica("b", 0)]);
+    dispatch.set_replicas(Instant::now(), &[replica("a", 0), replica("b", 0)]);
     learn_step(&mut dispatch, now, "a", case.steps[0]);
     learn_step(&mut dispatch, now, "b", case.steps[1]);
     let ends = dispatch.could_end(case.left, &"drafting".into(), 1000.0, case.output);
@@ -517,7 +524,7 @@
         region: "south".into(),
         ..replica("away", 60)
     };
-    dispatch.set_replicas(&[away, replica("home", 0)]);
+    dispatch.set_replicas(Instant::now(), &[away, replica("home", 0)]);
     dispatch
 }
 
@@ -540,8 +547,8 @@
     nothing = { Home { befalls: |_, _| (), placed: true } },
     full = { Home { befalls: |d, _| d.set_elsewhere(&"home".into(), SLOTS + 1, 0.0), placed: false } },
     unreachable = { Home { befalls: |d, now| d.on_end(now, &"home".into(), 1, Outcome::Unreachable), placed: false } },
-    gone = { Home { befalls: |d, _| d.set_replicas(&[Replica { region: "south".into(), ..replica("away", 60) }]), placed: false } },
-    leaving = { Home { befalls: |d, _| d.set_replicas(&[Replica { usable: false, ..replica("home", 0) }, Replica { region: "south".into(), ..replica("away", 60) }]), placed: false } },
+    gone = { Home { befalls: |d, _| d.set_replicas(Instant::now(), &[Replica { region: "south".into(), ..replica("away", 60) }]), placed: false } },
+    leaving = { Home { befalls: |d, _| d.set_replicas(Instant::now(), &[Replica { usable: false, ..replica("home", 0) }, Replica { region: "south".into(), ..replica("away", 60) }]), placed: false } },
 )]
 fn a_request_stays_in_its_regions(case: Home) {
     let now = Instant::now();
@@ -579,3 +586,78 @@
         (2, 1, 1)
     );
 }
+
+/// What a cold replica of these tests bears.
+const BEARABLE: Bearable = Bearable {
+    per_s: 5.6,
+    tolerated: 13.4,
+};
+
+/// A replica of the zone of `members` that is cold for three seconds, as the instance `key` sees it.
+fn cold(now: Instant, key: u32, members: Option<Vec<u32>>) -> Dispatch {
+    let mut dispatch = Dispatch::new().with_key(key);
+    dispatch.set_members(now, members);
+    let cold = Replica {
+        slots: 100,
+        cold_until: Some(now + Duration::from_secs(3)),
+        bearable: Some(BEARABLE),
+        ..replica("a", 0)
+    };
+    dispatch.set_replicas(now, &[cold]);
+    dispatch
+}
+
+/// Work waits at all instances of a zone while a replica is cold. It gets what it bears, from the one
+/// instance through which it is reached; before, each filled it and it crashed.
+#[test]
+fn a_cold_replica_gets_what_it_bears_from_a_whole_zone() {
+    let now = Instant::now();
+    let members: Vec<u32> = (1..=13).collect();
+    let mut zone: Vec<Dispatch> = members
+        .iter()
+        .map(|key| cold(now, *key, Some(members.clone())))
+        .collect();
+    let mut given = [0; 4];
+    for ms in (0..4000).step_by(20) {
+        for dispatch in &mut zone {
+            let at = now + Duration::from_millis(ms);
+            let mut urgent = job(ms, 0, at);
+            urgent.give_up = at + Duration::from_secs(9);
+            dispatch.enqueue(urgent);
+            for placed in dispatch.place(at) {
+                given[(ms / 1000) as usize] += 1;
+                dispatch.on_end(at, &placed.upstream, placed.job, Outcome::Served);
+            }
+        }
+    }
+    assert_eq!(given[..3], [5, 5, 5]);
+    assert!(given[3] > 100, "it is open once it is warm: {}", given[3]);
+}
+
+struct Closed {
+    members: Option<Vec<u32>>,
+    /// Whether the replica stands in the zone of the instance.
+    home: bool,
+}
+
+/// An instance that does not know its zone, or is of another zone, sends nothing to a cold replica.
+#[parameterized(
+    knows_nobody = { Closed { members: None, home: true } },
+    of_another_zone = { Closed { members: Some(vec![7]), home: false } },
+)]
+fn a_cold_replica_is_closed_to_others(case: Closed) {
+    let now = Instant::now();
+    let mut dispatch = cold(now, 7, case.members);
+    let away = Replica {
+        home: case.home,
+        cold_until: Some(now + Duration::from_secs(3)),
+        bearable: Some(BEARABLE),
+        ..replica("a", 0)
+    };
+    dispatch.set_replicas(now, &[Replica { born: 2, ..away }]);
+    dispatch.enqueue(job(1, 0, now));
+    assert!(dispatch.place(now + Duration::from_secs(2)).is_empty());
+    let standing = dispatch.standing(now, &"drafting".into(), &Regions::all());
+    assert_eq!((standing.closed, standing.left_alone), (1, 0));
+    assert_eq!(dispatch.place(now + Duration::from_secs(3)).len(), 1);
+}
--- a/crates/entry/src/credit.rs
+++ b/crates/entry/src/credit.rs
@@ -132,6 +132,12 @@
     if node.stage() >= Stage::Closing {
         roster.mints_since = None;
     }
+    let known = roster.mints_since.is_some();
+    let members = node.peers.borrow().zone_members();
+    let members = Some(members).filter(|_| known);
+    node.dispatch
+        .borrow_mut()
+        .set_members(Instant::now(), members);
     let slept = node.clock.suspended();
     roster.mints_since = roster.mints_since.map(|at| at + slept);
     let mut ledger = node.ledger.borrow_mut();
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -313,7 +313,7 @@
             fading: None,
         };
         match &entry.value {
-            Some(value) => read.take(node, &entry.key, value),
+            Some(value) => read.take(node, value, before.as_ref()),
             None => lapse(node, now, before, trouble, &mut read),
         }
         match found {
@@ -357,17 +357,27 @@
 
 impl Read {
     /// Takes what the entry means.
-    fn take(&mut self, node: &Node, key: &str, value: &[u8]) {
+    fn take(&mut self, node: &Node, value: &[u8], before: Option<&Published>) {
+        let key = &self.key;
         match node.source.meaning(key, value) {
             Meaning::Table(table) => node.set_table(table),
             Meaning::Replica(replica) => {
-                node.log.line(
+                // A cold replica tells again and again how long it stays so.
+                if before.is_none_or(|b| !b.differs_in_warmth_alone(&replica)) {
+                    node.log.line(
                     Weight::Notable,
                     format_args!(
-                        "event=replica replica={} service={} address={} leaving={}",
-                        replica.id, replica.service, replica.address, replica.leaving
+                        "event=replica replica={} service={} address={} zone={} born={} leaving={} cold_ms={}",
+                        replica.id,
+                        replica.service,
+                        replica.address,
+                        replica.zone,
+                        replica.born,
+                        replica.leaving,
+                        replica.cold_for().as_millis(),
                     ),
                 );
+                }
                 self.replica = Some(replica);
             }
             Meaning::EmptiedZone(zone) => self.emptied = Some(zone),
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -30,7 +30,7 @@
 use crate::port::{Dialect, Source};
 use crate::replica::Published;
 use crate::settings::Settings;
-use crate::table::Table;
+use crate::table::{ColdStart, Table};
 
 /// Time of a message there and back between availability zones of a region.
 const TRAVEL_ZONE: Duration = Duration::from_millis(2);
@@ -68,7 +68,7 @@
     /// What is published of it.
     pub published: Published,
     /// Kept connections to it.
-    pub pool: Pool,
+    pub pool: Rc<Pool>,
 }
 
 /// Why a waiting request got no place.
@@ -311,9 +311,9 @@
             let old = self.target(&replica.id).filter(|t| same_life(t, &replica));
             targets.push(match old {
                 Some(old) if old.published == replica => old,
-                _ => Rc::new(Target {
+                old => Rc::new(Target {
                     published: replica,
-                    pool: Pool::new(),
+                    pool: old.map_or_else(Rc::default, |old| Rc::clone(&old.pool)),
                 }),
             });
         }
@@ -343,7 +343,8 @@
             .iter()
             .map(|t| self.replica(&t.published))
             .collect();
-        self.dispatch.borrow_mut().set_replicas(&replicas);
+        let now = Instant::now();
+        self.dispatch.borrow_mut().set_replicas(now, &replicas);
     }
 
     /// The replica that peers mean by a short name.
@@ -474,10 +475,11 @@
     }
 
     fn replica(&self, published: &Published) -> Replica {
-        let service = self.table().and_then(|t| {
-            let service = t.service(&published.service)?;
-            Some(service.tokens_per_event)
-        });
+        let table = self.table();
+        let service = table.as_ref().and_then(|t| t.service(&published.service));
+        let tokens_per_event = service.and_then(|s| s.tokens_per_event);
+        let cold = service.and_then(|s| s.cold);
+        let cfg = self.settings();
         Replica {
             id: published.id.clone(),
             born: published.born,
@@ -487,12 +489,22 @@
             round_trip: self.round_trip(&published.zone),
             travel: self.travel(&published.zone),
             news: gossip::news(self, &published.zone),
-            engine: service.flatten().is_some(),
-            tokens_per_event: service.flatten().unwrap_or(1),
+            engine: tokens_per_event.is_some(),
+            tokens_per_event: tokens_per_event.unwrap_or(1),
             usable: !published.leaving && !self.emptied.borrow().has(&published.zone),
+            home: published.zone == cfg.availability_zone,
+            cold_until: self.cold_until(published, cold),
+            bearable: cold.map(|cold| cfg.bearable(cold.per_s)),
         }
     }
 
+    /// Until when a replica is cold: as it says, or as one must be taken to be whose zone was emptied.
+    fn cold_until(&self, published: &Published, cold: Option<ColdStart>) -> Option<Instant> {
+        let refilled = self.emptied.borrow().refilled_at(&published.zone);
+        let since = refilled.zip(cold).map(|(at, cold)| at + cold.lasts);
+        published.cold_until.max(since)
+    }
+
     /// The region of a zone; of one that the settings don't name, a region that is in no list.
     pub fn region_of(&self, zone: &str) -> RegionId {
         let cfg = self.settings();
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -10,7 +10,7 @@
 use kingcupfield_decisions::credit::{self, Distance, Roster, Zone};
 use kingcupfield_decisions::dispatch::Class;
 use kingcupfield_decisions::elsewhere::{Elsewhere, Load, Sum};
-use kingcupfield_decisions::id::ShortName;
+use kingcupfield_decisions::id::{Member, ShortName};
 use kingcupfield_decisions::known::Revision;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -374,6 +374,14 @@
         there.count() + 1
     }
 
+    /// The instances of the own zone that are known, with this one and the silent ones.
+    pub fn zone_members(&self) -> Vec<Member> {
+        let home = self.zones[0].0;
+        let there = self.others.iter().filter(|p| p.digest.zone == home);
+        let members = there.map(|p| p.address.to_bits());
+        members.chain([self.own.to_bits()]).collect()
+    }
+
     /// Whether this instance has found those of its zone, and they know as many as it hears there.
     ///
     /// Before that each of a fleet that starts anew would take the share of one among few. One that hears
--- a/crates/entry/src/replica.rs
+++ b/crates/entry/src/replica.rs
@@ -1,8 +1,10 @@
 //! A published replica.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use kingcupfield_decisions::id::{ServiceId, UpstreamId, ZoneId};
+use tokio::time::Instant;
 
 /// What a replica says of itself in the directory.
 #[derive(Debug, Clone, PartialEq)]
@@ -21,4 +23,25 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Until when it is cold, as it says.
+    pub cold_until: Option<Instant>,
+}
+
+impl Published {
+    /// Whether nothing but how long it is cold is new in `other`.
+    pub fn differs_in_warmth_alone(&self, other: &Self) -> bool {
+        let same = Self {
+            cold_until: other.cold_until,
+            ..self.clone()
+        };
+        same == *other
+    }
+
+    /// How much longer it is cold.
+    pub fn cold_for(&self) -> Duration {
+        let until = self.cold_until;
+        until.map_or(Duration::ZERO, |at| {
+            at.saturating_duration_since(Instant::now())
+        })
+    }
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -370,12 +370,13 @@
             .borrow()
             .standing(Instant::now(), &self.service, &regions);
         let reason = format!(
-            "no room for {} in {} ms in regions {regions}, asked in {}: {} replicas usable, {} of them elsewhere, {} left alone, {} full, {} requests waiting, emptied zones [{}]",
+            "no room for {} in {} ms in regions {regions}, asked in {}: {} replicas usable, {} of them elsewhere, {} cold, {} left alone, {} full, {} requests waiting, emptied zones [{}]",
             self.service,
             self.received.elapsed().as_millis(),
             node.settings().region,
             standing.usable,
             standing.not_allowed,
+            standing.closed,
             standing.left_alone,
             standing.full,
             standing.waiting,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use kingcupfield_decisions::cold::Bearable;
 use kingcupfield_decisions::credit::Tolerance;
 use kingcupfield_decisions::id::{InstanceId, RegionId, ZoneId};
 use kingcupfield_decisions::repeats::RepeatBounds;
@@ -65,6 +66,9 @@
     pub limit_tolerance: ToleranceSettings,
     /// Bounds on requests that are sent to one more replica.
     pub repeats: RepeatSettings,
+    /// By how much cold replicas may get more than they bear.
+    #[serde(default)]
+    pub cold_tolerance: ColdTolerance,
 }
 
 /// Tolerance of limits, as the operator gives it.
@@ -77,6 +81,26 @@
     pub fixed: f64,
 }
 
+/// Tolerance of requests to cold replicas, as the operator gives it.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdTolerance {
+    /// Requests in a second, as a multiple of what a cold replica bears.
+    pub times: f64,
+    /// Requests beside that.
+    pub extra: f64,
+}
+
+impl Default for ColdTolerance {
+    /// Nothing beyond what a replica bears.
+    fn default() -> Self {
+        Self {
+            times: 1.0,
+            extra: 0.0,
+        }
+    }
+}
+
 /// Bounds on repeats, as the operator gives them.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -91,12 +115,13 @@
 
 impl Settings {
     /// Fields that take effect while the process runs.
-    pub const ADJUSTABLE: [&'static str; 5] = [
+    pub const ADJUSTABLE: [&'static str; 6] = [
         "contacts",
         "grace_s",
         "limit_window_s",
         "limit_tolerance",
         "repeats",
+        "cold_tolerance",
     ];
 
     /// Names of the fields in which `other` differs.
@@ -109,7 +134,7 @@
             .collect()
     }
 
-    fn compared(&self, other: &Self) -> [(&'static str, bool); 15] {
+    fn compared(&self, other: &Self) -> [(&'static str, bool); 16] {
         [
             ("instance", self.instance == other.instance),
             (
@@ -138,6 +163,10 @@
                 self.limit_tolerance == other.limit_tolerance,
             ),
             ("repeats", self.repeats == other.repeats),
+            (
+                "cold_tolerance",
+                self.cold_tolerance == other.cold_tolerance,
+            ),
         ]
     }
 
@@ -148,6 +177,7 @@
         self.limit_window_s = other.limit_window_s;
         self.limit_tolerance = other.limit_tolerance;
         self.repeats = other.repeats;
+        self.cold_tolerance = other.cold_tolerance;
     }
 
     /// Reads and checks a file.
@@ -207,6 +237,14 @@
         }
     }
 
+    /// What cold replicas of a service bear.
+    pub fn bearable(&self, per_s: f64) -> Bearable {
+        Bearable {
+            per_s,
+            tolerated: per_s * self.cold_tolerance.times + self.cold_tolerance.extra,
+        }
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         positive("grace_s", self.grace_s)?;
         positive("limit_window_s", self.limit_window_s)?;
@@ -215,6 +253,8 @@
         at_least_zero("limit_tolerance.fixed", self.limit_tolerance.fixed)?;
         at_least_zero("repeats.ratio", self.repeats.ratio)?;
         at_least_zero("repeats.extra", self.repeats.extra)?;
+        at_least_zero("cold_tolerance.times", self.cold_tolerance.times)?;
+        at_least_zero("cold_tolerance.extra", self.cold_tolerance.extra)?;
         if !self.listen.is_ipv4() {
             return value("listen", "only IPv4 addresses are used");
         }
--- a/crates/entry/src/table.rs
+++ b/crates/entry/src/table.rs
@@ -69,6 +69,17 @@
     pub name: ServiceId,
     /// Tokens in an event, if its replicas generate tokens in batches.
     pub tokens_per_event: Option<u32>,
+    /// What its replicas bear after a start, if they are cold then.
+    pub cold: Option<ColdStart>,
+}
+
+/// What replicas bear after a start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// How long they are cold.
+    pub lasts: Duration,
+    /// Requests a second that they bear meanwhile.
+    pub per_s: f64,
 }
 
 /// Who holds keys, and how much they may use.
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -13,6 +13,7 @@
 //! Each model has variants in which one safeguard is taken out; each must break a promise.
 
 pub mod calls;
+pub mod cold;
 pub mod configuration;
 pub mod credit;
 pub mod explore;
