Hold a request for the moment in which a start reads its table

A request waits for the first table, 600 ms and a quarter of its caller's time at most; then it is refused as before, with when to come back.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -24,7 +24,7 @@
 use crate::over::{Over, time_over};
 use crate::port::{Call, Onward};
 use crate::relay::{self, Body};
-use crate::table::{Organisation, Route, regions};
+use crate::table::{Organisation, Route, Table, regions};
 
 /// Callers leave a stream, also before its first event, after two seconds, four times the objective
 /// or eight times the longest pause, whichever is longest.
@@ -37,6 +37,11 @@
 /// meanwhile.
 const GIVE_UP_AT: f64 = 0.5;
 
+/// Longest time that a request waits for the first table: a start reads it in two tenths of a second,
+/// where the store or a peer answers. Also as a part of the caller's time.
+const FOR_TABLE: Duration = Duration::from_millis(600);
+const FOR_TABLE_PART: f64 = 0.25;
+
 /// The rest of a stream that broke off is given up while its caller still waits, so that the end of
 /// the stream arrives.
 const BEFORE_PATIENCE_ENDS: f64 = 0.8;
@@ -132,9 +137,7 @@
     body: Bytes,
     active: Active,
 ) -> Result<Response<Body>, Refusal> {
-    let Some(table) = node.table() else {
-        return Err(unavailable("no table is known yet"));
-    };
+    let table = wait_for_table(node, &call).await?;
     let (route, organisation) = resolve(&table, &head, &call)?;
     if call.id.is_empty() {
         return Err(Refusal::new(Kind::BadRequest).with_message("the request has no id"));
@@ -164,6 +167,23 @@
     life.run(Rc::clone(node), active).await
 }
 
+/// The table; a request that comes while the instance starts waits a moment for it.
+async fn wait_for_table(node: &Node, call: &Call) -> Result<Rc<Table>, Refusal> {
+    let mut version = node.version.subscribe();
+    let patience = call.deadline.unwrap_or(FOR_TABLE).mul_f64(FOR_TABLE_PART);
+    let mut over = std::pin::pin!(tokio::time::sleep(FOR_TABLE.min(patience)));
+    loop {
+        if let Some(table) = node.table() {
+            return Ok(table);
+        }
+        tokio::select! {
+            _ = version.changed() => {}
+            () = &mut over => return Err(unavailable("no table is known yet")),
+            () = node.last_answers() => return Err(unavailable("this instance ends and knows no table")),
+        }
+    }
+}
+
 /// Refuses a request that may be served nowhere, as its route and its organisation name different regions.
 fn check_regions(route: &Route, organisation: Option<&Organisation>) -> Result<(), Refusal> {
     if !regions(route, organisation).is_none() {
