Give the operator's table regions and emptied zones

The interface of our own gets what the users' platform has: `allowed_regions` of an organisation, and rows of the kind `emptied_zone`. The scheduler leaves out replicas where the organisation may not be served, when it reserves and again right before a request goes out, so that a newer table holds for what waits; a replica of an emptied zone counts as one that leaves.

--- a/crates/decisions/src/configuration.rs
+++ b/crates/decisions/src/configuration.rs
@@ -22,7 +22,7 @@
 use crate::id::Version;
 use crate::values::{Instances, Role, Services, Table};
 
-pub use faults::{Check, Fault, Row, faults};
+pub use faults::{Check, Fault, Row, faults, unknown_places};
 pub use spread::{Reply, ToPeer, Versions};
 
 mod faults;
--- a/crates/decisions/src/configuration/faults.rs
+++ b/crates/decisions/src/configuration/faults.rs
@@ -15,6 +15,8 @@
     Tier(usize),
     /// A row of the organisations.
     Organisation(usize),
+    /// A row of the emptied zones.
+    EmptiedZone(usize),
     /// A row of the services.
     Service(usize),
     /// A row of the list of instances.
@@ -27,6 +29,7 @@
             Self::Whole => write!(f, "the whole value"),
             Self::Tier(n) => write!(f, "tier row {n}"),
             Self::Organisation(n) => write!(f, "organisation row {n}"),
+            Self::EmptiedZone(n) => write!(f, "emptied zone row {n}"),
             Self::Service(n) => write!(f, "service row {n}"),
             Self::Instance(n) => write!(f, "instance row {n}"),
         }
@@ -71,6 +74,35 @@
     table.faults()
 }
 
+/// Regions and zones that a table names and no published instance stands in: nothing could be served there,
+/// and nothing is emptied.
+pub fn unknown_places(table: &Table, instances: &Instances) -> Vec<Fault> {
+    let mut f = Faults::default();
+    let all = || instances.instances.iter();
+    let regions = names(all().map(|i| &*i.region));
+    let zones = names(all().map(|i| &*i.availability_zone));
+    for (row, organisation) in rows(&table.organisations, Row::Organisation) {
+        for region in &organisation.allowed_regions {
+            f.known(row, "allowed_regions", region, &regions);
+        }
+    }
+    for (row, zone) in rows(&table.emptied_zones, Row::EmptiedZone) {
+        f.known(row, "emptied_zone", zone, &zones);
+    }
+    f.0
+}
+
+/// Names, sorted and each once.
+fn names<'a, I>(names: I) -> Vec<&'a str>
+where
+    I: Iterator<Item = &'a str>,
+{
+    let mut names: Vec<&str> = names.collect();
+    names.sort_unstable();
+    names.dedup();
+    names
+}
+
 /// Collects faults row by row.
 #[derive(Debug, Default)]
 struct Faults(Vec<Fault>);
@@ -98,6 +130,13 @@
         }
     }
 
+    fn known(&mut self, row: Row, column: &'static str, name: &str, known: &[&str]) {
+        if known.binary_search(&name).is_err() {
+            let reason = format!("no instance stands in {name:?}");
+            self.push(row, column, reason, format!("one of {}", known.join(", ")));
+        }
+    }
+
     fn weight(&mut self, row: Row, weight: u32) {
         if weight == 0 {
             self.push(row, "weight", "0 would never be served", "1 or more");
@@ -187,6 +226,11 @@
                 .map(move |k| (k.to_ascii_lowercase(), r))
         });
         f.twice(keys, "key_sha256");
+        let zones = || rows(&self.emptied_zones, Row::EmptiedZone);
+        for (row, zone) in zones() {
+            f.name(row, "emptied_zone", zone);
+        }
+        f.twice(zones().map(|(r, z)| (z, r)), "emptied_zone");
         f.0.sort_by_key(|fault| fault.row);
         f.0
     }
@@ -200,6 +244,7 @@
         }
         self.organisations
             .sort_by(|a, b| a.organisation.cmp(&b.organisation));
+        self.emptied_zones.sort_unstable();
     }
 }
 
@@ -224,6 +269,9 @@
                 f.push(row, "key_sha256", reason, "64 hexadecimal digits");
             }
         }
+        for region in &organisation.allowed_regions {
+            f.name(row, "allowed_regions", region);
+        }
         f.limit(row, "requests_per_s", organisation.requests_per_s);
         f.limit(row, "tokens_per_s", organisation.tokens_per_s);
         if organisation.max_running == Some(0) {
--- a/crates/decisions/src/values.rs
+++ b/crates/decisions/src/values.rs
@@ -38,6 +38,9 @@
     /// Requests dispatched and unfinished over the whole fleet.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub max_running: Option<u32>,
+    /// Regions in which its requests may be served; empty means all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub allowed_regions: Vec<RegionId>,
 }
 
 /// The operators' table of weights and limits.
@@ -47,6 +50,9 @@
     pub tiers: Vec<Tier>,
     /// The organisations.
     pub organisations: Vec<Organisation>,
+    /// Zones whose replicas get nothing new.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub emptied_zones: Vec<ZoneId>,
 }
 
 /// Whether a service is a model engine or a plain service.
--- a/crates/decisions/tests/limits.rs
+++ b/crates/decisions/tests/limits.rs
@@ -21,6 +21,7 @@
         weight: 1,
         max_tier: "normal".into(),
         key_sha256: Vec::new(),
+        allowed_regions: Vec::new(),
         requests_per_s: requests,
         tokens_per_s: tokens,
         max_running: running,
--- a/src/bin/kingcup/args.rs
+++ b/src/bin/kingcup/args.rs
@@ -16,6 +16,14 @@
     Ok(path)
 }
 
+/// Takes the path that follows the option `name`, if it is there.
+pub fn optional_path(
+    args: &mut Arguments,
+    name: &'static str,
+) -> Result<Option<PathBuf>, CliError> {
+    Ok(args.opt_value_from_os_str(name, |s| Ok::<_, String>(PathBuf::from(s)))?)
+}
+
 /// Takes the next word; `what` names it in the error.
 pub fn word(args: &mut Arguments, what: &str) -> Result<String, CliError> {
     let word = args.opt_free_from_str::<String>()?;
--- a/src/bin/kingcup/error.rs
+++ b/src/bin/kingcup/error.rs
@@ -1,5 +1,6 @@
 //! What can go wrong in the client, with its exit code and the next step to take.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use kingcupfield::client::ClientError;
@@ -23,6 +24,14 @@
     /// A table can't be used.
     #[error(transparent)]
     Table(#[from] TableError),
+    /// A file of instances can't be used.
+    #[error("{}: {reason}", path.display())]
+    Instances {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong with it.
+        reason: String,
+    },
     /// The mix of a load can't be used.
     #[error(transparent)]
     Mix(#[from] MixError),
@@ -75,7 +84,11 @@
     /// The exit code, as `--help` documents it.
     pub fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
-            Self::Usage(_) | Self::Table(_) | Self::Mix(_) | Self::Log(_) => BAD_INPUT,
+            Self::Usage(_)
+            | Self::Table(_)
+            | Self::Instances { .. }
+            | Self::Mix(_)
+            | Self::Log(_) => BAD_INPUT,
             _ => FAILED,
         })
     }
@@ -94,6 +107,7 @@
             Self::Table(TableError::Faults { .. }) => {
                 Some("mend the rows named above, then run kingcup table check again")
             }
+            Self::Instances { .. } => Some("give the published list of instances as JSON"),
             Self::Mix(_) => Some("mend the file; examples/harrowgate/load.json shows the form"),
             Self::Client(ClientError::Address { .. }) => Some("give addresses as IP:port"),
             Self::Client(_) | Self::NoStatus { .. } => {
--- a/src/bin/kingcup/help.rs
+++ b/src/bin/kingcup/help.rs
@@ -6,7 +6,8 @@
 
   kingcup demo [harrowgate|lotus] [--seed N]
                                     a whole fleet in one process under load
-  kingcup table check FILE          list every fault of a table (.json or .csv)
+  kingcup table check FILE [--instances FILE]
+                                    list every fault of a table (.json or .csv)
   kingcup table show FILE           who comes first and who gets which share
   kingcup table diff OLD NEW        what changes for whom
   kingcup table to-csv FILE.json    print the table for a spreadsheet
@@ -21,8 +22,7 @@
                                     send load to callers' addresses and report
 
   --json         print JSON for programs
-  -h, --help     print this
-  -V, --version  print the version
+  -h, --help     print this; -V, --version the version
 
 Exit codes: 0 done; 1 failed; 2 wrong command line or input, nothing was done.
 Errors go to stderr with the next step to take.
--- a/src/bin/kingcup/table.rs
+++ b/src/bin/kingcup/table.rs
@@ -4,7 +4,8 @@
 
 use kingcupfield::table::diff::{Change, Difference, Fate, diff};
 use kingcupfield::table::share::shares;
-use kingcupfield::table::{Fault, TableError, json, read, sheet, show};
+use kingcupfield::table::{Fault, TableError, json, read, read_for, sheet, show};
+use kingcupfield_decisions::values::Table;
 use pico_args::Arguments;
 use serde::Serialize;
 
@@ -16,7 +17,10 @@
 pub fn run(mut args: Arguments, form: Form) -> Result<(), CliError> {
     let command = args.subcommand()?;
     match command.as_deref() {
-        Some("check") => with_file(args, |file| check(file, form)),
+        Some("check") => {
+            let instances = args::optional_path(&mut args, "--instances")?;
+            with_file(args, |file| check(file, instances.as_deref(), form))
+        }
         Some("show") => with_file(args, |file| show_shares(file, form)),
         Some("to-csv") => with_file(args, to_csv),
         Some("from-csv") => with_file(args, from_csv),
@@ -49,8 +53,22 @@
     faults: &'a [Fault],
 }
 
-fn check(file: &Path, form: Form) -> Result<(), CliError> {
-    match read(file) {
+/// Reads the table, with the regions and zones of the instances if their file is named.
+fn read_checked(file: &Path, instances: Option<&Path>) -> Result<Table, CliError> {
+    let Some(path) = instances else {
+        return Ok(read(file)?);
+    };
+    let named = |reason: String| CliError::Instances {
+        path: path.to_owned(),
+        reason,
+    };
+    let text = std::fs::read(path).map_err(|e| named(e.to_string()))?;
+    let instances = serde_json::from_slice(&text).map_err(|e| named(e.to_string()))?;
+    Ok(read_for(file, &instances)?)
+}
+
+fn check(file: &Path, instances: Option<&Path>, form: Form) -> Result<(), CliError> {
+    match read_checked(file, instances) {
         Ok(table) => {
             let verdict = Verdict {
                 accepted: true,
@@ -63,7 +81,7 @@
                 format!("accepted: {tiers} tiers, {organisations} organisations\n")
             })
         }
-        Err(TableError::Faults { path, faults }) => {
+        Err(CliError::Table(TableError::Faults { path, faults })) => {
             let verdict = Verdict {
                 accepted: false,
                 tiers: 0,
@@ -75,7 +93,7 @@
             })?;
             Err(TableError::Faults { path, faults }.into())
         }
-        Err(e) => Err(e.into()),
+        Err(e) => Err(e),
     }
 }
 
@@ -95,7 +113,7 @@
 }
 
 /// Reads a table for a command other than `check`; faults are listed on stderr.
-fn read_listing_faults(file: &Path) -> Result<kingcupfield_decisions::values::Table, CliError> {
+fn read_listing_faults(file: &Path) -> Result<Table, CliError> {
     let result = read(file);
     if let Err(TableError::Faults { faults, .. }) = &result {
         for fault in faults {
--- a/src/demo/firm.rs
+++ b/src/demo/firm.rs
@@ -133,10 +133,12 @@
             requests_per_s: None,
             tokens_per_s: None,
             max_running: None,
+            allowed_regions: Vec::new(),
         };
         Table {
             tiers: TIERS.iter().enumerate().map(tier).collect(),
             organisations: self.organisations().into_iter().map(organisation).collect(),
+            emptied_zones: Vec::new(),
         }
     }
 
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -369,7 +369,14 @@
 
     /// Claims a grant for a waiting request and tells it.
     fn dispatch(&mut self, now: Instant, request: &RequestId, upstream: &UpstreamId) {
-        let address = self.replicas.address_to_dispatch(upstream, &self.view);
+        let regions = self.waiter_at(request).map(|at| {
+            let organisation = &self.waiters[at].meta.organisation;
+            self.regions(organisation)
+        });
+        let regions = regions.unwrap_or_default();
+        let address = self
+            .replicas
+            .address_to_dispatch(upstream, &regions, &self.view);
         match self.holder.dispatch(now, request) {
             Err(DispatchError::NotGranted) => return,
             Err(DispatchError::Lapsed { sends }) => return self.send_asks(sends),
--- a/src/scheduler/placing.rs
+++ b/src/scheduler/placing.rs
@@ -5,6 +5,7 @@
 
 use kingcupfield_decisions::id::{InstanceId, RequestId, UpstreamId};
 use kingcupfield_decisions::pace::Pace;
+use kingcupfield_decisions::regions::Regions;
 use kingcupfield_decisions::routing::{Candidate, RouteRequest, choose};
 use kingcupfield_decisions::shedding::{Estimate, is_hopeless};
 use kingcupfield_decisions::slots::{Rejection, Reservation};
@@ -102,9 +103,10 @@
         let meta = self.waiters[at].meta.clone();
         let need = self.waiters[at].need.clone();
         let work = self.expected_work(&meta, &need);
-        let mut candidates = self
-            .replicas
-            .candidates(now, &meta.service, &self.me, &need);
+        let regions = self.regions(&meta.organisation);
+        let mut candidates =
+            self.replicas
+                .candidates(now, &meta.service, &self.me, &need, &regions);
         candidates.retain(|c| !need.excluded.contains(&c.upstream));
         let time_left = meta.deadline.saturating_duration_since(now);
         if let Some(why) = why_not(&candidates, work, time_left) {
@@ -177,6 +179,14 @@
         .upstreams
     }
 
+    /// Where an organisation's requests may be served, by the table in force.
+    pub(super) fn regions(&self, organisation: &str) -> Regions {
+        let listed = self.snapshot.table.organisation(organisation);
+        listed.map_or_else(Regions::all, |o| {
+            Regions::named(o.allowed_regions.iter().cloned())
+        })
+    }
+
     fn expected_work(&self, meta: &Meta, need: &Need) -> Work {
         let Some(max_tokens) = need.max_tokens else {
             return PLAIN_WORK;
--- a/src/scheduler/replicas.rs
+++ b/src/scheduler/replicas.rs
@@ -8,6 +8,7 @@
 use kingcupfield_decisions::ownership::owner;
 use kingcupfield_decisions::pace::{ASSUMED, Pace};
 use kingcupfield_decisions::prefixes::PrefixCache;
+use kingcupfield_decisions::regions::Regions;
 use kingcupfield_decisions::routing::{CACHED_AT_HOME, Candidate, home};
 use kingcupfield_decisions::slots::Digest;
 use kingcupfield_decisions::values::{Role, State};
@@ -32,6 +33,7 @@
     pub(super) service: ServiceId,
     pub(super) generation: Option<String>,
     pub(super) zone: ZoneId,
+    pub(super) region: RegionId,
     pub(super) address: String,
     pub(super) live: bool,
     pub(super) owner: InstanceId,
@@ -59,10 +61,17 @@
         Some(&self.get(upstream)?.owner)
     }
 
-    /// Address of a replica, unless it leaves: the last check before a request goes out.
-    pub(super) fn address_to_dispatch(&self, upstream: &UpstreamId, view: &View) -> Option<String> {
+    /// Address of a replica, unless it leaves or may not serve the request: the last check before a request
+    /// goes out.
+    pub(super) fn address_to_dispatch(
+        &self,
+        upstream: &UpstreamId,
+        regions: &Regions,
+        view: &View,
+    ) -> Option<String> {
         let replica = self.get(upstream)?;
-        (replica.live && !view.is_leaving(upstream)).then(|| replica.address.clone())
+        let serves = replica.live && regions.allows(&replica.region);
+        (serves && !view.is_leaving(upstream)).then(|| replica.address.clone())
     }
 
     /// Takes changed values or membership; returns the replicas whose owner changed.
@@ -74,6 +83,7 @@
     ) -> Vec<UpstreamId> {
         let mut known = std::mem::take(&mut self.rows);
         let mut changed = Vec::new();
+        let emptied = &snapshot.table.emptied_zones;
         for listed in &snapshot.instances.instances {
             let Some(service) = listed
                 .service
@@ -105,8 +115,11 @@
                 service,
                 generation: listed.generation.clone(),
                 zone: listed.availability_zone.clone(),
+                region: listed.region.clone(),
                 address: listed.address.clone(),
-                live: listed.state == State::Live && !view.is_leaving(&listed.instance),
+                live: listed.state == State::Live
+                    && !view.is_leaving(&listed.instance)
+                    && !emptied.contains(&listed.availability_zone),
                 owner,
                 digest,
                 heard,
@@ -127,8 +140,10 @@
         service: &ServiceId,
         me: &Identity,
         need: &Need,
+        regions: &Regions,
     ) -> Vec<Candidate> {
-        let rows = || self.rows.iter().filter(|r| r.live && r.service == *service);
+        let serves = |r: &&Replica| r.live && r.service == *service && regions.allows(&r.region);
+        let rows = || self.rows.iter().filter(serves);
         let near = rows().filter(|r| r.zone == me.zone);
         let near: Vec<UpstreamId> = near.map(|r| r.upstream.clone()).collect();
         let home = need.prefixes.first().and_then(|first| home(*first, &near));
--- a/src/table.rs
+++ b/src/table.rs
@@ -5,7 +5,8 @@
 
 use std::path::{Path, PathBuf};
 
-use kingcupfield_decisions::values::Table;
+use kingcupfield_decisions::configuration::unknown_places;
+use kingcupfield_decisions::values::{Instances, Table};
 use serde::Serialize;
 use thiserror::Error;
 
@@ -16,7 +17,7 @@
 pub mod sheet;
 pub mod show;
 
-pub use cells::Sheet;
+pub use cells::{Checked, Sheet};
 
 /// One thing wrong with a table, and what would be right.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -88,6 +89,19 @@
 /// Reads a table without any fault; with faults the error lists them all.
 pub fn read(path: &Path) -> Result<Table, TableError> {
     let checked = read_sheet(path)?.check();
+    faultless(path, checked)
+}
+
+/// Reads a table whose regions and zones are among those of the instances.
+pub fn read_for(path: &Path, instances: &Instances) -> Result<Table, TableError> {
+    let sheet = read_sheet(path)?;
+    let mut checked = sheet.check();
+    let unknown = unknown_places(&checked.table, instances).into_iter();
+    checked.faults.extend(unknown.map(|f| sheet.placed(f)));
+    faultless(path, checked)
+}
+
+fn faultless(path: &Path, checked: Checked) -> Result<Table, TableError> {
     if checked.faults.is_empty() {
         return Ok(checked.table);
     }
--- a/src/table/cells.rs
+++ b/src/table/cells.rs
@@ -16,6 +16,8 @@
     Tier,
     /// An organisation with its share and limits.
     Organisation,
+    /// A zone whose replicas get nothing new.
+    EmptiedZone,
 }
 
 impl Kind {
@@ -24,6 +26,7 @@
         match self {
             Self::Tier => "tier",
             Self::Organisation => "organisation",
+            Self::EmptiedZone => "emptied_zone",
         }
     }
 }
@@ -37,6 +40,8 @@
     Number,
     /// A list of key hashes, parted by spaces in a spreadsheet.
     Keys,
+    /// A list of names, parted by spaces in a spreadsheet.
+    Names,
 }
 
 /// A column of the table.
@@ -67,12 +72,13 @@
         match kind {
             Kind::Tier => self.tier,
             Kind::Organisation => self.organisation,
+            Kind::EmptiedZone => self.name == "name",
         }
     }
 }
 
 /// The columns after `kind`, in the order of the spreadsheet.
-pub const COLUMNS: [Column; 8] = [
+pub const COLUMNS: [Column; 9] = [
     Column::new("name", Content::Text, true, true),
     Column::new("rank", Content::Number, true, false),
     Column::new("weight", Content::Number, true, true),
@@ -81,6 +87,7 @@
     Column::new("tokens_per_s", Content::Number, false, true),
     Column::new("max_running", Content::Number, false, true),
     Column::new("key_sha256", Content::Keys, false, true),
+    Column::new("allowed_regions", Content::Names, false, true),
 ];
 
 /// One row as text; an absent or empty cell is an empty string.
@@ -114,9 +121,9 @@
 
 impl Sheet {
     /// Reads every cell and lists every fault, those of form first.
-    pub fn check(self) -> Checked {
+    pub fn check(&self) -> Checked {
         let mut table = Table::default();
-        let mut found = self.faults;
+        let mut found = self.faults.clone();
         for row in &self.rows {
             let mut reader = RowReader {
                 row,
@@ -125,10 +132,11 @@
             match row.kind {
                 Kind::Tier => table.tiers.push(reader.tier()),
                 Kind::Organisation => table.organisations.push(reader.organisation()),
+                Kind::EmptiedZone => table.emptied_zones.push(reader.emptied_zone()),
             }
         }
         for fault in faults(&table) {
-            let fault = placed(&self.rows, fault);
+            let fault = self.placed(fault);
             // A cell that can't be read has a default, whose faults are not the operator's.
             let cell = |f: &Fault| (f.row.clone(), f.column.clone());
             if !found.iter().any(|f| cell(f) == cell(&fault)) {
@@ -140,6 +148,11 @@
             faults: found,
         }
     }
+
+    /// A fault of the decisions with its place in the file.
+    pub fn placed(&self, fault: configuration::Fault) -> Fault {
+        placed(&self.rows, fault)
+    }
 }
 
 // The decisions count the rows of each kind from 1; an operator looks for a place in the file.
@@ -153,10 +166,11 @@
         row: match fault.row {
             configuration::Row::Tier(number) => find(Kind::Tier, number),
             configuration::Row::Organisation(number) => find(Kind::Organisation, number),
+            configuration::Row::EmptiedZone(number) => find(Kind::EmptiedZone, number),
             other => other.to_string(),
         },
         column: match fault.column {
-            "tier" | "organisation" => "name".to_owned(),
+            "tier" | "organisation" | "emptied_zone" => "name".to_owned(),
             other => other.to_owned(),
         },
         reason: fault.reason,
@@ -178,6 +192,7 @@
             String::new(),
             String::new(),
             String::new(),
+            String::new(),
         ],
     });
     let organisations = table.organisations.iter().map(|organisation| Row {
@@ -192,9 +207,18 @@
             optional(organisation.tokens_per_s),
             optional(organisation.max_running),
             organisation.key_sha256.join(" "),
+            organisation.allowed_regions.join(" "),
         ],
     });
-    tiers.chain(organisations).collect()
+    let emptied = table.emptied_zones.iter().map(|zone| Row {
+        place: String::new(),
+        kind: Kind::EmptiedZone,
+        cells: std::array::from_fn(|at| match at {
+            0 => zone.to_string(),
+            _ => String::new(),
+        }),
+    });
+    tiers.chain(organisations).chain(emptied).collect()
 }
 
 fn optional<T>(value: Option<T>) -> String
@@ -227,12 +251,18 @@
             weight: self.number("weight", WEIGHT),
             max_tier: self.name("max_tier"),
             key_sha256: self.keys(),
+            allowed_regions: self.regions(),
             requests_per_s: self.limit("requests_per_s", RATE),
             tokens_per_s: self.limit("tokens_per_s", RATE),
             max_running: self.limit("max_running", "a whole number, or nothing for no limit"),
         }
     }
 
+    fn emptied_zone(&mut self) -> Arc<str> {
+        self.forbid_foreign_cells();
+        self.name("name")
+    }
+
     fn cell(&self, column: &str) -> &str {
         let index = COLUMNS.iter().position(|c| c.name == column);
         index.map_or("", |i| self.row.cells[i].as_str())
@@ -310,6 +340,13 @@
             .collect()
     }
 
+    fn regions(&self) -> Vec<Arc<str>> {
+        self.cell("allowed_regions")
+            .split_whitespace()
+            .map(Arc::from)
+            .collect()
+    }
+
     // A cell of the wrong type was reported when the file was read and is empty here.
     fn known_fault(&self, column: &str) -> bool {
         self.faults
--- a/src/table/diff.rs
+++ b/src/table/diff.rs
@@ -11,7 +11,7 @@
 /// A tier or an organisation for which something changes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Change {
-    /// `tier` or `organisation`.
+    /// `tier`, `organisation` or `emptied_zone`.
     pub kind: &'static str,
     /// Its name.
     pub name: String,
@@ -110,7 +110,7 @@
         }
         let (old, new) = match column.content {
             Content::Keys => (short_keys(&old), short_keys(&new)),
-            Content::Text | Content::Number => (old, new),
+            Content::Text | Content::Number | Content::Names => (old, new),
         };
         Some(Difference {
             column: column.name.to_owned(),
--- a/src/table/json.rs
+++ b/src/table/json.rs
@@ -9,6 +9,9 @@
 use super::Fault;
 use super::cells::{COLUMNS, Column, Content, Kind, Row, Sheet};
 
+/// Fields of the table.
+const LISTS: [&str; 3] = ["tiers", "organisations", "emptied_zones"];
+
 /// Writes `table` as indented JSON.
 pub fn write(table: &Table) -> Result<String, serde_json::Error> {
     let mut text = serde_json::to_string_pretty(table)?;
@@ -24,17 +27,20 @@
     };
     let mut sheet = Sheet::default();
     for field in table.keys() {
-        if field != "tiers" && field != "organisations" {
+        if !LISTS.contains(&field.as_str()) {
             sheet.faults.push(fault(
                 field.clone(),
                 "",
                 "unknown field",
-                "tiers and organisations",
+                "tiers, organisations and emptied_zones",
             ));
         }
     }
     read_list(&table, "tiers", Kind::Tier, &mut sheet);
     read_list(&table, "organisations", Kind::Organisation, &mut sheet);
+    if table.contains_key("emptied_zones") {
+        read_list(&table, "emptied_zones", Kind::EmptiedZone, &mut sheet);
+    }
     Ok(sheet)
 }
 
@@ -49,7 +55,18 @@
     for (i, value) in list.iter().enumerate() {
         let place = format!("{name}[{i}]");
         match value {
-            Value::Object(object) => read_row(object, place, kind, sheet),
+            Value::String(name) if kind == Kind::EmptiedZone => {
+                let mut cells = COLUMNS.map(|_| String::new());
+                cells[0].clone_from(name);
+                sheet.rows.push(Row { place, kind, cells });
+            }
+            Value::Object(object) if kind != Kind::EmptiedZone => {
+                read_row(object, place, kind, sheet);
+            }
+            _ if kind == Kind::EmptiedZone => {
+                let expected = wanted(Content::Text);
+                sheet.faults.push(fault(place, "", "no text", expected));
+            }
             _ => sheet
                 .faults
                 .push(fault(place, "", "no object", "an object in braces")),
@@ -94,9 +111,9 @@
     match (value, content) {
         (Value::String(text), Content::Text) => Some(text.clone()),
         (Value::Number(number), Content::Number) => Some(number.to_string()),
-        (Value::Array(keys), Content::Keys) => {
-            let keys: Option<Vec<_>> = keys.iter().map(Value::as_str).collect();
-            Some(keys?.join(" "))
+        (Value::Array(texts), Content::Keys | Content::Names) => {
+            let texts: Option<Vec<_>> = texts.iter().map(Value::as_str).collect();
+            Some(texts?.join(" "))
         }
         _ => None,
     }
@@ -106,7 +123,7 @@
     match content {
         Content::Text => "a text in double quotes",
         Content::Number => "a number without quotes",
-        Content::Keys => "a list of texts in double quotes",
+        Content::Keys | Content::Names => "a list of texts in double quotes",
     }
 }
 
--- a/src/table/sheet.rs
+++ b/src/table/sheet.rs
@@ -1,6 +1,6 @@
 //! The table as CSV, for any spreadsheet.
 //!
-//! One row for each tier and organisation. The file is written with commas and a byte order
+//! One row for each tier, organisation and emptied zone. The file is written with commas and a byte order
 //! mark, and read with commas, semicolons or tabs, since spreadsheets write what their locale
 //! says.
 
@@ -122,13 +122,14 @@
         let kind = match cell(self.kind).trim() {
             "tier" => Kind::Tier,
             "organisation" => Kind::Organisation,
+            "emptied_zone" => Kind::EmptiedZone,
             // Without the column its absence is the one fault to report.
             _ if self.kind.is_none() => return,
             other => {
                 return fault(
                     KIND,
                     format!("can't read {other:?}"),
-                    "tier or organisation",
+                    "tier, organisation or emptied_zone",
                 );
             }
         };
--- a/src/table/show.rs
+++ b/src/table/show.rs
@@ -35,6 +35,10 @@
     for (organisation, shares) in table.organisations.iter().zip(shares(table)) {
         let _ = writeln!(text, "{}", sentence(organisation, &shares.tiers));
     }
+    if !table.emptied_zones.is_empty() {
+        let zones = table.emptied_zones.join(", ");
+        let _ = writeln!(text, "\nNothing new goes to the replicas of {zones}.");
+    }
     text
 }
 
@@ -75,8 +79,12 @@
         [] => "it has no limits".to_owned(),
         some => format!("at most {}", some.join(", ")),
     };
+    let regions = match organisation.allowed_regions.as_slice() {
+        [] => String::new(),
+        some => format!("; it is served in {} alone", some.join(" and ")),
+    };
     format!(
-        "{} gets {} when everybody waits; {limits}.",
+        "{} gets {} when everybody waits; {limits}{regions}.",
         organisation.organisation,
         parts.join(", ")
     )
--- a/tests/client_table.rs
+++ b/tests/client_table.rs
@@ -247,3 +247,73 @@
     assert!(stdout(&output).lines().all(|line| line.len() <= 80));
     assert!(stdout(&output).contains("Exit codes"));
 }
+
+const PLACES: &str = r#"{"instances": [{"instance": "u", "role": "upstream", "availability_zone": "z", "region": "north",
+    "service": "drafting", "address": "127.0.0.1:8000", "state": "live"}]}"#;
+
+/// A region or zone is misspelt: nothing would be served there, or nothing would be emptied.
+#[test]
+fn unknown_regions_and_zones_are_told_by_line() {
+    let path = file(
+        "places.csv",
+        "kind,name,rank,weight,max_tier,allowed_regions\n\
+         tier,urgent,0,8,,\n\
+         organisation,a,,2,urgent,north nroth\n\
+         emptied_zone,y,,,,\n\
+         emptied_zone,z,,3,,\n",
+    );
+    let instances = file("places.json", PLACES);
+    let names = [&path, &instances].map(|p| p.to_str().expect("UTF-8"));
+    let output = kingcup(&["table", "check", names[0], "--instances", names[1]]);
+    assert_eq!(output.status.code(), Some(2));
+    let text = stdout(&output);
+    for line in [
+        "line 3, allowed_regions: no instance stands in \"nroth\"; right would be: one of north",
+        "line 4, name: no instance stands in \"y\"; right would be: one of z",
+        "line 5, weight: emptied_zone rows have no weight; right would be: an empty cell",
+    ] {
+        assert!(text.contains(line), "{line} in {text}");
+    }
+    assert_eq!(text.lines().count(), 3, "{text}");
+}
+
+#[test]
+fn regions_and_emptied_zones_are_shown() {
+    let path = file(
+        "bound.csv",
+        "kind,name,rank,weight,max_tier,allowed_regions\n\
+         tier,urgent,0,8,,\n\
+         organisation,a,,2,urgent,north south\n\
+         emptied_zone,z,,,,\n",
+    );
+    let output = kingcup(&["table", "show", path.to_str().expect("UTF-8")]);
+    let text = stdout(&output);
+    assert!(
+        text.contains("it is served in north and south alone"),
+        "{text}"
+    );
+    assert!(
+        text.contains("Nothing new goes to the replicas of z."),
+        "{text}"
+    );
+}
+
+/// A file that is no list of instances is named, with the reason.
+#[test]
+fn a_bad_file_of_instances_is_a_clear_error() {
+    let bad = file("no-instances.json", "{\"instances\": 3}");
+    let bad = bad.to_str().expect("UTF-8");
+    let output = kingcup(&[
+        "table",
+        "check",
+        "examples/lotus/table.json",
+        "--instances",
+        bad,
+    ]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(
+        stderr(&output).contains("no-instances.json"),
+        "{}",
+        stderr(&output)
+    );
+}
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -15,9 +15,10 @@
 use kingcupfield_decisions::slots::{LoadReport, Outcome};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use yare::parameterized;
 
 const TICK: Duration = Duration::from_millis(50);
 const TIERS: [&str; 3] = ["urgent", "normal", "bulk"];
@@ -76,6 +77,16 @@
         self.deliver();
     }
 
+    /// Publishes a table in which one field of the organisation or of the table itself is set, and a replica
+    /// `s-0` of the zone y in the region s beside `r-0`.
+    fn publish_placement(&mut self, version: u64, allowed: &[&str], emptied: &[&str]) {
+        let fleet = two_regions(self.nodes.len(), version, allowed, emptied);
+        for node in &mut self.nodes {
+            node.scheduler.on_fleet(self.now, fleet.clone());
+        }
+        self.deliver();
+    }
+
     fn live(&mut self, names: &[InstanceId]) {
         let live = vec![ZoneLive {
             zone: "z".into(),
@@ -167,22 +178,61 @@
     char::from(b'a' + i as u8).to_string().into()
 }
 
-fn snapshot(instances: usize, replicas: usize, leaving: &[&str]) -> Arc<Snapshot> {
-    let fleet = Fleet::new(Instant::now(), Metrics::new());
-    let tiers: Vec<_> = TIERS
-        .iter()
-        .enumerate()
+fn tiers() -> Vec<Value> {
+    let ranked = TIERS.iter().enumerate();
+    ranked
         .map(|(rank, tier)| json!({"tier": tier, "rank": rank, "weight": 1}))
-        .collect();
-    let table = json!({
-        "tiers": tiers,
-        "organisations": [{"organisation": "org", "weight": 1, "max_tier": "urgent", "key_sha256": []}],
-    });
-    let services = json!({"services": [{"service": "drafting", "kind": "model"}]});
-    let entries = (0..instances).map(|i| {
+        .collect()
+}
+
+fn entries(instances: usize) -> impl Iterator<Item = Value> {
+    (0..instances).map(|i| {
         json!({"instance": &*name(i), "role": "entry", "availability_zone": "z", "region": "r",
                "address": format!("127.0.0.1:{}", 7000 + i), "rpc_address": format!("127.0.0.1:{}", 7100 + i),
                "state": "live"})
+    })
+}
+
+fn two_regions(
+    instances: usize,
+    version: u64,
+    allowed: &[&str],
+    emptied: &[&str],
+) -> Arc<Snapshot> {
+    let table = json!({
+        "tiers": tiers(),
+        "organisations": [{"organisation": "org", "weight": 1, "max_tier": "urgent", "allowed_regions": allowed}],
+        "emptied_zones": emptied,
+    });
+    let replica = |upstream: &str, zone: &str, region: &str, port: u16| {
+        json!({"instance": upstream, "role": "upstream", "availability_zone": zone, "region": region,
+               "service": "drafting", "address": format!("127.0.0.1:{port}"), "state": "live"})
+    };
+    let replicas = [
+        replica("r-0", "z", "r", 8000),
+        replica("s-0", "y", "s", 8001),
+    ];
+    let list: Vec<_> = entries(instances).chain(replicas).collect();
+    published(version, &table, &list)
+}
+
+fn published(version: u64, table: &Value, instances: &[Value]) -> Arc<Snapshot> {
+    let fleet = Fleet::new(Instant::now(), Metrics::new());
+    let services = json!({"services": [{"service": "drafting", "kind": "model"}]});
+    fleet.offer(Name::Table, version, table);
+    fleet.offer(Name::Services, version, &services);
+    fleet.offer(Name::Instances, version, &json!({ "instances": instances }));
+    assert!(
+        fleet.version(Name::Instances).is_some(),
+        "the list is valid"
+    );
+    fleet.snapshot()
+}
+
+fn snapshot(instances: usize, replicas: usize, leaving: &[&str]) -> Arc<Snapshot> {
+    let table = json!({
+        "tiers": tiers(),
+        "organisations": [{"organisation": "org", "weight": 1, "max_tier": "urgent", "key_sha256": []}],
     });
     let upstreams = (0..replicas).map(|i| {
         let upstream = format!("r-{i}");
@@ -194,15 +244,8 @@
         json!({"instance": upstream, "role": "upstream", "availability_zone": "z", "region": "r",
                "service": "drafting", "address": format!("127.0.0.1:{}", 8000 + i), "state": state})
     });
-    let list: Vec<_> = entries.chain(upstreams).collect();
-    fleet.offer(Name::Table, 1, &table);
-    fleet.offer(Name::Services, 1, &services);
-    fleet.offer(Name::Instances, 1, &json!({ "instances": list }));
-    assert!(
-        fleet.version(Name::Instances).is_some(),
-        "the list is valid"
-    );
-    fleet.snapshot()
+    let list: Vec<_> = entries(instances).chain(upstreams).collect();
+    published(1, &table, &list)
 }
 
 fn granted(decided: &mut Decided) -> Option<UpstreamId> {
@@ -370,3 +413,51 @@
         assert_eq!(refusal.kind, Kind::Shed, "{request}");
     }
 }
+
+struct Placement {
+    allowed: &'static [&'static str],
+    emptied: &'static [&'static str],
+    /// The replicas that six requests reach.
+    reached: &'static [&'static str],
+}
+
+/// An organisation is bound to regions, or a zone is emptied: its requests reach no other replica, though
+/// that one is nearer and free.
+#[parameterized(
+    bound_away = { Placement { allowed: &["s"], emptied: &[], reached: &["s-0"] } },
+    bound_home = { Placement { allowed: &["r"], emptied: &[], reached: &["r-0"] } },
+    home_emptied = { Placement { allowed: &[], emptied: &["z"], reached: &["s-0"] } },
+)]
+fn requests_reach_the_replicas_that_may_serve_them(case: Placement) {
+    let mut net = Net::new(2, 1);
+    net.publish_placement(2, case.allowed, case.emptied);
+    net.run(TICK * 30);
+    let mut reached = Vec::new();
+    for n in 0..6 {
+        let (_, mut decided) = net.acquire(n % 2, 0, Duration::from_mins(5));
+        net.run(TICK * 4);
+        reached.extend(granted(&mut decided).map(|r| r.to_string()));
+    }
+    reached.sort_unstable();
+    reached.dedup();
+    assert_eq!(reached, case.reached);
+}
+
+/// No region that an organisation may use has a replica, or its only zone is emptied: the request is
+/// refused and not sent elsewhere.
+#[parameterized(
+    no_replica_there = { Placement { allowed: &["elsewhere"], emptied: &[], reached: &[] } },
+    emptied_there = { Placement { allowed: &["s"], emptied: &["y"], reached: &[] } },
+)]
+fn a_request_that_no_replica_may_serve_is_refused(case: Placement) {
+    let mut net = Net::new(2, 1);
+    net.publish_placement(2, case.allowed, case.emptied);
+    net.run(TICK * 30);
+    let (_, mut decided) = net.acquire(0, 0, Duration::from_mins(5));
+    net.run(TICK * 4);
+    let refusal = decided
+        .try_recv()
+        .expect("a decision")
+        .expect_err("refused");
+    assert_eq!(refusal.kind, Kind::Unavailable);
+}
--- a/tests/table_round_trip.rs
+++ b/tests/table_round_trip.rs
@@ -20,6 +20,10 @@
     (name(), any::<u8>(), any::<u32>()).prop_map(|(tier, rank, weight)| Tier { tier, rank, weight })
 }
 
+fn region() -> impl Strategy<Value = Arc<str>> {
+    "[a-zäé-]{1,8}".prop_map(Arc::from)
+}
+
 fn organisation() -> impl Strategy<Value = Organisation> {
     let keys = prop::collection::vec("[0-9a-f]{64}", 0..3);
     let limits = (
@@ -27,8 +31,9 @@
         option::of(0.0..1e-3),
         option::of(any::<u32>()),
     );
-    (name(), any::<u32>(), name(), keys, limits).prop_map(
-        |(organisation, weight, max_tier, key_sha256, limits)| Organisation {
+    let regions = prop::collection::vec(region(), 0..3);
+    (name(), any::<u32>(), name(), keys, limits, regions).prop_map(
+        |(organisation, weight, max_tier, key_sha256, limits, allowed_regions)| Organisation {
             organisation,
             weight,
             max_tier,
@@ -36,6 +41,7 @@
             requests_per_s: limits.0,
             tokens_per_s: limits.1,
             max_running: limits.2,
+            allowed_regions,
         },
     )
 }
@@ -52,8 +58,9 @@
     fn no_cell_is_lost(
         tiers in prop::collection::vec(tier(), 0..4),
         organisations in prop::collection::vec(organisation(), 0..6),
+        emptied_zones in prop::collection::vec(name(), 0..3),
     ) {
-        let table = Table { tiers, organisations };
+        let table = Table { tiers, organisations, emptied_zones };
         let csv = sheet::write(&table).expect("written");
         prop_assert_eq!(&sheet::read(csv.as_bytes()).expect("read").check().table, &table);
         let text = json::write(&table).expect("written");
