Tell each of a small zone directly how an instance stands

A place that comes free is left to the instance that it belongs to for 15 ms; a message through a relay takes 4 ms to be sent, 7 ms to be gathered and two ways.

In a zone of up to 24 each tells each, and its relay passes the news on to the other zones alone. Larger zones go through relays as before. Who receives what is decided in the module without network.

--- a/crates/decisions/src/fanout.rs
+++ b/crates/decisions/src/fanout.rs
@@ -4,6 +4,9 @@
 //! zone of fifty takes 2,500 datagrams for each of its requests a second and instance, and small machines do nothing
 //! else. Here an instance tells one relay, which gathers the news of a dozen and sends them on together.
 //!
+//! In a small zone each tells each, and the relay passes on to the other zones alone: a place that comes free is
+//! taken within some milliseconds, and a message that takes two ways comes too late for that.
+//!
 //! All compute the same relays from the members that they know. Those that disagree send to an
 //! instance that does not expect it and passes the news on all the same.
 
@@ -18,6 +21,10 @@
 /// Instances that one relay serves.
 const SERVED: usize = 12;
 
+/// Most instances of a zone in which each tells each: with 20 changes a second of each, a receiver takes 500
+/// messages a second, a tenth of a small machine.
+pub const SMALL: usize = 24;
+
 /// A relay that was not heard for this long is passed over, and for how long: before anybody that it
 /// serves counts as silent.
 const LOST: Duration = Duration::from_millis(900);
@@ -67,6 +74,17 @@
         self.chosen.iter().any(|(r, _)| *r == member)
     }
 
+    /// Whom an instance tells, `others` being the rest of its zone.
+    pub fn receivers(&self, own: Member, others: &[Member]) -> Receivers {
+        let relay = self.of(own).filter(|relay| *relay != own);
+        let is_small = others.len() < SMALL;
+        let neighbours = others.iter().copied().filter(|m| Some(*m) != relay);
+        Receivers {
+            relay,
+            neighbours: is_small.then(|| neighbours.collect()),
+        }
+    }
+
     /// The one that serves a member.
     pub fn of(&self, member: Member) -> Option<Member> {
         let relays: Vec<Member> = self.chosen.iter().map(|(r, _)| *r).collect();
@@ -74,6 +92,15 @@
     }
 }
 
+/// Whom an instance tells how it stands.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Receivers {
+    /// Its relay; none if it is its own.
+    pub relay: Option<Member>,
+    /// The rest of a small zone; none if the relay is to tell the zone.
+    pub neighbours: Option<Vec<Member>>,
+}
+
 /// The relays of a zone with these members, the first in rank first.
 pub fn relays(members: &[Member]) -> Vec<Member> {
     let mut ranked = members.to_vec();
--- a/crates/decisions/tests/fanout.rs
+++ b/crates/decisions/tests/fanout.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kingcupfield_decisions::fanout::{Relays, relay_of, relays};
+use kingcupfield_decisions::fanout::{Relays, SMALL, relay_of, relays};
 use kingcupfield_decisions::id::Member;
 use tokio::time::Instant;
 use yare::parameterized;
@@ -111,3 +111,36 @@
     assert!(lost.is_empty(), "{lost:?}");
     assert!(!seen.has(first));
 }
+
+struct Told {
+    members: u32,
+    /// Whether each tells each.
+    directly: bool,
+}
+
+/// In a small zone news reach each instance by one way, once: with two ways the place that came free is given
+/// away before, and who hears twice does the work twice. A large zone is told by relays alone.
+#[parameterized(
+    two = { Told { members: 2, directly: true } },
+    fifteen = { Told { members: 15, directly: true } },
+    largest_small = { Told { members: SMALL as u32, directly: true } },
+    fifty = { Told { members: 50, directly: false } },
+)]
+fn a_small_zone_is_told_directly(case: Told) {
+    let now = Instant::now();
+    let members: Vec<Member> = (0..case.members).collect();
+    for own in &members {
+        let others: Vec<Member> = members.iter().copied().filter(|m| m != own).collect();
+        let mut seen = Relays::default();
+        seen.see(now, *own, &others, |_| Some(now));
+        let receivers = seen.receivers(*own, &others);
+        assert_eq!(receivers.relay.is_none(), seen.has(*own));
+        let neighbours = receivers.neighbours.clone().unwrap_or_default();
+        assert_eq!(receivers.neighbours.is_some(), case.directly);
+        let mut told: Vec<Member> = neighbours.into_iter().chain(receivers.relay).collect();
+        told.sort_unstable();
+        if case.directly {
+            assert_eq!(told, others);
+        }
+    }
+}
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -1,7 +1,7 @@
 //! What an instance tells the others of itself, and passes on of others.
 //!
-//! News go to the relay of the zone that serves this instance. A relay sends what it has gathered to its
-//! zone after a moment, and less often to a relay of each other zone, which sends it on to its own.
+//! News go to each of a small zone, and to the relay of the zone that serves this instance. A relay sends what it has
+//! gathered to its zone after a moment, and less often to a relay of each other zone, which sends it on to its own.
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -9,7 +9,7 @@
 
 use kingcupfield_decisions::dispatch::Class;
 use kingcupfield_decisions::elsewhere::Load;
-use kingcupfield_decisions::fanout::{self, Relays};
+use kingcupfield_decisions::fanout::{self, Receivers, Relays};
 use kingcupfield_decisions::id::{Member, ShortName, short_name};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, interval, sleep, sleep_until};
@@ -19,7 +19,7 @@
 use crate::log::{self, Weight};
 use crate::node::{Node, Stage};
 use crate::outbox::{self, Gathered};
-use crate::peers::{Digest, Peer, PeerMessage};
+use crate::peers::{Digest, Peer, PeerMessage, Reach};
 
 /// Time between two looks at everything.
 const TICK: Duration = Duration::from_millis(100);
@@ -35,10 +35,9 @@
 const GATHERS: Duration = Duration::from_millis(100);
 
 /// Time between news to another zone of the region, and to one of another region; longer where a zone
-/// has more than [`FEW`] instances, each of which has to be told.
+/// has more than [`fanout::SMALL`] instances, each of which has to be told.
 const NEAR_GAP: Duration = Duration::from_millis(100);
 const FAR_GAP: Duration = Duration::from_millis(400);
-const FEW: u32 = 24;
 
 /// Time between messages at rest.
 const AT_REST: Duration = Duration::from_secs(1);
@@ -181,7 +180,7 @@
         }
     }
 
-    /// Tells the relay of this instance how it stands.
+    /// Tells the zone and the relay how this instance stands.
     fn tell(&mut self, node: &Node, socket: &UdpSocket, telling: Telling) {
         let now = Instant::now();
         let news = own_news(node);
@@ -192,14 +191,32 @@
         self.told_at = Some(now);
         let digest = self.digest(node, news, telling);
         self.see_relays(node, now);
-        match self.relays.of(self.own.to_bits()) {
-            Some(relay) if relay != self.own.to_bits() => {
-                let message = PeerMessage::Digest(Box::new(digest));
-                send_to(node, socket, &message, &[Ipv4Addr::from_bits(relay)]);
-            }
-            _ => {
-                node.outbox.borrow_mut().add_home(self.own, digest);
-            }
+        let others = node.peers.borrow().reachable(now, self.zone);
+        let others: Vec<Member> = others.iter().map(|a| a.to_bits()).collect();
+        let receivers = self.relays.receivers(self.own.to_bits(), &others);
+        self.send_digest(node, socket, digest, receivers);
+    }
+
+    fn send_digest(&self, node: &Node, socket: &UdpSocket, digest: Digest, receivers: Receivers) {
+        let reach = match receivers.neighbours {
+            Some(_) => Reach::Beyond,
+            None => Reach::All,
+        };
+        let digest = Box::new(digest);
+        if let Some(neighbours) = receivers.neighbours {
+            let to: Vec<Ipv4Addr> = neighbours.into_iter().map(Ipv4Addr::from_bits).collect();
+            let message = PeerMessage::Digest(digest.clone(), Reach::Receiver);
+            send_to(node, socket, &message, &to);
+        }
+        if let Some(relay) = receivers.relay {
+            let message = PeerMessage::Digest(digest, reach);
+            send_to(node, socket, &message, &[Ipv4Addr::from_bits(relay)]);
+            return;
+        }
+        let mut outbox = node.outbox.borrow_mut();
+        match reach {
+            Reach::All => outbox.add_home(self.own, *digest),
+            Reach::Beyond | Reach::Receiver => outbox.add_away(self.own, *digest),
         }
     }
 
@@ -278,7 +295,12 @@
             node.peers.borrow_mut().on_told(now, *address);
         }
         let digest = self.digest(node, own_news(node), Telling::Greeting);
-        send_to(node, socket, &PeerMessage::Digest(Box::new(digest)), &to);
+        send_to(
+            node,
+            socket,
+            &PeerMessage::Digest(Box::new(digest), Reach::Receiver),
+            &to,
+        );
     }
 
     /// Tells everything to the first contacts, as long as they are not heard.
@@ -300,7 +322,12 @@
             return;
         }
         let digest = self.digest(node, own_news(node), Telling::Greeting);
-        send_to(node, socket, &PeerMessage::Digest(Box::new(digest)), &to);
+        send_to(
+            node,
+            socket,
+            &PeerMessage::Digest(Box::new(digest), Reach::Receiver),
+            &to,
+        );
     }
 
     /// As a relay, tells those of other zones whom this instance knows: two that have found only
@@ -317,7 +344,12 @@
             .filter_map(|(zone, _)| relay(zone));
         let to: Vec<Ipv4Addr> = relays.map(Ipv4Addr::from_bits).collect();
         let digest = self.digest(node, own_news(node), Telling::Greeting);
-        send_to(node, socket, &PeerMessage::Digest(Box::new(digest)), &to);
+        send_to(
+            node,
+            socket,
+            &PeerMessage::Digest(Box::new(digest), Reach::Receiver),
+            &to,
+        );
     }
 
     fn digest(&mut self, node: &Node, news: News, telling: Telling) -> Digest {
@@ -453,5 +485,6 @@
 /// Time between news to other zones, in a zone as large as this one.
 fn away_gap(node: &Node, gap: Duration) -> Duration {
     let members = node.peers.borrow().zone_size() as u32;
-    gap * members.max(FEW) / FEW
+    let small = fanout::SMALL as u32;
+    gap * members.max(small) / small
 }
--- a/crates/entry/src/hearing.rs
+++ b/crates/entry/src/hearing.rs
@@ -12,7 +12,7 @@
 use crate::directory;
 use crate::log::{self, Weight};
 use crate::node::Node;
-use crate::peers::{Digest, PeerMessage};
+use crate::peers::{Digest, PeerMessage, Reach};
 
 /// How long the directory may take to tell what a peer already knows, before the peer is asked.
 const BEHIND: Duration = Duration::from_millis(250);
@@ -30,7 +30,7 @@
         let sender = *from.ip();
         node.peers.borrow_mut().on_sent(Instant::now(), sender);
         match rmp_serde::from_slice::<PeerMessage>(&buf[..len]) {
-            Ok(PeerMessage::Digest(digest)) => on_direct(&node, sender, *digest),
+            Ok(PeerMessage::Digest(digest, reach)) => on_direct(&node, sender, *digest, reach),
             Ok(PeerMessage::Relayed(digests)) => on_relayed(&node, sender, digests),
             Ok(PeerMessage::Credit(message)) => credit::receive(&node, *from.ip(), message),
             Err(e) => node.log.line(
@@ -41,12 +41,15 @@
     }
 }
 
-/// Takes what an instance says of itself, and gathers it for others unless it was for this one alone.
-fn on_direct(node: &Rc<Node>, from: Ipv4Addr, digest: Digest) {
-    let home = digest.zone == short_name(&node.settings().availability_zone);
-    if home && !digest.greeting {
-        node.outbox.borrow_mut().add_home(from, digest.clone());
-        node.gathered.notify_one();
+/// Takes what an instance says of itself, and gathers it for those who are to have it.
+fn on_direct(node: &Rc<Node>, from: Ipv4Addr, digest: Digest, reach: Reach) {
+    match reach {
+        Reach::Receiver => {}
+        Reach::Beyond => node.outbox.borrow_mut().add_away(from, digest.clone()),
+        Reach::All => {
+            node.outbox.borrow_mut().add_home(from, digest.clone());
+            node.gathered.notify_one();
+        }
     }
     on_digest(node, from, digest);
     act(node);
--- a/crates/entry/src/outbox.rs
+++ b/crates/entry/src/outbox.rs
@@ -21,9 +21,14 @@
 impl Outbox {
     /// Adds news of an instance of the zone, for all.
     pub fn add_home(&mut self, from: Ipv4Addr, digest: Digest) {
+        add(&mut self.home, from, digest.clone());
+        self.add_away(from, digest);
+    }
+
+    /// Adds news of an instance of the zone that all of the zone have.
+    pub fn add_away(&mut self, from: Ipv4Addr, digest: Digest) {
         add(&mut self.near, from, digest.clone());
-        add(&mut self.far, from, digest.clone());
-        add(&mut self.home, from, digest);
+        add(&mut self.far, from, digest);
     }
 
     /// Adds news of an instance of another zone, for this one.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -62,14 +62,25 @@
 /// A datagram from one instance to another.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerMessage {
-    /// The sender's state.
-    Digest(Box<Digest>),
+    /// The sender's state, and how far it goes.
+    Digest(Box<Digest>, Reach),
     /// States of others, gathered by the sender.
     Relayed(Vec<(Ipv4Addr, Digest)>),
     /// About credit of organisations' limits.
     Credit(credit::Message),
 }
 
+/// How far the receiver of a digest passes it on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reach {
+    /// Not at all.
+    Receiver,
+    /// To the other zones: all of the zone have it.
+    Beyond,
+    /// To the zone and the others.
+    All,
+}
+
 /// What an instance tells of itself.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -227,7 +227,7 @@
     fn any_datagram_is_survived(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         let now = Instant::now();
         let mut peers = Peers::new(now, OWN, true);
-        if let Ok(PeerMessage::Digest(digest)) = rmp_serde::from_slice(&bytes) {
+        if let Ok(PeerMessage::Digest(digest, _)) = rmp_serde::from_slice(&bytes) {
             peers.on_digest(now, address(1), *digest);
         }
         prop_assert!(peers.known() >= 1);
