Split the node, the peers and the dispatcher by what their parts decide

Places and waiting requests, the published replicas, messages, one peer, acquaintance, a request's data and the choice of a replica stand in files of their own; nothing but visibility changed.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -10,18 +10,17 @@
 //! tell theirs several times a second. A count that is a little old overfills an engine by one or
 //! two requests for a moment; nothing else depends on it.
 
+mod choice;
+mod job;
 pub mod pace;
 mod size;
 mod upstream;
 mod urgency;
 
-use std::cell::LazyCell;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use crate::cold::{self, Gate};
 use crate::id::{Member, ServiceId, UpstreamId};
 use crate::regions::Regions;
@@ -30,125 +29,13 @@
 use upstream::{Running, Upstream};
 use urgency::Waiting;
 
+pub use job::{Job, Outcome, Placed, Places, Standing, Why};
 pub use upstream::Replica;
 pub use urgency::{Class, Contender};
 
 /// Number of a request at this instance.
 pub type JobId = u64;
 
-/// What a new connection costs, counted as time. The users pay for each as for a fortieth of a
-/// request, and sixty instances that spread evenly over a hundred replicas open one for every second
-/// request. Small against the 100 ms and more of a place, so that it decides among equals alone: a
-/// third fewer connections on the users' grown fleet, nothing measurable with seven instances.
-const OPENING_MS: f64 = 5.0;
-
-/// Time of a message there and back from which a replica's load is known too late to choose by it alone.
-const FAR: Duration = Duration::from_millis(20);
-
-/// Far replicas that one request looks at. All instances of the other regions see the same place
-/// come free and would send there at once; of a few picked at random the best is nearly as good.
-const FAR_CHOICES: u64 = 3;
-
-/// A request that waits for a replica.
-#[derive(Debug, Clone)]
-pub struct Job {
-    /// Its number.
-    pub id: JobId,
-    /// Urgency, the lowest first.
-    pub rank: (u32, u32),
-    /// When it came.
-    pub received: Instant,
-    /// Until when its answer is on time.
-    pub due: Instant,
-    /// When its whole answer must have come.
-    pub deadline: Instant,
-    /// When its caller is told to come back.
-    pub give_up: Instant,
-    /// The service that may run it.
-    pub service: ServiceId,
-    /// The regions in which it may be served.
-    pub regions: Regions,
-    /// Tokens of its prompt.
-    pub prompt: f64,
-    /// Tokens that it likely generates.
-    pub output: f64,
-    /// Longest pause between events that streams of its kind bear; zero for plain requests.
-    pub longest_pause: Duration,
-    /// Replicas that it was sent to already.
-    pub tried: Vec<UpstreamId>,
-    /// A random number of its own, by which it picks among far replicas.
-    pub salt: u64,
-}
-
-/// A request and the replica that it goes to.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Placed {
-    /// The request.
-    pub job: JobId,
-    /// The replica.
-    pub upstream: UpstreamId,
-    /// What decided for the replica.
-    pub why: Why,
-}
-
-/// What decided for a replica, for those who ask later.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Why {
-    /// What the place was reckoned to cost, in milliseconds; the least of those with room.
-    pub cost_ms: f64,
-    /// Replicas that had room.
-    pub with_room: u32,
-    /// Own requests that stood there already.
-    pub own: u32,
-    /// Requests of other instances there, by their last word.
-    pub elsewhere: u32,
-}
-
-/// Places at a replica.
-#[derive(Debug, Clone, Copy)]
-pub struct Places<'a> {
-    /// The replica.
-    pub upstream: &'a UpstreamId,
-    /// Own requests that stand there.
-    pub own: u32,
-    /// Requests of other instances, by their last word.
-    pub elsewhere: u32,
-    /// Requests that it runs at once.
-    pub slots: u32,
-}
-
-/// How the replicas of a service stand, for those who ask why a request got no place.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Standing {
-    /// Replicas that may get work.
-    pub usable: u32,
-    /// Those of them that stand in a region where the request may not be served.
-    pub not_allowed: u32,
-    /// Those of the others that are left alone after a failure, on trial or silent.
-    pub left_alone: u32,
-    /// Those of the rest that are cold, and reached through another instance.
-    pub closed: u32,
-    /// Those of the rest that are full.
-    pub full: u32,
-    /// Requests that wait here for the service.
-    pub waiting: u32,
-}
-
-/// What became of a request at a replica.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Outcome {
-    /// A whole answer.
-    Served,
-    /// The replica failed.
-    Failed,
-    /// No connection could be made, or another replica answered in its place.
-    Unreachable,
-    /// The replica said that it has no room.
-    Full,
-    /// The caller went away, or the answer tells nothing about the replica.
-    Unknown,
-}
-
 /// The waiting requests and the replicas of one instance.
 #[derive(Debug, Default)]
 pub struct Dispatch {
@@ -356,29 +243,6 @@
         placed
     }
 
-    /// The replicas that can take one more request now. When all are full, which is when most
-    /// requests wait, nothing else is looked at.
-    fn open(&mut self, now: Instant) -> Vec<usize> {
-        let upstreams = self.upstreams.iter_mut().enumerate();
-        upstreams
-            .filter_map(|(index, u)| u.note_room(now).then_some(index))
-            .collect()
-    }
-
-    /// The replicas that a request may try though they are left alone, if no other one takes it.
-    fn last_resorts(&self, now: Instant) -> Vec<usize> {
-        let upstreams = self.upstreams.iter().enumerate();
-        upstreams
-            .filter_map(|(index, u)| u.is_last_resort(now).then_some(index))
-            .collect()
-    }
-
-    /// Whether any replica that may run the request takes work, though it may be full now.
-    fn takes_work(&self, now: Instant, job: &Job) -> bool {
-        let mut replicas = self.upstreams.iter();
-        replicas.any(|u| u.replica.usable && serves(u, job) && u.takes_work(now))
-    }
-
     /// Whether some replica of a service would end an answer within `left`, once it has a place there.
     ///
     /// Load pattern: streams of many seconds that come to an instance which ends in a few. Taken all
@@ -521,81 +385,6 @@
         }
     }
 
-    fn choose<C, W>(
-        &self,
-        now: Instant,
-        w: &Waiting,
-        candidates: C,
-        warm: &W,
-    ) -> Option<(usize, Why)>
-    where
-        C: Iterator<Item = usize>,
-        W: Fn(&UpstreamId) -> bool,
-    {
-        let job = &w.job;
-        let reading = self.reading(&job.service);
-        let ends_elsewhere = LazyCell::new(|| self.ends_somewhere(now, job, &reading));
-        let usual = self.usual_failing(now, &job.service);
-        let far = self.upstreams.iter().filter(|u| is_far(u, job)).count() as u64;
-        let mut best: Option<(usize, Why)> = None;
-        let mut with_room = 0;
-        for index in candidates {
-            let u = &self.upstreams[index];
-            if !fits(u, job)
-                || !self.may_take(now, u, w)
-                || (is_far(u, job) && !is_picked(index, job, far))
-            {
-                continue;
-            }
-            if !u.ends_in_time(now, job, &reading) && *ends_elsewhere {
-                continue;
-            }
-            with_room += 1;
-            let opening_ms = if warm(&u.replica.id) { 0.0 } else { OPENING_MS };
-            let cost_ms = u.cost_ms(now, job, &reading, usual) + opening_ms;
-            if best.is_none_or(|(_, least)| cost_ms < least.cost_ms) {
-                let why = Why {
-                    cost_ms,
-                    with_room,
-                    own: u.running.len() as u32,
-                    elsewhere: u.elsewhere,
-                };
-                best = Some((index, why));
-            }
-        }
-        best.map(|(index, why)| (index, Why { with_room, ..why }))
-    }
-
-    /// Whether some replica that takes work would end the answer in time.
-    ///
-    /// A long answer begun at a replica that can't end it holds a place there until its caller's
-    /// deadline and is lost all the same. It waits for a faster replica, or is refused without
-    /// having run. On the users' fleet of sixty unlike engines under load this is worth 0.012 of all
-    /// worth (four plays, each between 0.011 and 0.013), on nine engines nothing measurable.
-    fn ends_somewhere(&self, now: Instant, job: &Job, reading: &Reading) -> bool {
-        let mut replicas = self.upstreams.iter();
-        replicas.any(|u| {
-            let may_run = u.replica.usable && fits(u, job) && u.takes_work(now);
-            may_run && u.ends_in_time(now, job, reading)
-        })
-    }
-
-    /// Whether a place that is free at the replica is this instance's to take.
-    fn may_take(&self, now: Instant, u: &Upstream, w: &Waiting) -> bool {
-        let id = &u.replica.id;
-        let patience = urgency::patience(now, w, self.key, &self.contenders, id, u.replica.news);
-        patience.is_some_and(|p| u.free_for(now) >= p)
-    }
-
-    /// The least share of failures among a service's replicas: what is due to the requests.
-    fn usual_failing(&self, now: Instant, service: &ServiceId) -> f64 {
-        self.upstreams
-            .iter()
-            .filter(|u| u.replica.usable && u.replica.service == *service)
-            .map(|u| u.pace.failing(now))
-            .fold(1.0, f64::min)
-    }
-
     /// What is learned of a service's requests.
     fn sizes(&mut self, service: &ServiceId) -> &mut Sizes {
         let found = self.sizes.binary_search_by(|(s, _)| s.cmp(service));
@@ -625,23 +414,3 @@
         Some(&mut self.upstreams[at])
     }
 }
-
-/// Whether a replica stands so far off that its load is known late.
-fn is_far(u: &Upstream, job: &Job) -> bool {
-    u.replica.travel >= FAR && serves(u, job)
-}
-
-/// Whether a far replica is among the few that this request looks at.
-fn is_picked(index: usize, job: &Job, far: u64) -> bool {
-    let key = [job.salt, index as u64].map(u64::to_le_bytes).concat();
-    xxh3_64(&key) % far.max(1) < FAR_CHOICES
-}
-
-/// Whether a replica is one of those that may run the request.
-fn serves(u: &Upstream, job: &Job) -> bool {
-    u.replica.service == job.service && job.regions.allows(&u.replica.region)
-}
-
-fn fits(u: &Upstream, job: &Job) -> bool {
-    serves(u, job) && !job.tried.contains(&u.replica.id)
-}
--- /dev/null
+++ b/crates/decisions/src/dispatch/job.rs
@@ -0,0 +1,109 @@
+//! Requests, the places that they get, and what becomes of them there.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::JobId;
+use crate::id::{ServiceId, UpstreamId};
+use crate::regions::Regions;
+
+/// A request that waits for a replica.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Its number.
+    pub id: JobId,
+    /// Urgency, the lowest first.
+    pub rank: (u32, u32),
+    /// When it came.
+    pub received: Instant,
+    /// Until when its answer is on time.
+    pub due: Instant,
+    /// When its whole answer must have come.
+    pub deadline: Instant,
+    /// When its caller is told to come back.
+    pub give_up: Instant,
+    /// The service that may run it.
+    pub service: ServiceId,
+    /// The regions in which it may be served.
+    pub regions: Regions,
+    /// Tokens of its prompt.
+    pub prompt: f64,
+    /// Tokens that it likely generates.
+    pub output: f64,
+    /// Longest pause between events that streams of its kind bear; zero for plain requests.
+    pub longest_pause: Duration,
+    /// Replicas that it was sent to already.
+    pub tried: Vec<UpstreamId>,
+    /// A random number of its own, by which it picks among far replicas.
+    pub salt: u64,
+}
+
+/// A request and the replica that it goes to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placed {
+    /// The request.
+    pub job: JobId,
+    /// The replica.
+    pub upstream: UpstreamId,
+    /// What decided for the replica.
+    pub why: Why,
+}
+
+/// What decided for a replica, for those who ask later.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Why {
+    /// What the place was reckoned to cost, in milliseconds; the least of those with room.
+    pub cost_ms: f64,
+    /// Replicas that had room.
+    pub with_room: u32,
+    /// Own requests that stood there already.
+    pub own: u32,
+    /// Requests of other instances there, by their last word.
+    pub elsewhere: u32,
+}
+
+/// Places at a replica.
+#[derive(Debug, Clone, Copy)]
+pub struct Places<'a> {
+    /// The replica.
+    pub upstream: &'a UpstreamId,
+    /// Own requests that stand there.
+    pub own: u32,
+    /// Requests of other instances, by their last word.
+    pub elsewhere: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// How the replicas of a service stand, for those who ask why a request got no place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Standing {
+    /// Replicas that may get work.
+    pub usable: u32,
+    /// Those of them that stand in a region where the request may not be served.
+    pub not_allowed: u32,
+    /// Those of the others that are left alone after a failure, on trial or silent.
+    pub left_alone: u32,
+    /// Those of the rest that are cold, and reached through another instance.
+    pub closed: u32,
+    /// Those of the rest that are full.
+    pub full: u32,
+    /// Requests that wait here for the service.
+    pub waiting: u32,
+}
+
+/// What became of a request at a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole answer.
+    Served,
+    /// The replica failed.
+    Failed,
+    /// No connection could be made, or another replica answered in its place.
+    Unreachable,
+    /// The replica said that it has no room.
+    Full,
+    /// The caller went away, or the answer tells nothing about the replica.
+    Unknown,
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -4,17 +4,23 @@
 //! it knows the directory. Nothing is agreed on: a message replaces the one before, and what a silent
 //! instance said last is forgotten after a while.
 
+mod acquaintance;
+mod digest;
+mod peer;
+
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use kingcupfield_decisions::credit::{self, Distance, Roster, Zone};
+use kingcupfield_decisions::credit::Distance;
 use kingcupfield_decisions::dispatch::Class;
-use kingcupfield_decisions::elsewhere::{Elsewhere, Load, Sum};
-use kingcupfield_decisions::id::{Member, ShortName};
+use kingcupfield_decisions::elsewhere::{Elsewhere, Sum};
+use kingcupfield_decisions::id::ShortName;
 use kingcupfield_decisions::known::Revision;
-use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+pub use digest::{Digest, PeerMessage, Reach};
+pub use peer::{Nearness, Peer};
+
 /// An instance that was not heard for this long may be cut off: its load is no longer counted, and
 /// its share of the organisations' limits is left to it. Three of the slowest messages.
 pub const SILENT: Duration = Duration::from_millis(2500);
@@ -37,163 +43,9 @@
 /// A reading that is worse by this is told as well: messages are held up for less.
 const CLOCK_SET_BACK_MS: i64 = 1000;
 
-/// An instance that starts finds the others within this time: some messages to another region and back.
-const GATHERING: Duration = Duration::from_millis(500);
-
-/// It has found all once none was new for this long.
-const SETTLED: Duration = Duration::from_millis(300);
-
-/// The same for the others of its zone, which are told of at once.
-const GATHERING_HOME: Duration = Duration::from_millis(300);
-const SETTLED_HOME: Duration = Duration::from_millis(200);
-
-/// An instance that hears another one this soon after its start has not been alone.
-const MET_AT_ONCE: Duration = Duration::from_millis(1200);
-
-/// Those of its zone know it after this time from when it heard the first one, if they hear it at all.
-const ACQUAINTED: Duration = Duration::from_secs(2);
-
-/// After this it stops to wait, as in a fleet that grows.
-const GATHERED: Duration = Duration::from_secs(3);
-
 /// Instances that read the store at least, in a fleet of one zone.
 const READERS: usize = 2;
 
-/// A datagram from one instance to another.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub enum PeerMessage {
-    /// The sender's state, and how far it goes.
-    Digest(Box<Digest>, Reach),
-    /// States of others, gathered by the sender.
-    Relayed(Vec<(Ipv4Addr, Digest)>),
-    /// About credit of organisations' limits.
-    Credit(credit::Message),
-}
-
-/// How far the receiver of a digest passes it on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Reach {
-    /// Not at all.
-    Receiver,
-    /// To the other zones: all of the zone have it.
-    Beyond,
-    /// To the zone and the others.
-    All,
-}
-
-/// What an instance tells of itself.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-#[serde(default)]
-pub struct Digest {
-    /// Distinguishes the lives of the instance.
-    pub incarnation: u64,
-    /// Counts its digests in this life: two ways may bring them out of order.
-    pub seq: u32,
-    /// Revision up to which it knows the directory.
-    pub upto: Revision,
-    /// Its availability zone.
-    pub zone: ShortName,
-    /// Its region.
-    pub region: ShortName,
-    /// Milliseconds since the store last answered it, if it ever did.
-    pub store_age_ms: Option<u32>,
-    /// Whether it is about to end.
-    pub leaving: bool,
-    /// Replicas that it could not reach just now.
-    pub unreachable: Vec<ShortName>,
-    /// Its load at replicas; those that are missing have none.
-    pub loads: Vec<Load>,
-    /// The most urgent class that waits there, by service; none where nothing waits.
-    pub waiting: Vec<(ShortName, Class)>,
-    /// Microseconds a step that it has learned of replicas; not in every message.
-    pub steps: Vec<(ShortName, u32)>,
-    /// How many instances of its zone it knows, with itself and the silent ones.
-    pub zone_size: u16,
-    /// Whether it is for the receiver alone, who is to answer with the same if the sender is new to it.
-    pub greeting: bool,
-    /// Whether it has found the others, so that `members` are all that are there; not in every message.
-    pub settled: bool,
-    /// Instances that it has heard lately, by zone; not in every message.
-    pub members: Vec<(ShortName, Vec<Ipv4Addr>)>,
-    /// Its time of day in milliseconds; not in every message.
-    pub time_ms: Option<u64>,
-}
-
-/// What is known of one other instance.
-#[derive(Debug)]
-pub struct Peer {
-    /// Its address.
-    pub address: Ipv4Addr,
-    /// When it was heard last; `None` if it is only known by name.
-    pub heard: Option<Instant>,
-    /// When it became known.
-    pub since: Instant,
-    /// When it sent something itself last.
-    pub sent: Option<Instant>,
-    /// When it was told everything last.
-    pub told: Option<Instant>,
-    /// What it said last.
-    pub digest: Digest,
-    /// By how many milliseconds its time of day was ahead when that was told last.
-    ahead_ms: Option<i64>,
-    /// Whether its load is counted: it was heard and has not fallen silent since.
-    counted: bool,
-}
-
-/// How near another instance is, which decides who is asked for the directory.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Nearness {
-    /// In the same availability zone.
-    Zone,
-    /// In another zone of the region, or not known yet.
-    Region,
-    /// In another region.
-    Far,
-}
-
-impl Peer {
-    /// Whether it was heard lately.
-    pub fn is_fresh(&self, now: Instant) -> bool {
-        self.heard
-            .is_some_and(|at| now.saturating_duration_since(at) < SILENT)
-    }
-
-    /// How near it is to an instance of this zone and region.
-    pub fn nearness(&self, zone: ShortName, region: ShortName) -> Nearness {
-        if self.heard.is_none() {
-            return Nearness::Region;
-        }
-        if self.digest.zone == zone {
-            return Nearness::Zone;
-        }
-        if self.digest.region == region {
-            return Nearness::Region;
-        }
-        Nearness::Far
-    }
-
-    /// Counts its load, in place of what was counted before.
-    fn count(&mut self, elsewhere: &mut Elsewhere, loads: &[Load]) {
-        let before: &[Load] = if self.counted {
-            &self.digest.loads
-        } else {
-            &[]
-        };
-        elsewhere.replace(before, loads);
-        self.counted = true;
-    }
-
-    fn count_nothing(&mut self, elsewhere: &mut Elsewhere) {
-        self.count(elsewhere, &[]);
-        self.counted = false;
-    }
-
-    fn is_forgotten(&self, now: Instant) -> bool {
-        let last = self.heard.unwrap_or(self.since);
-        now.saturating_duration_since(last) >= FORGOTTEN
-    }
-}
-
 /// What a message changed.
 #[derive(Debug, Default)]
 pub struct Heard {
@@ -329,113 +181,6 @@
         oldest.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
     }
 
-    /// The fleet as far as credit of limits goes by it.
-    pub fn roster(&mut self, now: Instant) -> Roster {
-        if self.mints_since.is_none() && self.are_acquainted(now) {
-            self.mints_since = Some(self.first_minted(now));
-        }
-        Roster {
-            zones: self.roster_zones(now),
-            mints_since: self.mints_since,
-        }
-    }
-
-    /// From when on the time of this instance counts, once it is acquainted.
-    ///
-    /// If all have just started, nobody has minted yet. One that was alone for long, or is introduced by
-    /// one that has its share, may not claim what others had meanwhile.
-    fn first_minted(&self, now: Instant) -> Instant {
-        let met = self.met.unwrap_or(now);
-        let alone = met.saturating_duration_since(self.started);
-        if self.introduced_home || alone >= MET_AT_ONCE {
-            return now;
-        }
-        self.started
-    }
-
-    fn roster_zones(&self, now: Instant) -> Vec<Zone> {
-        let zone = |(name, distance): &(ShortName, Distance)| Zone {
-            name: *name,
-            distance: *distance,
-            size: u32::from(*distance == Distance::Home),
-            members: Vec::new(),
-        };
-        let mut zones: Vec<Zone> = self.zones.iter().map(zone).collect();
-        let mut told = vec![0; zones.len()];
-        for peer in &self.others {
-            let Some(at) = zones.iter().position(|z| z.name == peer.digest.zone) else {
-                continue;
-            };
-            zones[at].size += 1;
-            if peer.is_fresh(now) {
-                told[at] = u32::from(peer.digest.zone_size).max(told[at]);
-                zones[at].members.push(peer.address.to_bits());
-            }
-        }
-        for (zone, told) in zones.iter_mut().zip(told) {
-            zone.size = zone.size.max(told);
-        }
-        zones
-    }
-
-    /// How many instances of the own zone are known, with this one and the silent ones.
-    pub fn zone_size(&self) -> usize {
-        let home = self.zones[0].0;
-        let there = self.others.iter().filter(|p| p.digest.zone == home);
-        there.count() + 1
-    }
-
-    /// The instances of the own zone that are known, with this one and the silent ones.
-    pub fn zone_members(&self) -> Vec<Member> {
-        let home = self.zones[0].0;
-        let there = self.others.iter().filter(|p| p.digest.zone == home);
-        let members = there.map(|p| p.address.to_bits());
-        members.chain([self.own.to_bits()]).collect()
-    }
-
-    /// Whether this instance has found those of its zone, and they know as many as it hears there.
-    ///
-    /// Before that each of a fleet that starts anew would take the share of one among few. One that hears
-    /// nobody may be cut off from a fleet that has its share already; after the time in which the
-    /// others would have forgotten it, it is alone.
-    fn are_acquainted(&mut self, now: Instant) -> bool {
-        if self.fresh(now) == 1 {
-            self.met = None;
-            return !self.has_contacts || self.age(now) >= FORGOTTEN;
-        }
-        let met = *self.met.get_or_insert(now);
-        let age = now.saturating_duration_since(met);
-        if age >= ACQUAINTED {
-            return true;
-        }
-        let home = self.zones[0].0;
-        let there = |p: &&Peer| p.is_fresh(now) && p.digest.zone == home;
-        let heard = self.others.iter().filter(there).count() + 1;
-        let since = now.saturating_duration_since(self.learned_home);
-        let found = age >= GATHERING_HOME && since >= SETTLED_HOME;
-        // One that hears nobody of its zone has not been found yet, or is the only one there.
-        if heard == 1 || !self.introduced_home && !found {
-            return false;
-        }
-        let mut there = self.others.iter().filter(there);
-        there.all(|p| usize::from(p.digest.zone_size) >= heard)
-    }
-
-    /// Whether this instance knows the others, and those of its zone know it.
-    pub fn is_settled(&self, now: Instant) -> bool {
-        self.mints_since.is_some() && !self.is_gathering(now)
-    }
-
-    /// Whether this instance has not found the others yet.
-    fn is_gathering(&self, now: Instant) -> bool {
-        let age = self.age(now);
-        let since = now.saturating_duration_since(self.learned);
-        !self.introduced
-            && self.has_contacts
-            && age < GATHERED
-            && (age < GATHERING || since < SETTLED)
-    }
-
     /// Makes an instance known by its address.
     ///
     /// Returns whether it was not known before.
