--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -29,7 +29,7 @@
 use upstream::{Running, Upstream};
 use urgency::Waiting;
 
-pub use job::{Job, Outcome, Placed, Places, Standing, Why};
+pub use job::{Job, Openness, Outcome, Placed, Places, Standing, Why};
 pub use upstream::Replica;
 pub use urgency::{Class, Contender};
 
@@ -165,6 +165,21 @@
         })
     }
 
+    /// How many replicas may get how much now.
+    pub fn openness(&self, now: Instant) -> Openness {
+        let mut openness = Openness::default();
+        for u in &self.upstreams {
+            let count = match (u.replica.usable, u.is_cold(now), u.is_closed(now)) {
+                (false, _, _) => &mut openness.unusable,
+                (true, _, true) => &mut openness.cold_closed,
+                (true, true, false) => &mut openness.cold_kept,
+                (true, false, false) => &mut openness.open,
+            };
+            *count += 1;
+        }
+        openness
+    }
+
     /// Own requests, their unread prompt tokens and the learned step of each replica.
     pub fn own_load(&self) -> impl Iterator<Item = (&UpstreamId, u32, f64, Option<f64>)> {
         self.upstreams.iter().map(|u| {
--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -87,6 +87,7 @@
                     with_room,
                     own: u.running.len() as u32,
                     elsewhere: u.elsewhere,
+                    cold: u.is_cold(now),
                 };
                 best = Some((index, why));
             }
--- a/crates/decisions/src/dispatch/job.rs
+++ b/crates/decisions/src/dispatch/job.rs
@@ -61,6 +61,8 @@
     pub own: u32,
     /// Requests of other instances there, by their last word.
     pub elsewhere: u32,
+    /// Whether the replica is cold, so that it gets few.
+    pub cold: bool,
 }
 
 /// Places at a replica.
@@ -76,6 +78,19 @@
     pub slots: u32,
 }
 
+/// How many replicas may get how much.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Openness {
+    /// As many requests as they have room for.
+    pub open: u32,
+    /// Cold ones that are reached through this instance, at their pace.
+    pub cold_kept: u32,
+    /// Cold ones that are reached through another instance.
+    pub cold_closed: u32,
+    /// Leaving ones, and those of emptied zones.
+    pub unusable: u32,
+}
+
 /// How the replicas of a service stand, for those who ask why a request got no place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Standing {
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -171,9 +171,14 @@
         self.replica.bearable.filter(|_| is_cold)
     }
 
+    /// Whether it is cold and bears few requests.
+    pub(super) fn is_cold(&self, now: Instant) -> bool {
+        self.bears(now).is_some()
+    }
+
     /// Whether it is cold and another instance is its keeper.
     pub(super) fn is_closed(&self, now: Instant) -> bool {
-        self.bears(now).is_some() && !self.gate.is_keeper()
+        self.is_cold(now) && !self.gate.is_keeper()
     }
 
     /// Whether it bears one more request now.
--- a/crates/entry/src/account.rs
+++ b/crates/entry/src/account.rs
@@ -25,7 +25,7 @@
     node.log.line(
         Weight::Ordinary,
         format_args!(
-            "event=sent id={} replica={} service={} route={} organisation={organisation} table={} wait_ms={} try={} cost_ms={:.0} with_room={} own={} elsewhere={} elsewhere_age_ms={} credit_ms={} keeper={}",
+            "event=sent id={} replica={} service={} route={} organisation={organisation} table={} wait_ms={} try={} cost_ms={:.0} with_room={} own={} elsewhere={} elsewhere_age_ms={} cold={} credit_ms={} keeper={}",
             life.call.id,
             place.upstream,
             life.service,
@@ -38,6 +38,7 @@
             why.own,
             why.elsewhere,
             node.peers.borrow().oldest_word(Instant::now()).as_millis(),
+            why.cold,
             life.charge.waited.as_millis(),
             life.charge.keeper.map_or("-".to_owned(), |k| k.to_string()),
         ),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -55,6 +55,7 @@
     ages: GaugeVec,
     waiting: Gauge,
     callers: GaugeVec,
+    openness: GaugeVec,
     peers: GaugeVec,
     replicas: GaugeVec,
 }
@@ -90,6 +91,12 @@
                 "of",
             ),
             waiting: gauge(&registry, "kingcup_waiting", "Requests without a place"),
+            openness: gauges(
+                &registry,
+                "kingcup_replicas",
+                "Replicas by what they may get: open, cold_kept, cold_closed, unusable",
+                "state",
+            ),
             peers: gauges(
                 &registry,
                 "kingcup_instances",
@@ -151,6 +158,17 @@
         let known = peers.all().len() as f64;
         self.peers.with_label_values(&["heard"]).set(heard);
         self.peers.with_label_values(&["silent"]).set(known - heard);
+        let openness = dispatch.openness(now);
+        for (state, count) in [
+            ("open", openness.open),
+            ("cold_kept", openness.cold_kept),
+            ("cold_closed", openness.cold_closed),
+            ("unusable", openness.unusable),
+        ] {
+            self.openness
+                .with_label_values(&[state])
+                .set(f64::from(count));
+        }
         self.replicas.reset();
         for held in dispatch.places().take(MOST_REPLICAS) {
             let set = |whose: &str, places: u32| {
