--- a/crates/decisions/src/fanout.rs
+++ b/crates/decisions/src/fanout.rs
@@ -21,8 +21,7 @@
 /// Instances that one relay serves.
 const SERVED: usize = 12;
 
-/// Most instances of a zone in which each tells each: with 20 changes a second of each, a receiver takes 500
-/// messages a second, a tenth of a small machine.
+/// Most instances of a zone in which each tells each: messages grow with the square of their number.
 pub const SMALL: usize = 24;
 
 /// A relay that was not heard for this long is passed over, and for how long: before anybody that it
