--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -364,19 +364,7 @@
             Meaning::Replica(replica) => {
                 // A cold replica tells again and again how long it stays so.
                 if before.is_none_or(|b| !b.differs_in_warmth_alone(&replica)) {
-                    node.log.line(
-                    Weight::Notable,
-                    format_args!(
-                        "event=replica replica={} service={} address={} zone={} born={} leaving={} cold_ms={}",
-                        replica.id,
-                        replica.service,
-                        replica.address,
-                        replica.zone,
-                        replica.born,
-                        replica.leaving,
-                        replica.cold_for().as_millis(),
-                    ),
-                );
+                    tell_replica(node, &replica);
                 }
                 self.replica = Some(replica);
             }
@@ -393,3 +381,19 @@
         }
     }
 }
+
+fn tell_replica(node: &Node, replica: &Published) {
+    let cold_ms = replica.cold_for().as_millis();
+    node.log.line(
+        Weight::Notable,
+        format_args!(
+            "event=replica replica={} service={} address={} zone={} born={} leaving={} cold_ms={cold_ms}",
+            replica.id,
+            replica.service,
+            replica.address,
+            replica.zone,
+            replica.born,
+            replica.leaving,
+        ),
+    );
+}
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -3,12 +3,12 @@
 //! News go to each of a small zone, and to the relay of the zone that serves this instance. A relay sends what it has
 //! gathered to its zone after a moment, and less often to a relay of each other zone, which sends it on to its own.
 
+mod own;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
-use kingcupfield_decisions::dispatch::Class;
-use kingcupfield_decisions::elsewhere::Load;
 use kingcupfield_decisions::fanout::{self, Receivers, Relays};
 use kingcupfield_decisions::id::{Member, ShortName, short_name};
 use tokio::net::UdpSocket;
@@ -17,10 +17,12 @@
 use crate::credit;
 use crate::hearing;
 use crate::log::{self, Weight};
-use crate::node::{Node, Stage};
+use crate::node::Node;
 use crate::outbox::{self, Gathered};
 use crate::peers::{Digest, Peer, PeerMessage, Reach};
 
+use own::{News, fresh_members, own_news, own_steps, own_unreachable};
+
 /// Time between two looks at everything.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -99,16 +101,6 @@
     Greeting,
 }
 
-/// What others need to know at once when it changes.
-#[derive(Debug, Clone, Default, PartialEq)]
-struct News {
-    loads: Vec<Load>,
-    waiting: Vec<(ShortName, Class)>,
-    upto: u64,
-    zone_size: u16,
-    leaving: bool,
-}
-
 struct Sender {
     own: Ipv4Addr,
     incarnation: u64,
@@ -409,66 +401,6 @@
     }
 }
 
-fn own_news(node: &Node) -> News {
-    News {
-        loads: own_loads(node),
-        waiting: own_waiting(node),
-        upto: node.known.borrow().upto(),
-        zone_size: node.peers.borrow().zone_size() as u16,
-        leaving: node.stage() >= Stage::Closing,
-    }
-}
-
-fn own_unreachable(node: &Node) -> Vec<ShortName> {
-    let now = Instant::now();
-    let dispatch = node.dispatch.borrow();
-    dispatch.unreachable(now).map(|id| short_name(id)).collect()
-}
-
-fn own_loads(node: &Node) -> Vec<Load> {
-    node.dispatch
-        .borrow()
-        .own_load()
-        .filter(|(_, running, _, _)| *running > 0)
-        .map(|(id, running, prompt, _)| Load {
-            replica: short_name(id),
-            running: running as u16,
-            prompt: prompt as u32,
-        })
-        .collect()
-}
-
-fn own_waiting(node: &Node) -> Vec<(ShortName, Class)> {
-    let urgent = node.dispatch.borrow().urgent(Instant::now());
-    let short = urgent
-        .into_iter()
-        .map(|(service, class)| (short_name(&service), class));
-    short.collect()
-}
-
-fn own_steps(node: &Node) -> Vec<(u32, u32)> {
-    node.dispatch
-        .borrow()
-        .own_load()
-        .filter_map(|(id, _, _, step)| Some((short_name(id), (step? * 1000.0) as u32)))
-        .collect()
-}
-
-fn fresh_members(node: &Node) -> Vec<(ShortName, Vec<Ipv4Addr>)> {
-    let now = Instant::now();
-    let peers = node.peers.borrow();
-    let fresh = peers.all().iter().filter(|p| p.is_fresh(now));
-    let mut by_zone: Vec<(ShortName, Vec<Ipv4Addr>)> = Vec::new();
-    for peer in fresh {
-        let zone = peer.digest.zone;
-        match by_zone.binary_search_by_key(&zone, |(name, _)| *name) {
-            Ok(at) => by_zone[at].1.push(peer.address),
-            Err(at) => by_zone.insert(at, (zone, vec![peer.address])),
-        }
-    }
-    by_zone
-}
-
 /// Time in which a change of a replica's load in a zone comes round to this instance.
 pub fn news(node: &Node, zone: &str) -> Duration {
     let cfg = node.settings();
