--- a/crates/decisions/src/cold.rs
+++ b/crates/decisions/src/cold.rs
@@ -1,8 +1,8 @@
 //! How many requests a cold replica gets.
 //!
 //! Load pattern: replicas of a zone come back together, or a release starts new ones, while all instances
-//! have work that waits. A replica that has just started is empty and looks best to each of them: with
-//! 79 instances one got 61 requests in its first second, where it bears 6.
+//! have work that waits. A replica that has just started is empty and looks best to each of them; without
+//! a bound it gets ten times what it bears in its first second, and crashes.
 //!
 //! **A cold replica gets at most [`KEEPERS`] times [`Bearable::share`] requests in any second, over all
 //! instances**, which is no more than the operator tolerates. It follows from three facts, of which none
--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -12,10 +12,9 @@
 use super::{Dispatch, Job, Why};
 use crate::id::{ServiceId, UpstreamId};
 
-/// What a new connection costs, counted as time. The users pay for each as for a fortieth of a
-/// request, and sixty instances that spread evenly over a hundred replicas open one for every second
-/// request. Small against the 100 ms and more of a place, so that it decides among equals alone: a
-/// third fewer connections on the users' grown fleet, nothing measurable with seven instances.
+/// What a new connection costs, counted as time. Users pay for each, and sixty instances that spread
+/// evenly over a hundred replicas open one for every second request. Small against the 100 ms and more of
+/// a place, so that it decides among equals alone.
 const OPENING_MS: f64 = 5.0;
 
 /// Time of a message there and back from which a replica's load is known too late to choose by it alone.
@@ -99,8 +98,7 @@
     ///
     /// A long answer begun at a replica that can't end it holds a place there until its caller's
     /// deadline and is lost all the same. It waits for a faster replica, or is refused without
-    /// having run. On the users' fleet of sixty unlike engines under load this is worth 0.012 of all
-    /// worth (four plays, each between 0.011 and 0.013), on nine engines nothing measurable.
+    /// having run.
     fn ends_somewhere(&self, now: Instant, job: &Job, reading: &Reading) -> bool {
         let mut replicas = self.upstreams.iter();
         replicas.any(|u| {
--- a/crates/decisions/src/emptied.rs
+++ b/crates/decisions/src/emptied.rs
@@ -1,9 +1,8 @@
 //! Availability zones that the operator wants emptied: their replicas get nothing new.
 //!
 //! Load pattern: a sixth of the places goes at once, and comes back at once with cold replicas. A zone
-//! counts as emptied from the word that it is until the word that it is not, whatever is heard of its
-//! replicas meanwhile: a replica that is published anew in it, or that a peer speaks well of, gets
-//! nothing either. Work that runs there goes on.
+//! counts as emptied while the operator lists it, whatever is published of its replicas meanwhile. Work
+//! that runs there goes on.
 
 use tokio::time::Instant;
 
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -278,7 +278,7 @@
         }
         lapsing |= reader.read.iter().any(|r| r.fading.is_some());
     }
-    // Before the replicas, so that none of an emptied zone is free for a moment.
+    // Before the replicas, whose use depends on it.
     let emptied = node.reader.borrow().emptied();
     node.set_emptied(now, emptied);
     let replicas = node.reader.borrow_mut().replicas(now);
