Never call a request unrun that may have run, also when no region is left to it

Cause, found in the last read of the change: the check that a request has a region left was made for repeats too. A request that may be repeated, whose replica is slow while the table comes to allow no region, was answered 503 with when to come back, a promise that it has not run. For the rest of a broken stream the same check failed and left the old regions in force, so that it could have gone on where it may no longer be served.

The check holds before the first send alone. Afterwards the newer regions are taken over, no replica fits them, and the request ends as any other that may have run: 502, or a stream that looks broken.

--- a/crates/entry/src/request/placing.rs
+++ b/crates/entry/src/request/placing.rs
@@ -115,8 +115,8 @@
             return Ok(());
         };
         let (route, organisation) = resolve(&table, &self.head, &self.call)?;
-        check_regions(&route, organisation.as_deref())?;
         if self.runs == 0 {
+            check_regions(&route, organisation.as_deref())?;
             if !route.targets.iter().any(|(s, _)| *s == self.service) {
                 return Err(unavailable("the route leads to other services now"));
             }
