Read, log and count the limits that replicas name

A replica in need names in its responses how many requests a second it takes from all instances together. The header was passed on to the caller and read by nobody, so the logs of an incident could not tell which replica had named a limit, which one, or to whom.

The adapter decodes the header into a typed value; a value that makes no sense (sign, exponent, date, repeated, above 1,000,000) is logged, counted and ignored. Each instance keeps which limit is in force, by reports whose order may be unknown, and logs each change. Nothing is decided from it yet.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -24,6 +24,7 @@
 use crate::cold::{self, ColdGate};
 use crate::id::{InstanceAddress, ServiceId, UpstreamId};
 use crate::regions::Regions;
+use crate::replica_limit::LimitReport;
 
 use priority::Waiting;
 use size::{PromptCost, SizeStats};
@@ -165,6 +166,34 @@
         }
     }
 
+    /// Applies what a response to this instance said about the limit of its replica, unless another
+    /// incarnation of the replica has been published since.
+    pub fn on_own_limit_report(
+        &mut self,
+        upstream: &UpstreamId,
+        incarnation: u64,
+        report: LimitReport,
+    ) {
+        if let Some(u) = self.find_incarnation(upstream, incarnation) {
+            u.limit.on_own_report(report);
+        }
+    }
+
+    /// The limit of a replica in force, in requests per second; `None` if there is none.
+    pub fn limit_of(&self, now: Instant, upstream: &UpstreamId) -> Option<f64> {
+        let index = self
+            .upstreams
+            .binary_search_by(|u| u.replica.id.cmp(upstream));
+        self.upstreams[index.ok()?].limit.per_s(now, Duration::ZERO)
+    }
+
+    /// The limits in force, in requests per second.
+    pub fn limits(&self, now: Instant) -> impl Iterator<Item = (&UpstreamId, f64)> {
+        self.upstreams
+            .iter()
+            .filter_map(move |u| Some((&u.replica.id, u.limit.per_s(now, Duration::ZERO)?)))
+    }
+
     /// Number of requests running at each replica, and its number of slots.
     pub fn replica_usage(&self) -> impl Iterator<Item = ReplicaUsage<'_>> {
         self.upstreams.iter().map(|u| ReplicaUsage {
@@ -492,6 +521,16 @@
         found.ok().map(|at| &self.size_stats[at].1)
     }
 
+    /// The replica with this id, if it is still the same incarnation.
+    fn find_incarnation(
+        &mut self,
+        upstream: &UpstreamId,
+        incarnation: u64,
+    ) -> Option<&mut Upstream> {
+        let u = self.find(upstream)?;
+        (u.replica.incarnation == incarnation).then_some(u)
+    }
+
     fn find(&mut self, upstream: &UpstreamId) -> Option<&mut Upstream> {
         let at = self
             .upstreams
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -7,6 +7,7 @@
 use crate::cold::{ColdGate, ColdLimit};
 use crate::dispatch::{Job, JobId, latency::LatencyEstimate, size::PromptCost};
 use crate::id::{RegionId, ServiceId, UpstreamId};
+use crate::replica_limit::KnownLimit;
 
 /// Batch steps within which a replica should send something for at least one of its requests: four
 /// times what an engine needs for a first token on top of the prompt, which is about 120 ms at 7 ms
@@ -145,6 +146,8 @@
     last_connect_failure_at: Option<Instant>,
     /// Counts the requests sent while the replica is cold.
     pub(super) cold_gate: ColdGate,
+    /// Limit that the replica named for all instances together.
+    pub(super) limit: KnownLimit,
 }
 
 impl Upstream {
@@ -161,6 +164,7 @@
             connect_failures: 0,
             last_connect_failure_at: None,
             cold_gate,
+            limit: KnownLimit::default(),
         }
     }
 
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod prefixes;
 pub mod regions;
 pub mod remote_load;
+pub mod replica_limit;
 pub mod retries;
 pub mod routing;
 pub mod shedding;
--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -72,6 +72,24 @@
     Invalid,
 }
 
+/// Value of an optional response header.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Stated<T> {
+    /// The response has no such header.
+    Absent,
+    /// The value of the header.
+    Valid(T),
+    /// The header is present but can't be used; the text says why.
+    Invalid(String),
+}
+
+/// What a replica states about itself in the head of a response.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ReplicaStatement {
+    /// Requests per second that it accepts from all instances together.
+    pub limit_per_s: Stated<f64>,
+}
+
 /// Translation between the instance and the HTTP headers of callers and replicas.
 pub trait ProtocolAdapter {
     /// Parses the head of a caller's request.
@@ -83,6 +101,9 @@
     /// Classifies a replica's response; `id` is the attempt id of the request.
     fn classify_response(&self, id: &str, head: &ResponseParts) -> ResponseClass;
 
+    /// Reads what a replica states about itself in the head of a response.
+    fn replica_statement(&self, head: &ResponseParts) -> ReplicaStatement;
+
     /// Builds the headers of a replica's response that are passed to the caller.
     fn response_headers(&self, head: &ResponseParts) -> HeaderMap;
 
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -11,8 +11,8 @@
 use kingcupfield_decisions::dispatch::Outcome;
 use tokio::time::Instant;
 
-use crate::adapter::{ProtocolAdapter, ResponseClass};
-use crate::node::Target;
+use crate::adapter::ResponseClass;
+use crate::node::{Node, Target};
 use crate::pool::{self, Connection};
 
 /// Maximum idle time of a reused connection for requests that must not be retried: a replica may
@@ -95,8 +95,8 @@
 /// `id` identifies the attempt. Method and URI are those of `head`; `fields` are the header fields
 /// that the replica gets.
 pub async fn send(
+    node: &Node,
     target: &Rc<Target>,
-    protocol: &dyn ProtocolAdapter,
     id: &str,
     head: &Parts,
     fields: HeaderMap,
@@ -118,8 +118,9 @@
                 .map_err(|_| SendFailure::NotSent)?,
         };
         let req = build_request(head, fields.clone(), body.clone());
+        let sent_at = node.suspend_aware_now();
         match connection.sender.try_send_request(req).await {
-            Ok(response) => return classify_response(protocol, id, response, connection),
+            Ok(response) => return on_response(node, target, id, sent_at, response, connection),
             // A reused connection was closed before anything was written: try the next one.
             Err(mut e) => match e.take_message() {
                 Some(_) if is_reused => {}
@@ -138,15 +139,20 @@
         .map_err(|_| SendFailure::Broken)
 }
 
-/// Turns the head of a response into the response of the replica or a failure.
-fn classify_response(
-    protocol: &dyn ProtocolAdapter,
+/// Records what the replica states in the head of its response, and turns the head into the response
+/// or a failure.
+fn on_response(
+    node: &Node,
+    target: &Target,
     id: &str,
+    sent_at: Instant,
     response: Response<Incoming>,
     connection: Connection,
 ) -> Result<ReplicaResponse, SendFailure> {
     let (head, body) = response.into_parts();
-    match protocol.classify_response(id, &head) {
+    let class = node.protocol.classify_response(id, &head);
+    node.on_response_head(&target.published, id, sent_at, class, &head);
+    match class {
         ResponseClass::Executed => Ok(ReplicaResponse {
             head,
             body,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -56,6 +56,10 @@
     dropped_lines: IntCounter,
     /// Replicas whose directory entry expired although they had not announced their departure.
     expired_replicas: IntCounter,
+    /// What replicas stated about themselves, by kind of statement, and the invalid ones.
+    statements: IntCounterVec,
+    /// Limit in force of each replica that named one, in requests per second.
+    replica_limits: GaugeVec,
     /// Version of the table in force.
     table_version: Gauge,
     /// Seconds since the last response of the store, and since the oldest of the peers' last reports.
@@ -79,7 +83,24 @@
     pub fn new() -> Self {
         let registry = Registry::new();
         Self {
-            outcomes: counters(&registry, "kingcup_requests_total", "Requests by outcome"),
+            outcomes: counters(
+                &registry,
+                "kingcup_requests_total",
+                "Requests by outcome",
+                "outcome",
+            ),
+            statements: counters(
+                &registry,
+                "kingcup_replica_statements_total",
+                "Responses in which a replica states something about itself: limit; invalid",
+                "kind",
+            ),
+            replica_limits: gauges(
+                &registry,
+                "kingcup_replica_limit",
+                "Limit of a replica in requests per second from all instances",
+                "replica",
+            ),
             durations: durations(&registry),
             dropped_lines: counter(
                 &registry,
@@ -127,6 +148,11 @@
         self.outcomes.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a statement of a replica about itself.
+    pub fn count_statement(&self, kind: &'static str) {
+        self.statements.with_label_values(&[kind]).inc();
+    }
+
     /// Counts dropped log lines.
     pub fn count_dropped_lines(&self, lines: u64) {
         self.dropped_lines.inc_by(lines);
@@ -186,6 +212,12 @@
                 .with_label_values(&[state])
                 .set(f64::from(count));
         }
+        self.replica_limits.reset();
+        for (replica, per_s) in dispatch.limits(now).take(MAX_REPLICAS) {
+            self.replica_limits
+                .with_label_values(&[&**replica])
+                .set(per_s);
+        }
         self.replica_slots.reset();
         for usage in dispatch.replica_usage().take(MAX_REPLICAS) {
             let set = |whose: &str, slots: u32| {
@@ -217,9 +249,9 @@
     counter
 }
 
-fn counters(registry: &Registry, name: &str, help: &str) -> IntCounterVec {
+fn counters(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
     let counters =
-        IntCounterVec::new(Opts::new(name, help), &["outcome"]).expect("a fixed name is valid");
+        IntCounterVec::new(Opts::new(name, help), &[label]).expect("a fixed name is valid");
     register(registry, counters.clone());
     counters
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -2,6 +2,7 @@
 
 mod replicas;
 mod slots;
+mod statements;
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::net::Ipv4Addr;
--- /dev/null
+++ b/crates/entry/src/node/statements.rs
@@ -0,0 +1,96 @@
+//! What replicas state about themselves in their responses.
+
+use http::response::Parts;
+use kingcupfield_decisions::replica_limit::LimitReport;
+use tokio::time::Instant;
+
+use super::Node;
+use crate::adapter::{ResponseClass, Stated};
+use crate::log::Priority;
+use crate::replica::PublishedReplica;
+
+impl Node {
+    /// The current time, including the time for which the machine was suspended: otherwise a statement
+    /// from before a suspension would look newer than it is.
+    pub fn suspend_aware_now(&self) -> Instant {
+        Instant::now() + self.suspend_detector.total_suspended()
+    }
+
+    /// Records what a replica states in the head of its response to the request `id`, which was sent at
+    /// `sent_at`.
+    pub fn on_response_head(
+        &self,
+        replica: &PublishedReplica,
+        id: &str,
+        sent_at: Instant,
+        class: ResponseClass,
+        head: &Parts,
+    ) {
+        // These come from another process, or can't be told from a response of one.
+        if matches!(class, ResponseClass::WrongReplica | ResponseClass::Invalid) {
+            return;
+        }
+        let statement = self.protocol.replica_statement(head);
+        let report = |per_s| LimitReport {
+            per_s,
+            earliest: sent_at,
+            latest: self.suspend_aware_now(),
+        };
+        match statement.limit_per_s {
+            Stated::Valid(per_s) => self.on_limit_report(replica, id, report(Some(per_s))),
+            // A refusal may be made before the replica adds its limit.
+            Stated::Absent if class == ResponseClass::Executed => {
+                self.on_limit_report(replica, id, report(None));
+            }
+            Stated::Absent => {}
+            Stated::Invalid(value) => self.on_invalid_statement(replica, id, "limit", &value),
+        }
+    }
+
+    /// Applies a report of a replica's limit, and logs a change of the limit in force.
+    fn on_limit_report(&self, replica: &PublishedReplica, id: &str, report: LimitReport) {
+        let mut dispatch = self.dispatch.borrow_mut();
+        let now = Instant::now();
+        let before = dispatch.limit_of(now, &replica.id);
+        dispatch.on_own_limit_report(&replica.id, replica.start_unix_ms, report);
+        let after = dispatch.limit_of(now, &replica.id);
+        drop(dispatch);
+        if report.per_s.is_some() {
+            self.metrics.count_statement("limit");
+        }
+        if before != after {
+            self.log_limit(&replica.id, before, after, format_args!("id={id}"));
+        }
+    }
+
+    /// Logs a change of the limit in force; `source` tells where it comes from.
+    fn log_limit(
+        &self,
+        replica: &str,
+        before: Option<f64>,
+        after: Option<f64>,
+        source: std::fmt::Arguments<'_>,
+    ) {
+        let text = |per_s: Option<f64>| per_s.map_or("-".to_owned(), |per_s| per_s.to_string());
+        self.log.line(
+            Priority::High,
+            format_args!(
+                "event=replica_limit replica={replica} per_s={} before={} {source}",
+                text(after),
+                text(before),
+            ),
+        );
+    }
+
+    /// Counts and logs a statement that can't be used; it has no other effect.
+    fn on_invalid_statement(&self, replica: &PublishedReplica, id: &str, what: &str, value: &str) {
+        self.metrics.count_statement("invalid");
+        self.log.line(
+            Priority::Low,
+            format_args!(
+                "event=replica_statement_bad replica={} id={id} what={what} value={value:?}",
+                replica.id
+            ),
+        );
+    }
+}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -371,8 +371,8 @@
                 .ctx
                 .forward_headers(&self.node, &target, last_event.as_deref());
             let sending = exchange::send(
+                &self.node,
                 &target,
-                &*self.node.protocol,
                 &self.ctx.meta.attempt_id,
                 &self.ctx.head,
                 fields,
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -63,8 +63,8 @@
         self.tried.push(slot.upstream.clone());
         self.runs += 1;
         let sent = exchange::send(
+            node,
             target,
-            &*node.protocol,
             &self.meta.attempt_id,
             &self.head,
             headers,
