Hold the whole fleet to the limit that a replica names

Callers saw nothing; the operators saw a replica in need that named a limit of 1 request a second get 14 and 15 requests in 4 s (allowed 11).

Cause: no instance read the limit, so a limited replica was chosen like any other. Evidence: each of seven instances logged the limit and sent on as before; 480 requests in 4 s in the test that failed.

The limit is now divided among the members of the fleet, silent ones included, by their position in an order of hashes. No message decides about the bound; a larger share takes effect a window later, and instances that start, wake or shut down have none. Two parts of the fleet that never heard of each other are within the tolerance. Instances tell each other of a limit and of its end.

In the test of retries and resumed streams the retry budget refuses most requests, with or without a limit, so that the check for refusals holds only for the cases without faults.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -11,6 +11,7 @@
 //! an engine by one or two requests for a moment; nothing else depends on it.
 
 mod choice;
+mod departed;
 mod job;
 mod latency;
 mod priority;
@@ -24,8 +25,9 @@
 use crate::cold::{self, ColdGate};
 use crate::id::{InstanceAddress, ServiceId, UpstreamId};
 use crate::regions::Regions;
-use crate::replica_limit::LimitReport;
+use crate::replica_limit::{FleetMembers, LimitReport};
 
+use departed::Departed;
 use priority::Waiting;
 use size::{PromptCost, SizeStats};
 use upstream::{Running, Upstream};
@@ -52,6 +54,11 @@
     own_address: u32,
     /// Instances of this zone including this one; `None` while they are unknown.
     members: Option<Vec<InstanceAddress>>,
+    /// All instances, which share the limits that replicas name.
+    fleet: FleetMembers,
+    /// Replicas that are no longer published. An entry may be missing for a moment and come back, and
+    /// what was learned about the replica then still holds.
+    departed: Departed,
 }
 
 impl Dispatcher {
@@ -63,6 +70,7 @@
     /// Sets the address by which the other instances identify this one.
     pub fn with_address(mut self, own_address: u32) -> Self {
         self.own_address = own_address;
+        self.fleet.set_own(own_address);
         self
     }
 
@@ -80,17 +88,27 @@
                     known.replica = replica.clone();
                     known
                 }
-                None => Upstream::new(
-                    replica.clone(),
-                    ColdGate::new(now, self.is_designated(replica)),
-                ),
+                None => self.new_upstream(now, replica),
             };
             self.upstreams.push(upstream);
         }
+        for departed in old.into_iter().flatten() {
+            self.departed.add(now, departed);
+        }
         self.upstreams
             .sort_by(|a, b| a.replica.id.cmp(&b.replica.id));
     }
 
+    /// Creates the state of a replica that has just been published, possibly again.
+    fn new_upstream(&mut self, now: Instant, replica: &Replica) -> Upstream {
+        let cold_gate = ColdGate::new(now, self.is_designated(replica));
+        let mut upstream = Upstream::new(replica.clone(), cold_gate);
+        self.departed.restore(&mut upstream);
+        let limit = &mut upstream.limit;
+        limit.on_fleet_change(now, &replica.id, &self.fleet);
+        upstream
+    }
+
     /// Replaces the list of instances in this zone, which includes this one and those that don't
     /// respond. `None` if the list is unknown or this instance is shutting down.
     pub fn update_members(&mut self, now: Instant, members: Option<Vec<InstanceAddress>>) {
@@ -174,8 +192,56 @@
         incarnation: u64,
         report: LimitReport,
     ) {
-        if let Some(u) = self.find_incarnation(upstream, incarnation) {
-            u.limit.on_own_report(report);
+        let Some(index) = self.index_of_incarnation(upstream, incarnation) else {
+            return;
+        };
+        let limit = &mut self.upstreams[index].limit;
+        limit.on_own_report(upstream, &self.fleet, report);
+    }
+
+    /// Applies what another instance was told about the limit of a replica.
+    pub fn on_peer_limit_report(
+        &mut self,
+        upstream: &UpstreamId,
+        incarnation: u64,
+        report: LimitReport,
+    ) {
+        let Some(index) = self.index_of_incarnation(upstream, incarnation) else {
+            return;
+        };
+        let limit = &mut self.upstreams[index].limit;
+        limit.on_peer_report(upstream, &self.fleet, report);
+    }
+
+    /// What this instance was told itself about the limits of replicas: the replica, its incarnation
+    /// and the report.
+    pub fn own_limit_reports(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&UpstreamId, u64, LimitReport)> {
+        self.upstreams.iter().filter_map(move |u| {
+            let report = u.limit.own_report(now)?;
+            Some((&u.replica.id, u.replica.incarnation, report))
+        })
+    }
+
+    /// Replaces the list of all instances, which includes this one and those that don't respond.
+    /// `None` if the list is unknown, this instance is shutting down or was suspended.
+    pub fn update_fleet(&mut self, now: Instant, members: Option<Vec<InstanceAddress>>) {
+        if !self.fleet.update(now, members) {
+            return;
+        }
+        for u in &mut self.upstreams {
+            u.limit.on_fleet_change(now, &u.replica.id, &self.fleet);
+        }
+    }
+
+    /// Applies a suspension of the machine, during which the others may have changed the shares of
+    /// limits. This instance has none until it knows the fleet again.
+    pub fn on_suspension(&mut self, now: Instant, suspended: Duration) {
+        self.update_fleet(now, None);
+        for u in &mut self.upstreams {
+            u.limit.on_suspension(suspended);
         }
     }
 
@@ -184,14 +250,14 @@
         let index = self
             .upstreams
             .binary_search_by(|u| u.replica.id.cmp(upstream));
-        self.upstreams[index.ok()?].limit.per_s(now, Duration::ZERO)
+        self.upstreams[index.ok()?].limit.per_s(now)
     }
 
     /// The limits in force, in requests per second.
     pub fn limits(&self, now: Instant) -> impl Iterator<Item = (&UpstreamId, f64)> {
         self.upstreams
             .iter()
-            .filter_map(move |u| Some((&u.replica.id, u.limit.per_s(now, Duration::ZERO)?)))
+            .filter_map(move |u| Some((&u.replica.id, u.limit.per_s(now)?)))
     }
 
     /// Number of requests running at each replica, and its number of slots.
@@ -208,15 +274,16 @@
     pub fn replica_counts(&self, now: Instant) -> ReplicaCounts {
         let mut counts = ReplicaCounts::default();
         for u in &self.upstreams {
-            let count = match (
-                u.replica.usable,
-                u.is_cold(now),
-                u.is_cold_not_designated(now),
-            ) {
-                (false, _, _) => &mut counts.unusable,
-                (true, _, true) => &mut counts.cold_not_designated,
-                (true, true, false) => &mut counts.cold_designated,
-                (true, false, false) => &mut counts.accepting,
+            let count = if !u.replica.usable {
+                &mut counts.unusable
+            } else if u.is_cold_not_designated(now) {
+                &mut counts.cold_not_designated
+            } else if !u.limit.admits(now) {
+                &mut counts.limited
+            } else if u.is_cold(now) {
+                &mut counts.cold_designated
+            } else {
+                &mut counts.accepting
             };
             *count += 1;
         }
@@ -366,6 +433,8 @@
                 availability.region_not_allowed += 1;
             } else if u.is_cold_not_designated(now) {
                 availability.cold_not_designated += 1;
+            } else if !u.limit.admits(now) {
+                availability.limited += 1;
             } else if !u.accepts_work(now) {
                 availability.ejected += 1;
             } else if !u.has_room() {
@@ -480,6 +549,7 @@
         };
         let prompt_started_at_once = u.replica.is_engine && u.starts_prompt_at_once();
         u.cold_gate.on_dispatch(now);
+        u.limit.on_dispatch(now);
         u.running.push(Running {
             job: job.id,
             pending_prompt_tokens: if u.replica.is_engine {
@@ -521,14 +591,14 @@
         found.ok().map(|at| &self.size_stats[at].1)
     }
 
-    /// The replica with this id, if it is still the same incarnation.
-    fn find_incarnation(
-        &mut self,
-        upstream: &UpstreamId,
-        incarnation: u64,
-    ) -> Option<&mut Upstream> {
-        let u = self.find(upstream)?;
-        (u.replica.incarnation == incarnation).then_some(u)
+    /// Index of the replica with this id, if it is still the same incarnation.
+    fn index_of_incarnation(&self, upstream: &UpstreamId, incarnation: u64) -> Option<usize> {
+        let index = self
+            .upstreams
+            .binary_search_by(|u| u.replica.id.cmp(upstream));
+        index
+            .ok()
+            .filter(|i| self.upstreams[*i].replica.incarnation == incarnation)
     }
 
     fn find(&mut self, upstream: &UpstreamId) -> Option<&mut Upstream> {
--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -87,8 +87,11 @@
             } else {
                 CONNECTION_COST_MS
             };
-            let cost_ms =
-                u.cost_ms(now, job, &prompt_cost, lowest_failure_share) + connection_cost_ms;
+            let cost_ms = if u.limit.needs_probe(now) {
+                0.0
+            } else {
+                u.cost_ms(now, job, &prompt_cost, lowest_failure_share) + connection_cost_ms
+            };
             if best.is_none_or(|(_, least)| cost_ms < least.cost_ms) {
                 let details = ChoiceDetails {
                     cost_ms,
@@ -96,6 +99,7 @@
                     own_running: u.running.len() as u32,
                     remote_running: u.remote_running,
                     is_cold: u.is_cold(now),
+                    limit_per_s: u.limit.per_s(now),
                 };
                 best = Some((index, details));
             }
--- a/crates/decisions/src/dispatch/job.rs
+++ b/crates/decisions/src/dispatch/job.rs
@@ -63,6 +63,8 @@
     pub remote_running: u32,
     /// Whether the chosen replica was cold, and its request rate therefore limited.
     pub is_cold: bool,
+    /// Limit of the chosen replica in requests per second, if it named one.
+    pub limit_per_s: Option<f64>,
 }
 
 /// Slots of a replica and the requests that occupy them.
@@ -87,6 +89,8 @@
     pub cold_designated: u32,
     /// Cold replicas another instance is designated for, which accept nothing from this one.
     pub cold_not_designated: u32,
+    /// Replicas whose limit leaves this instance no request now.
+    pub limited: u32,
     /// Replicas that are shutting down or whose zone is drained.
     pub unusable: u32,
 }
@@ -95,7 +99,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ServiceAvailability {
     /// Replicas that are neither shutting down nor in a drained zone. Each of them is in at most
-    /// one of the next four counts.
+    /// one of the next five counts.
     pub usable: u32,
     /// Replicas in a region where the request may not be processed.
     pub region_not_allowed: u32,
@@ -103,6 +107,8 @@
     pub ejected: u32,
     /// Cold replicas another instance is designated for.
     pub cold_not_designated: u32,
+    /// Replicas whose limit leaves this instance no request now.
+    pub limited: u32,
     /// Replicas without room for another request.
     pub full: u32,
     /// Requests for the service in this instance's queue.
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -7,7 +7,7 @@
 use crate::cold::{ColdGate, ColdLimit};
 use crate::dispatch::{Job, JobId, latency::LatencyEstimate, size::PromptCost};
 use crate::id::{RegionId, ServiceId, UpstreamId};
-use crate::replica_limit::KnownLimit;
+use crate::replica_limit::ReplicaLimit;
 
 /// Batch steps within which a replica should send something for at least one of its requests: four
 /// times what an engine needs for a first token on top of the prompt, which is about 120 ms at 7 ms
@@ -147,7 +147,7 @@
     /// Counts the requests sent while the replica is cold.
     pub(super) cold_gate: ColdGate,
     /// Limit that the replica named for all instances together.
-    pub(super) limit: KnownLimit,
+    pub(super) limit: ReplicaLimit,
 }
 
 impl Upstream {
@@ -164,7 +164,7 @@
             connect_failures: 0,
             last_connect_failure_at: None,
             cold_gate,
-            limit: KnownLimit::default(),
+            limit: ReplicaLimit::default(),
         }
     }
 
@@ -189,6 +189,7 @@
             && !self.is_being_probed()
             && !self.is_unresponsive(now)
             && !self.is_cold_not_designated(now)
+            && self.limit.admits(now)
     }
 
     /// Request limit that applies now, `None` unless the replica is cold.
@@ -218,7 +219,10 @@
         let rested = self
             .last_connect_failure_at
             .is_some_and(|at| now.saturating_duration_since(at) >= LAST_RESORT_RETRY_DELAY);
-        let may_try = self.in_backoff(now) && !self.is_being_probed() && !self.is_unresponsive(now);
+        let may_try = self.in_backoff(now)
+            && !self.is_being_probed()
+            && !self.is_unresponsive(now)
+            && self.limit.admits(now);
         rested && may_try && self.replica.usable && self.has_room() && self.cold_limit_admits(now)
     }
 
--- a/crates/decisions/src/replica_limit/known.rs
+++ b/crates/decisions/src/replica_limit/known.rs
@@ -54,6 +54,17 @@
         });
     }
 
+    fn move_back(&mut self, by: Duration) {
+        let earlier = |at: Instant| at.checked_sub(by).unwrap_or(at);
+        self.named = self.named.map(|named| LimitReport {
+            earliest: earlier(named.earliest),
+            latest: earlier(named.latest),
+            ..named
+        });
+        self.confirmed = self.confirmed.map(earlier);
+        self.lifted = self.lifted.map(earlier);
+    }
+
     /// The limit that was named and has not been lifted since.
     fn unlifted(&self) -> Option<LimitReport> {
         let lifted_after = |named: &LimitReport| self.lifted.is_some_and(|at| at > named.latest);
@@ -96,6 +107,12 @@
         self.all.confirmed
     }
 
+    /// Moves all times back after the machine was suspended, which the clock does not count.
+    pub fn on_suspension(&mut self, suspended: Duration) {
+        self.own.move_back(suspended);
+        self.all.move_back(suspended);
+    }
+
     /// The report that the other instances should get: the limit that this instance was told, or that
     /// it has ended. `None` if it was told none, or too long ago.
     pub fn own_report(&self, now: Instant) -> Option<LimitReport> {
--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -34,15 +34,19 @@
         total_suspended()
     }
 
+    /// Time for which the machine was suspended since the last suspension was returned.
+    pub fn unreported(&self) -> Duration {
+        total_suspended().saturating_sub(self.reported.get())
+    }
+
     /// Time for which the machine was suspended since the last suspension was returned, `None` if
     /// it was not.
     pub fn take_suspension(&self) -> Option<Duration> {
-        let total = total_suspended();
-        let suspended = total.saturating_sub(self.reported.get());
+        let suspended = self.unreported();
         if suspended < MIN_SUSPENSION {
             return None;
         }
-        self.reported.set(total);
+        self.reported.set(self.reported.get() + suspended);
         Some(suspended)
     }
 }
--- a/crates/entry/src/credit.rs
+++ b/crates/entry/src/credit.rs
@@ -144,9 +144,12 @@
     let accrues = fleet_view.accrues_since.is_some();
     let members = node.peers.borrow().zone_members();
     let members = Some(members).filter(|_| accrues);
-    node.dispatch
-        .borrow_mut()
-        .update_members(Instant::now(), members);
+    let now = Instant::now();
+    let fleet = node.peers.borrow().fleet_members(now);
+    let mut dispatch = node.dispatch.borrow_mut();
+    dispatch.update_members(now, members);
+    dispatch.update_fleet(now, fleet.filter(|_| accrues));
+    drop(dispatch);
     let suspended = node.suspend_detector.total_suspended();
     fleet_view.accrues_since = fleet_view.accrues_since.map(|at| at + suspended);
     let mut ledger = node.credit_ledger.borrow_mut();
--- a/crates/entry/src/gossip/local_state.rs
+++ b/crates/entry/src/gossip/local_state.rs
@@ -20,6 +20,8 @@
     pub(super) upto: u64,
     /// Number of known instances of the own zone, including this one and the silent ones.
     pub(super) zone_size: u16,
+    /// Limits that replicas named to this instance, or that have ended.
+    pub(super) limits: Vec<(NameHash, Option<f64>)>,
     /// Whether this instance closes its connections to shut down.
     pub(super) leaving: bool,
 }
@@ -31,6 +33,11 @@
         waiting: waiting_classes(node),
         upto: node.directory.borrow().complete_up_to(),
         zone_size: node.peers.borrow().zone_size() as u16,
+        limits: node
+            .own_limit_reports()
+            .iter()
+            .map(|r| (r.replica, r.per_s))
+            .collect(),
         leaving: node.process_state() >= ProcessState::Closing,
     }
 }
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -151,6 +151,7 @@
                 Priority::High,
                 format_args!("event=woke suspended_ms={}", suspended.as_millis()),
             );
+            node.dispatch.borrow_mut().on_suspension(now, suspended);
             node.resync_wakeup.notify_one();
         }
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -69,7 +69,7 @@
     /// Open connections of callers, and active requests.
     callers: GaugeVec,
     /// Replicas by availability: open, cold and designated to this instance (`cold_kept`), cold and
-    /// designated to another one (`cold_closed`), unusable.
+    /// designated to another one (`cold_closed`), limited, unusable.
     replica_states: GaugeVec,
     /// Other instances by whether their last report is recent (`heard`) or not (`silent`).
     peers: GaugeVec,
@@ -129,7 +129,7 @@
             replica_states: gauges(
                 &registry,
                 "kingcup_replicas",
-                "Replicas by what they may get: open, cold_kept, cold_closed, unusable",
+                "Replicas by what they may get: open, cold_kept, cold_closed, limited, unusable",
                 "state",
             ),
             peers: gauges(
@@ -206,6 +206,7 @@
             ("open", counts.accepting),
             ("cold_kept", counts.cold_designated),
             ("cold_closed", counts.cold_not_designated),
+            ("limited", counts.limited),
             ("unusable", counts.unusable),
         ] {
             self.replica_states
--- a/crates/entry/src/node/statements.rs
+++ b/crates/entry/src/node/statements.rs
@@ -1,17 +1,24 @@
 //! What replicas state about themselves in their responses.
 
+use std::net::Ipv4Addr;
+
 use http::response::Parts;
+use kingcupfield_decisions::id::name_hash;
 use kingcupfield_decisions::replica_limit::LimitReport;
 use tokio::time::Instant;
 
 use super::Node;
 use crate::adapter::{ResponseClass, Stated};
 use crate::log::Priority;
+use crate::peers::ReplicaLimitReport;
 use crate::replica::PublishedReplica;
 
+/// Limits of replicas in one message to the other instances.
+const MAX_REPORTS: usize = 64;
+
 impl Node {
-    /// The current time, including the time for which the machine was suspended: otherwise a statement
-    /// from before a suspension would look newer than it is.
+    /// The current time, including the time for which the machine was suspended. Only the difference of
+    /// two readings has a meaning.
     pub fn suspend_aware_now(&self) -> Instant {
         Instant::now() + self.suspend_detector.total_suspended()
     }
@@ -31,10 +38,12 @@
             return;
         }
         let statement = self.protocol.replica_statement(head);
+        let now = Instant::now();
+        let age = self.suspend_aware_now().saturating_duration_since(sent_at);
         let report = |per_s| LimitReport {
             per_s,
-            earliest: sent_at,
-            latest: self.suspend_aware_now(),
+            earliest: now.checked_sub(age).unwrap_or(now),
+            latest: now,
         };
         match statement.limit_per_s {
             Stated::Valid(per_s) => self.on_limit_report(replica, id, report(Some(per_s))),
@@ -47,6 +56,41 @@
         }
     }
 
+    /// What this instance was told itself about the limits of replicas, for the other instances; at most
+    /// [`MAX_REPORTS`], the latest first.
+    pub fn own_limit_reports(&self) -> Vec<ReplicaLimitReport> {
+        let now = Instant::now();
+        let suspended = self.suspend_detector.unreported();
+        let dispatch = self.dispatch.borrow();
+        let reports = dispatch.own_limit_reports(now);
+        let mut reports: Vec<_> = reports
+            .map(|(id, incarnation, report)| {
+                ReplicaLimitReport::new(name_hash(id), incarnation, report, now, suspended)
+            })
+            .collect();
+        reports.sort_by_key(|r| r.latest_age_ms);
+        reports.truncate(MAX_REPORTS);
+        reports
+    }
+
+    /// Applies what another instance was told about the limits of replicas.
+    pub fn on_peer_limit_reports(&self, from: Ipv4Addr, reports: &[ReplicaLimitReport]) {
+        let now = Instant::now();
+        for r in reports {
+            let Some(id) = self.replica_by_name_hash(r.replica) else {
+                continue;
+            };
+            let mut dispatch = self.dispatch.borrow_mut();
+            let before = dispatch.limit_of(now, &id);
+            dispatch.on_peer_limit_report(&id, r.incarnation, r.received(now));
+            let after = dispatch.limit_of(now, &id);
+            drop(dispatch);
+            if before != after {
+                self.log_limit(&id, before, after, format_args!("peer={from}"));
+            }
+        }
+    }
+
     /// Applies a report of a replica's limit, and logs a change of the limit in force.
     fn on_limit_report(&self, replica: &PublishedReplica, id: &str, report: LimitReport) {
         let mut dispatch = self.dispatch.borrow_mut();
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -13,12 +13,12 @@
 
 use kingcupfield_decisions::credit::Distance;
 use kingcupfield_decisions::dispatch::PriorityClass;
-use kingcupfield_decisions::id::NameHash;
+use kingcupfield_decisions::id::{InstanceAddress, NameHash};
 use kingcupfield_decisions::remote_load::{RemoteLoad, TotalLoad};
 use kingcupfield_decisions::store_view::Revision;
 use tokio::time::Instant;
 
-pub use digest::{Digest, ForwardScope, PeerMessage};
+pub use digest::{Digest, ForwardScope, PeerMessage, ReplicaLimitReport};
 pub use peer::{Nearness, Peer};
 
 /// Time without a digest after which an instance may be partitioned: its load is no longer counted,
@@ -439,6 +439,14 @@
         readers == 0 || lower_in_zone == 0 || lower_in_fleet < MIN_STORE_READERS
     }
 
+    /// All known instances, including this one and the silent ones; `None` while discovery of the fleet
+    /// is going on.
+    pub fn fleet_members(&self, now: Instant) -> Option<Vec<InstanceAddress>> {
+        let others = self.others.iter().map(|p| p.address.to_bits());
+        self.is_settled(now)
+            .then(|| others.chain([self.own.to_bits()]).collect())
+    }
+
     /// Time since the start of this instance.
     pub fn uptime(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.started)
--- a/crates/entry/src/peers/digest.rs
+++ b/crates/entry/src/peers/digest.rs
@@ -1,13 +1,16 @@
 //! Messages between instances, sent as `MessagePack` over UDP.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use kingcupfield_decisions::credit;
 use kingcupfield_decisions::dispatch::PriorityClass;
 use kingcupfield_decisions::id::NameHash;
 use kingcupfield_decisions::remote_load::ReplicaLoad;
+use kingcupfield_decisions::replica_limit::LimitReport;
 use kingcupfield_decisions::store_view::Revision;
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
 /// A datagram from one instance to another.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -74,4 +77,62 @@
     pub members: Vec<(NameHash, Vec<Ipv4Addr>)>,
     /// Its clock in Unix milliseconds; not in every message.
     pub time_ms: Option<u64>,
+    /// What replicas told it about their limits. Left out while there are none, so that instances of
+    /// earlier versions can read the message.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<ReplicaLimitReport>,
+}
+
+/// What one instance was told about the limit of one replica.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ReplicaLimitReport {
+    /// Name hash of the replica.
+    pub replica: NameHash,
+    /// Start of the replica in Unix milliseconds, which distinguishes its incarnations.
+    pub incarnation: u64,
+    /// Requests per second that it accepts from all instances together; `None` if its limit has ended.
+    pub per_s: Option<f64>,
+    /// Milliseconds since the earliest time at which the replica may have said so.
+    pub earliest_age_ms: u32,
+    /// Milliseconds since the latest time at which it may have said so.
+    pub latest_age_ms: u32,
+}
+
+impl ReplicaLimitReport {
+    /// Longest time that a report takes from its sender through relays to another instance.
+    const MAX_DELAY: Duration = Duration::from_secs(2);
+
+    /// Creates the message about a report. `suspended` is the time for which the machine was suspended
+    /// and by which the times of the report have not been moved back yet.
+    pub fn new(
+        replica: NameHash,
+        incarnation: u64,
+        report: LimitReport,
+        now: Instant,
+        suspended: Duration,
+    ) -> Self {
+        let age_ms = |at: Instant| {
+            let age = now.saturating_duration_since(at) + suspended;
+            u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+        };
+        Self {
+            replica,
+            incarnation,
+            per_s: report.per_s,
+            earliest_age_ms: age_ms(report.earliest),
+            latest_age_ms: age_ms(report.latest),
+        }
+    }
+
+    /// The report as it counts at an instance that receives the message at `now`. It may have been on
+    /// its way for up to two seconds, by which the earliest time is moved back.
+    pub fn received(&self, now: Instant) -> LimitReport {
+        let earlier = |age: Duration| now.checked_sub(age).unwrap_or(now);
+        let earliest_age = Duration::from_millis(u64::from(self.earliest_age_ms));
+        LimitReport {
+            per_s: self.per_s,
+            earliest: earlier(earliest_age + Self::MAX_DELAY),
+            latest: earlier(Duration::from_millis(u64::from(self.latest_age_ms))),
+        }
+    }
 }
--- a/crates/entry/src/request/refusals.rs
+++ b/crates/entry/src/request/refusals.rs
@@ -80,13 +80,14 @@
                 .borrow()
                 .availability(Instant::now(), &self.service, &regions);
         let reason = format!(
-            "no room for {} in {} ms in regions {regions}, received in region {}: {} replicas usable, of these {} in other regions, {} cold, {} in backoff, {} full; {} requests waiting, drained zones [{}]",
+            "no room for {} in {} ms in regions {regions}, received in region {}: {} replicas usable, of these {} in other regions, {} cold, {} limited, {} in backoff, {} full; {} requests waiting, drained zones [{}]",
             self.service,
             self.received.elapsed().as_millis(),
             node.settings().region,
             availability.usable,
             availability.region_not_allowed,
             availability.cold_not_designated,
+            availability.limited,
             availability.ejected,
             availability.full,
             availability.waiting,
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -25,7 +25,7 @@
     node.log.line(
         Priority::Low,
         format_args!(
-            "event=sent id={} replica={} service={} route={} organisation={organisation} table={} wait_ms={} try={} cost_ms={:.0} with_room={} own={} elsewhere={} elsewhere_age_ms={} cold={} credit_ms={} keeper={}",
+            "event=sent id={} replica={} service={} route={} organisation={organisation} table={} wait_ms={} try={} cost_ms={:.0} with_room={} own={} elsewhere={} elsewhere_age_ms={} cold={} limit={} credit_ms={} keeper={}",
             ctx.meta.attempt_id,
             slot.upstream,
             ctx.service,
@@ -39,6 +39,7 @@
             selection.remote_running,
             node.peers.borrow().max_report_age(Instant::now()).as_millis(),
             selection.is_cold,
+            selection.limit_per_s.map_or("-".to_owned(), |l| l.to_string()),
             ctx.charge.waited.as_millis(),
             ctx.charge.coordinator.map_or("-".to_owned(), |k| k.to_string()),
         ),
