Read, log and count that replicas leave or want rest

The header that a replica leaves and Retry-After in its 503 were passed on or dropped unread, so the logs could not tell the hypotheses apart. Retry-After of other responses is meant for the caller. Nothing is decided from them yet.

--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -88,6 +88,10 @@
 pub struct ReplicaStatement {
     /// Requests per second that it accepts from all instances together.
     pub limit_per_s: Stated<f64>,
+    /// That it shuts down and wants no new requests.
+    pub leaving: Stated<()>,
+    /// Time for which it wants no requests from this instance, after it has refused one.
+    pub rest: Stated<Duration>,
 }
 
 /// Translation between the instance and the HTTP headers of callers and replicas.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -92,7 +92,7 @@
             statements: counters(
                 &registry,
                 "kingcup_replica_statements_total",
-                "Responses in which a replica states something about itself: limit; invalid",
+                "Responses in which a replica states something about itself: limit, leaving, rest; invalid",
                 "kind",
             ),
             replica_limits: gauges(
--- a/crates/entry/src/node/statements.rs
+++ b/crates/entry/src/node/statements.rs
@@ -1,6 +1,7 @@
 //! What replicas state about themselves in their responses.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use http::response::Parts;
 use kingcupfield_decisions::id::name_hash;
@@ -54,6 +55,38 @@
             Stated::Absent => {}
             Stated::Invalid(value) => self.on_invalid_statement(replica, id, "limit", &value),
         }
+        match statement.leaving {
+            Stated::Valid(()) => self.on_leaving(replica, id),
+            Stated::Absent => {}
+            Stated::Invalid(value) => self.on_invalid_statement(replica, id, "leaving", &value),
+        }
+        match statement.rest {
+            Stated::Valid(rest) => self.on_rest(replica, id, rest),
+            Stated::Absent => {}
+            Stated::Invalid(value) => self.on_invalid_statement(replica, id, "rest", &value),
+        }
+    }
+
+    /// Counts and logs that a replica says that it shuts down.
+    fn on_leaving(&self, replica: &PublishedReplica, id: &str) {
+        self.metrics.count_statement("leaving");
+        self.log.line(
+            Priority::Low,
+            format_args!("event=replica_leaving replica={} id={id}", replica.id),
+        );
+    }
+
+    /// Counts and logs that a replica wants no requests from this instance for a time.
+    fn on_rest(&self, replica: &PublishedReplica, id: &str, rest: Duration) {
+        self.metrics.count_statement("rest");
+        self.log.line(
+            Priority::High,
+            format_args!(
+                "event=replica_rest replica={} id={id} for_ms={}",
+                replica.id,
+                rest.as_millis()
+            ),
+        );
     }
 
     /// What this instance was told itself about the limits of replicas, for the other instances; at most
