Send nothing new to a replica that says it leaves

Requests reached a replica 3.4 to 4.2 s after a response had told the instance that the replica leaves, as the store that would have told was down.

Cause: only the directory's word counted. Now the replica's own word excludes it at once for its incarnation, at every instance: those that were told tell the others. It outlives a missing directory entry, and a request that has its slot but is not sent yet goes elsewhere.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -213,6 +213,26 @@
         limit.on_peer_report(upstream, &self.fleet, report);
     }
 
+    /// Records that a replica has said that it shuts down, to this instance or to another one. It gets no
+    /// new requests as long as it is the same incarnation. Returns whether this was not known before.
+    pub fn on_said_leaving(&mut self, upstream: &UpstreamId, incarnation: u64) -> bool {
+        let Some(index) = self.index_of_incarnation(upstream, incarnation) else {
+            return false;
+        };
+        !std::mem::replace(&mut self.upstreams[index].said_leaving, true)
+    }
+
+    /// Whether a replica has said that it shuts down.
+    pub fn has_said_leaving(&self, upstream: &UpstreamId) -> bool {
+        self.said_leaving().any(|(id, _)| id == upstream)
+    }
+
+    /// The replicas that have said that they shut down, and their incarnations.
+    pub fn said_leaving(&self) -> impl Iterator<Item = (&UpstreamId, u64)> {
+        let leaving = self.upstreams.iter().filter(|u| u.said_leaving);
+        leaving.map(|u| (&u.replica.id, u.replica.incarnation))
+    }
+
     /// What this instance was told itself about the limits of replicas: the replica, its incarnation
     /// and the report.
     pub fn own_limit_reports(
@@ -274,7 +294,7 @@
     pub fn replica_counts(&self, now: Instant) -> ReplicaCounts {
         let mut counts = ReplicaCounts::default();
         for u in &self.upstreams {
-            let count = if !u.replica.usable {
+            let count = if !u.is_usable() {
                 &mut counts.unusable
             } else if u.is_cold_not_designated(now) {
                 &mut counts.cold_not_designated
@@ -408,7 +428,7 @@
         let can_finish: Vec<bool> = self
             .upstreams
             .iter()
-            .filter(|u| u.replica.usable && u.replica.service == *service)
+            .filter(|u| u.is_usable() && u.replica.service == *service)
             .map(|u| u.can_finish_within(time_left, prompt_tokens, output_tokens, &prompt_cost))
             .collect();
         can_finish.is_empty() || can_finish.contains(&true)
@@ -426,7 +446,7 @@
         let usable = self
             .upstreams
             .iter()
-            .filter(|u| u.replica.usable && u.replica.service == *service);
+            .filter(|u| u.is_usable() && u.replica.service == *service);
         for u in usable {
             availability.usable += 1;
             if !regions.allows(&u.replica.region) {
--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -47,7 +47,7 @@
     /// Whether any replica that may serve the request accepts work, even if it is full now.
     pub(super) fn any_accepts_work(&self, now: Instant, job: &Job) -> bool {
         let mut replicas = self.upstreams.iter();
-        replicas.any(|u| u.replica.usable && may_serve(u, job) && u.accepts_work(now))
+        replicas.any(|u| u.is_usable() && may_serve(u, job) && u.accepts_work(now))
     }
 
     /// Chooses the candidate with the lowest cost, as an index; `None` if the request has to wait.
@@ -123,7 +123,7 @@
     fn any_finishes_by_deadline(&self, now: Instant, job: &Job, prompt_cost: &PromptCost) -> bool {
         let mut replicas = self.upstreams.iter();
         replicas.any(|u| {
-            let may_run = u.replica.usable && is_candidate(u, job) && u.accepts_work(now);
+            let may_run = u.is_usable() && is_candidate(u, job) && u.accepts_work(now);
             may_run && u.finishes_by_deadline(now, job, prompt_cost)
         })
     }
@@ -148,7 +148,7 @@
     fn lowest_failure_share(&self, now: Instant, service: &ServiceId) -> f64 {
         self.upstreams
             .iter()
-            .filter(|u| u.replica.usable && u.replica.service == *service)
+            .filter(|u| u.is_usable() && u.replica.service == *service)
             .map(|u| u.latency.failure_share(now))
             .fold(1.0, f64::min)
     }
--- a/crates/decisions/src/dispatch/departed.rs
+++ b/crates/decisions/src/dispatch/departed.rs
@@ -24,6 +24,7 @@
     id: UpstreamId,
     incarnation: u64,
     limit: ReplicaLimit,
+    said_leaving: bool,
 }
 
 /// Replicas that are no longer published, in the order of their departure.
@@ -45,6 +46,7 @@
             id: upstream.replica.id,
             incarnation: upstream.replica.incarnation,
             limit: upstream.limit,
+            said_leaving: upstream.said_leaving,
         });
     }
 
@@ -56,6 +58,8 @@
         let Some(index) = self.entries.iter().position(is_same) else {
             return;
         };
-        upstream.limit = self.entries.remove(index).limit;
+        let entry = self.entries.remove(index);
+        upstream.limit = entry.limit;
+        upstream.said_leaving = entry.said_leaving;
     }
 }
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -148,6 +148,8 @@
     pub(super) cold_gate: ColdGate,
     /// Limit that the replica named for all instances together.
     pub(super) limit: ReplicaLimit,
+    /// Whether the replica has said in a response that it shuts down. The word holds for its incarnation.
+    pub(super) said_leaving: bool,
 }
 
 impl Upstream {
@@ -165,6 +167,7 @@
             last_connect_failure_at: None,
             cold_gate,
             limit: ReplicaLimit::default(),
+            said_leaving: false,
         }
     }
 
@@ -183,6 +186,11 @@
         self.running_total() < room
     }
 
+    /// Whether it may get new requests: neither the directory nor the replica itself says otherwise.
+    pub(super) fn is_usable(&self) -> bool {
+        self.replica.usable && !self.said_leaving
+    }
+
     /// Whether neither recent failures nor a cold start keep requests of this instance away.
     pub(super) fn accepts_work(&self, now: Instant) -> bool {
         !self.in_backoff(now)
@@ -223,7 +231,7 @@
             && !self.is_being_probed()
             && !self.is_unresponsive(now)
             && self.limit.admits(now);
-        rested && may_try && self.replica.usable && self.has_room() && self.cold_limit_admits(now)
+        rested && may_try && self.is_usable() && self.has_room() && self.cold_limit_admits(now)
     }
 
     /// Records since when the replica has had room; returns whether it can accept another request
@@ -234,7 +242,7 @@
             return false;
         }
         self.free_since.get_or_insert(now);
-        self.replica.usable && self.accepts_work(now) && self.cold_limit_admits(now)
+        self.is_usable() && self.accepts_work(now) && self.cold_limit_admits(now)
     }
 
     /// How long the replica has had room.
--- a/crates/decisions/tests/replica_limit.rs
+++ b/crates/decisions/tests/replica_statements.rs
@@ -1,4 +1,4 @@
-//! Which limit of a replica is in force, and how the instances share it.
+//! What replicas say about themselves: limits and how the instances share them, and that they leave.
 
 use std::time::Duration;
 
@@ -299,3 +299,23 @@
     assert_eq!(single.send(4800, 100), (0, 0));
     assert_eq!(single.send(9300, 100), (14, 0));
 }
+
+/// A replica says that it shuts down while the store that would tell is down. It gets nothing more, also
+/// after its entry was missing for a moment, until it starts again; late words of its predecessor do not
+/// count.
+#[test]
+fn a_replica_that_says_it_leaves_is_excluded_until_it_restarts() {
+    let mut single = Single::new(&[replica("a", 1), replica("b", 1)]);
+    assert!(single.dispatcher.on_said_leaving(&"a".into(), 1));
+    assert!(!single.dispatcher.on_said_leaving(&"a".into(), 1));
+    assert_eq!(single.send(0, 20), (0, 20));
+    let (gone, back) = (at(single.start, 100), at(single.start, 1000));
+    single.dispatcher.update_replicas(gone, &[replica("b", 1)]);
+    let both = [replica("a", 1), replica("b", 1)];
+    single.dispatcher.update_replicas(back, &both);
+    assert_eq!(single.send(1100, 20), (0, 20));
+    let now = at(single.start, 1200);
+    single.dispatcher.update_replicas(now, &[replica("a", 2)]);
+    assert!(!single.dispatcher.on_said_leaving(&"a".into(), 1));
+    assert_eq!(single.send(1300, 20), (20, 0));
+}
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -408,7 +408,7 @@
             unreachable: unreachable_replicas(node),
             loads: state.loads,
             waiting: state.waiting,
-            limits: node.own_limit_reports(),
+            replicas: node.replica_reports(),
             ..Digest::default()
         };
         if matches!(kind, StateKind::Full | StateKind::Greeting) {
--- a/crates/entry/src/gossip/local_state.rs
+++ b/crates/entry/src/gossip/local_state.rs
@@ -22,22 +22,23 @@
     pub(super) zone_size: u16,
     /// Limits that replicas named to this instance, or that have ended.
     pub(super) limits: Vec<(NameHash, Option<f64>)>,
+    /// Replicas that have said that they shut down, with their start times in Unix milliseconds.
+    pub(super) leaving_replicas: Vec<(NameHash, u64)>,
     /// Whether this instance closes its connections to shut down.
     pub(super) leaving: bool,
 }
 
 /// Reads the current state from the node.
 pub(super) fn local_state(node: &Node) -> LocalState {
+    let replicas = node.replica_reports();
+    let limits = replicas.limits.iter().map(|r| (r.replica, r.per_s));
     LocalState {
         loads: local_loads(node),
         waiting: waiting_classes(node),
         upto: node.directory.borrow().complete_up_to(),
         zone_size: node.peers.borrow().zone_size() as u16,
-        limits: node
-            .own_limit_reports()
-            .iter()
-            .map(|r| (r.replica, r.per_s))
-            .collect(),
+        limits: limits.collect(),
+        leaving_replicas: replicas.leaving,
         leaving: node.process_state() >= ProcessState::Closing,
     }
 }
--- a/crates/entry/src/node/statements.rs
+++ b/crates/entry/src/node/statements.rs
@@ -1,20 +1,21 @@
 //! What replicas state about themselves in their responses.
 
+use std::fmt;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use http::response::Parts;
-use kingcupfield_decisions::id::name_hash;
+use kingcupfield_decisions::id::{UpstreamId, name_hash};
 use kingcupfield_decisions::replica_limit::LimitReport;
 use tokio::time::Instant;
 
 use super::Node;
 use crate::adapter::{ResponseClass, Stated};
 use crate::log::Priority;
-use crate::peers::ReplicaLimitReport;
+use crate::peers::{ReplicaLimitReport, ReplicaReports};
 use crate::replica::PublishedReplica;
 
-/// Limits of replicas in one message to the other instances.
+/// Replicas of each kind of statement in one message to the other instances.
 const MAX_REPORTS: usize = 64;
 
 impl Node {
@@ -67,13 +68,26 @@
         }
     }
 
-    /// Counts and logs that a replica says that it shuts down.
+    /// Records that a replica says that it shuts down.
     fn on_leaving(&self, replica: &PublishedReplica, id: &str) {
         self.metrics.count_statement("leaving");
-        self.log.line(
-            Priority::Low,
-            format_args!("event=replica_leaving replica={} id={id}", replica.id),
-        );
+        self.on_said_leaving(&replica.id, replica.start_unix_ms, format_args!("id={id}"));
+    }
+
+    /// Excludes a replica that shuts down from new requests, and logs it once.
+    fn on_said_leaving(
+        &self,
+        replica: &UpstreamId,
+        start_unix_ms: u64,
+        source: fmt::Arguments<'_>,
+    ) {
+        let mut dispatch = self.dispatch.borrow_mut();
+        if dispatch.on_said_leaving(replica, start_unix_ms) {
+            self.log.line(
+                Priority::High,
+                format_args!("event=replica_leaving replica={replica} {source}"),
+            );
+        }
     }
 
     /// Counts and logs that a replica wants no requests from this instance for a time.
@@ -89,9 +103,19 @@
         );
     }
 
-    /// What this instance was told itself about the limits of replicas, for the other instances; at most
-    /// [`MAX_REPORTS`], the latest first.
-    pub fn own_limit_reports(&self) -> Vec<ReplicaLimitReport> {
+    /// What replicas have said about themselves, for the other instances.
+    pub fn replica_reports(&self) -> ReplicaReports {
+        let dispatch = self.dispatch.borrow();
+        let leaving = dispatch.said_leaving().take(MAX_REPORTS);
+        ReplicaReports {
+            limits: self.own_limit_reports(),
+            leaving: leaving.map(|(id, start)| (name_hash(id), start)).collect(),
+        }
+    }
+
+    /// What this instance was told itself about the limits of replicas; at most [`MAX_REPORTS`], the
+    /// latest first.
+    fn own_limit_reports(&self) -> Vec<ReplicaLimitReport> {
         let now = Instant::now();
         let suspended = self.suspend_detector.unreported();
         let dispatch = self.dispatch.borrow();
@@ -106,8 +130,18 @@
         reports
     }
 
+    /// Applies what replicas have told another instance.
+    pub fn on_peer_replica_reports(&self, from: Ipv4Addr, reports: &ReplicaReports) {
+        self.on_peer_limit_reports(from, &reports.limits);
+        for (name, start_unix_ms) in &reports.leaving {
+            if let Some(id) = self.replica_by_name_hash(*name) {
+                self.on_said_leaving(&id, *start_unix_ms, format_args!("peer={from}"));
+            }
+        }
+    }
+
     /// Applies what another instance was told about the limits of replicas.
-    pub fn on_peer_limit_reports(&self, from: Ipv4Addr, reports: &[ReplicaLimitReport]) {
+    fn on_peer_limit_reports(&self, from: Ipv4Addr, reports: &[ReplicaLimitReport]) {
         let now = Instant::now();
         for r in reports {
             let Some(id) = self.replica_by_name_hash(r.replica) else {
@@ -146,7 +180,7 @@
         replica: &str,
         before: Option<f64>,
         after: Option<f64>,
-        source: std::fmt::Arguments<'_>,
+        source: fmt::Arguments<'_>,
     ) {
         let text = |per_s: Option<f64>| per_s.map_or("-".to_owned(), |per_s| per_s.to_string());
         self.log.line(
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -18,7 +18,7 @@
 use kingcupfield_decisions::store_view::Revision;
 use tokio::time::Instant;
 
-pub use digest::{Digest, ForwardScope, PeerMessage, ReplicaLimitReport};
+pub use digest::{Digest, ForwardScope, PeerMessage, ReplicaLimitReport, ReplicaReports};
 pub use peer::{Nearness, Peer};
 
 /// Time without a digest after which an instance may be partitioned: its load is no longer counted,
--- a/crates/entry/src/peers/digest.rs
+++ b/crates/entry/src/peers/digest.rs
@@ -77,10 +77,25 @@
     pub members: Vec<(NameHash, Vec<Ipv4Addr>)>,
     /// Its clock in Unix milliseconds; not in every message.
     pub time_ms: Option<u64>,
-    /// What replicas told it about their limits. Left out while there are none, so that instances of
+    /// What replicas told it about themselves. Left out while there is nothing, so that instances of
     /// earlier versions can read the message.
-    #[serde(skip_serializing_if = "Vec::is_empty")]
+    #[serde(skip_serializing_if = "ReplicaReports::is_empty")]
+    pub replicas: ReplicaReports,
+}
+
+/// What replicas told one instance about themselves.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ReplicaReports {
+    /// Their limits.
     pub limits: Vec<ReplicaLimitReport>,
+    /// Name hashes and start times, in Unix milliseconds, of those that shut down.
+    pub leaving: Vec<(NameHash, u64)>,
+}
+
+impl ReplicaReports {
+    fn is_empty(&self) -> bool {
+        self.limits.is_empty() && self.leaving.is_empty()
+    }
 }
 
 /// What one instance was told about the limit of one replica.
--- a/crates/entry/src/receiver.rs
+++ b/crates/entry/src/receiver.rs
@@ -91,7 +91,7 @@
     let steps = digest.steps.clone();
     let unreachable = digest.unreachable.clone();
     let time_ms = digest.time_ms;
-    let limits = digest.limits.clone();
+    let replicas = digest.replicas.clone();
     let effects = node.peers.borrow_mut().on_digest(now, from, digest);
     log_silent(node, &effects.silent);
     if effects.is_new {
@@ -107,7 +107,7 @@
     }
     apply_step_times(node, &steps);
     apply_unreachable(node, &unreachable);
-    node.on_peer_limit_reports(from, &limits);
+    node.on_peer_replica_reports(from, &replicas);
     if upto > node.directory.borrow().complete_up_to() {
         let delay = if node.reads_store() {
             STORE_HEAD_START
--- a/crates/entry/src/request/slot_request.rs
+++ b/crates/entry/src/request/slot_request.rs
@@ -36,10 +36,13 @@
 const MAX_RESUME_WAIT_FRACTION: f64 = 0.8;
 
 impl RequestContext {
-    /// Returns the replica of an assigned slot, or `None` if the replica is gone or the request may
-    /// no longer be served in its region.
+    /// Returns the replica of an assigned slot, or `None` if the replica is gone or leaves, or the
+    /// request may no longer be served in its region.
     pub(super) fn target(&self, node: &Node, slot: &SlotGuard) -> Option<Rc<Target>> {
         let target = node.target(&slot.upstream)?;
+        if node.dispatch.borrow().has_said_leaving(&slot.upstream) {
+            return None;
+        }
         let region = node.region_of(&target.published.zone);
         self.regions().allows(&region).then_some(target)
     }
--- a/crates/entry/tests/replica_limits.rs
+++ b/crates/entry/tests/replica_limits.rs
@@ -12,7 +12,7 @@
 use kingcupfield_decisions::id::{NameHash, name_hash};
 use kingcupfield_decisions::regions::Regions;
 use kingcupfield_decisions::replica_limit::LimitReport;
-use kingcupfield_entry::peers::{Digest, Peers, ReplicaLimitReport};
+use kingcupfield_entry::peers::{Digest, Peers, ReplicaLimitReport, ReplicaReports};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
@@ -246,7 +246,10 @@
             greeting,
             settled: greeting && self.peers.is_settled(now),
             members: if greeting { members } else { Vec::new() },
-            limits,
+            replicas: ReplicaReports {
+                limits,
+                ..ReplicaReports::default()
+            },
             ..Digest::default()
         }
     }
@@ -368,7 +371,7 @@
             if now < to.down_until {
                 continue;
             }
-            for report in &message.digest.limits {
+            for report in &message.digest.replicas.limits {
                 let id = REPLICAS.iter().find(|r| name_hash(r) == report.replica);
                 let id = (*id.expect("a known replica")).into();
                 to.dispatcher
