Give replicas the rest that they ask for

Two replicas that had turned an instance away with 503 and asked for 3 s of rest got 9 and 7 requests from it within that time, and answered each with 503.

Cause: a refusal started the backoff for lack of room, 150 ms, whatever Retry-After said. Now the rest is a time of its own: neither a backoff nor a shorter rest that is asked for later ends it, it is no last resort, it outlives a missing directory entry and ends with the incarnation that asked for it. Requests go to other replicas meanwhile; the reason of a refusal counts the resting ones.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -222,6 +222,27 @@
         !std::mem::replace(&mut self.upstreams[index].said_leaving, true)
     }
 
+    /// Records that a replica has refused a request and wants no other of this instance for a time.
+    pub fn on_rest(
+        &mut self,
+        now: Instant,
+        upstream: &UpstreamId,
+        incarnation: u64,
+        rest: Duration,
+    ) {
+        if let Some(index) = self.index_of_incarnation(upstream, incarnation) {
+            self.upstreams[index].rest(now, rest);
+        }
+    }
+
+    /// Whether a replica wants no request of this instance now.
+    pub fn is_resting(&self, now: Instant, upstream: &UpstreamId) -> bool {
+        let index = self
+            .upstreams
+            .binary_search_by(|u| u.replica.id.cmp(upstream));
+        index.is_ok_and(|i| self.upstreams[i].is_resting(now))
+    }
+
     /// Whether a replica has said that it shuts down.
     pub fn has_said_leaving(&self, upstream: &UpstreamId) -> bool {
         self.said_leaving().any(|(id, _)| id == upstream)
@@ -298,6 +319,8 @@
                 &mut counts.unusable
             } else if u.is_cold_not_designated(now) {
                 &mut counts.cold_not_designated
+            } else if u.is_resting(now) {
+                &mut counts.resting
             } else if !u.limit.admits(now) {
                 &mut counts.limited
             } else if u.is_cold(now) {
@@ -453,6 +476,8 @@
                 availability.region_not_allowed += 1;
             } else if u.is_cold_not_designated(now) {
                 availability.cold_not_designated += 1;
+            } else if u.is_resting(now) {
+                availability.resting += 1;
             } else if !u.limit.admits(now) {
                 availability.limited += 1;
             } else if !u.accepts_work(now) {
--- a/crates/decisions/src/dispatch/departed.rs
+++ b/crates/decisions/src/dispatch/departed.rs
@@ -25,6 +25,7 @@
     incarnation: u64,
     limit: ReplicaLimit,
     said_leaving: bool,
+    rest_until: Option<Instant>,
 }
 
 /// Replicas that are no longer published, in the order of their departure.
@@ -47,6 +48,7 @@
             incarnation: upstream.replica.incarnation,
             limit: upstream.limit,
             said_leaving: upstream.said_leaving,
+            rest_until: upstream.rest_until,
         });
     }
 
@@ -61,5 +63,6 @@
         let entry = self.entries.remove(index);
         upstream.limit = entry.limit;
         upstream.said_leaving = entry.said_leaving;
+        upstream.rest_until = entry.rest_until;
     }
 }
--- a/crates/decisions/src/dispatch/job.rs
+++ b/crates/decisions/src/dispatch/job.rs
@@ -91,6 +91,8 @@
     pub cold_not_designated: u32,
     /// Replicas whose limit leaves this instance no request now.
     pub limited: u32,
+    /// Replicas that want no request of this instance for a time.
+    pub resting: u32,
     /// Replicas that are shutting down or whose zone is drained.
     pub unusable: u32,
 }
@@ -99,7 +101,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ServiceAvailability {
     /// Replicas that are neither shutting down nor in a drained zone. Each of them is in at most
-    /// one of the next five counts.
+    /// one of the next six counts.
     pub usable: u32,
     /// Replicas in a region where the request may not be processed.
     pub region_not_allowed: u32,
@@ -109,6 +111,8 @@
     pub cold_not_designated: u32,
     /// Replicas whose limit leaves this instance no request now.
     pub limited: u32,
+    /// Replicas that want no request of this instance for a time.
+    pub resting: u32,
     /// Replicas without room for another request.
     pub full: u32,
     /// Requests for the service in this instance's queue.
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -150,6 +150,8 @@
     pub(super) limit: ReplicaLimit,
     /// Whether the replica has said in a response that it shuts down. The word holds for its incarnation.
     pub(super) said_leaving: bool,
+    /// Time until which the replica wants no request of this instance.
+    pub(super) rest_until: Option<Instant>,
 }
 
 impl Upstream {
@@ -168,6 +170,7 @@
             cold_gate,
             limit: ReplicaLimit::default(),
             said_leaving: false,
+            rest_until: None,
         }
     }
 
@@ -198,6 +201,17 @@
             && !self.is_unresponsive(now)
             && !self.is_cold_not_designated(now)
             && self.limit.admits(now)
+            && !self.is_resting(now)
+    }
+
+    /// Starts or prolongs a rest. Each refusal asks for its own, so a shorter one doesn't end a longer.
+    pub(super) fn rest(&mut self, now: Instant, rest: Duration) {
+        self.rest_until = self.rest_until.max(Some(now + rest));
+    }
+
+    /// Whether the replica wants no request of this instance now.
+    pub(super) fn is_resting(&self, now: Instant) -> bool {
+        self.rest_until.is_some_and(|until| now < until)
     }
 
     /// Request limit that applies now, `None` unless the replica is cold.
@@ -230,7 +244,8 @@
         let may_try = self.in_backoff(now)
             && !self.is_being_probed()
             && !self.is_unresponsive(now)
-            && self.limit.admits(now);
+            && self.limit.admits(now)
+            && !self.is_resting(now);
         rested && may_try && self.is_usable() && self.has_room() && self.cold_limit_admits(now)
     }
 
--- a/crates/decisions/tests/replica_statements.rs
+++ b/crates/decisions/tests/replica_statements.rs
@@ -1,4 +1,5 @@
-//! What replicas say about themselves: limits and how the instances share them, and that they leave.
+//! What replicas say about themselves: limits and how the instances share them, that
+//! they leave, and that they want rest.
 
 use std::time::Duration;
 
@@ -319,3 +320,70 @@
     assert!(!single.dispatcher.on_said_leaving(&"a".into(), 1));
     assert_eq!(single.send(1300, 20), (20, 0));
 }
+
+struct RestsCase {
+    /// Rests that the replica asks for: milliseconds after the start, and their length.
+    rests: &'static [(u64, u64)],
+    /// When a request is tried.
+    tried_ms: u64,
+    sent: bool,
+}
+
+/// A replica turns requests away and asks for rest. A backoff of its own length, or a shorter rest that it
+/// asks for later, must not end the time that it wants.
+#[parameterized(
+    within = { RestsCase { rests: &[(0, 3000)], tried_ms: 2999, sent: false } },
+    after = { RestsCase { rests: &[(0, 3000)], tried_ms: 3000, sent: true } },
+    fraction = { RestsCase { rests: &[(0, 400)], tried_ms: 399, sent: false } },
+    after_fraction = { RestsCase { rests: &[(0, 400)], tried_ms: 400, sent: true } },
+    asked_again = { RestsCase { rests: &[(0, 3000), (2000, 3000)], tried_ms: 4999, sent: false } },
+    shorter_later = { RestsCase { rests: &[(0, 3000), (100, 500)], tried_ms: 2999, sent: false } },
+)]
+fn a_replica_gets_the_rest_that_it_asks_for(case: RestsCase) {
+    let mut single = Single::new(&[replica("a", 1)]);
+    assert_eq!(single.send(0, 1), (1, 0));
+    for (from, rest) in case.rests {
+        let (now, rest) = (at(single.start, *from), Duration::from_millis(*rest));
+        let full = Outcome::Full;
+        single.dispatcher.on_end(now, &"a".into(), 1, full);
+        single.dispatcher.on_rest(now, &"a".into(), 1, rest);
+    }
+    let sent = usize::from(case.sent);
+    assert_eq!(single.send(case.tried_ms, 1), (sent, 0));
+}
+
+/// A rest outlives a missing directory entry and ends with the incarnation that asked for it.
+#[test]
+fn a_rest_belongs_to_one_incarnation() {
+    let mut single = Single::new(&[replica("a", 1)]);
+    let rest = Duration::from_mins(1);
+    single
+        .dispatcher
+        .on_rest(single.start, &"a".into(), 1, rest);
+    let times = [100, 200, 300].map(|ms| at(single.start, ms));
+    single.dispatcher.update_replicas(times[0], &[]);
+    single
+        .dispatcher
+        .update_replicas(times[1], &[replica("a", 1)]);
+    assert_eq!(single.send(250, 5), (0, 0));
+    single
+        .dispatcher
+        .update_replicas(times[2], &[replica("a", 2)]);
+    assert_eq!(single.send(350, 5), (5, 0));
+}
+
+/// All other replicas back off after failures. A resting one is no last resort.
+#[test]
+fn a_resting_replica_is_no_last_resort() {
+    let mut single = Single::new(&[replica("a", 1)]);
+    let now = single.start;
+    assert_eq!(single.send(0, 1), (1, 0));
+    single
+        .dispatcher
+        .on_end(now, &"a".into(), 1, Outcome::Unreachable);
+    single
+        .dispatcher
+        .on_rest(now, &"a".into(), 1, Duration::from_secs(10));
+    assert_eq!(single.send(5000, 5), (0, 0));
+    assert!(single.send(10_000, 5).0 > 0);
+}
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -69,7 +69,7 @@
     /// Open connections of callers, and active requests.
     callers: GaugeVec,
     /// Replicas by availability: open, cold and designated to this instance (`cold_kept`), cold and
-    /// designated to another one (`cold_closed`), limited, unusable.
+    /// designated to another one (`cold_closed`), limited, resting, unusable.
     replica_states: GaugeVec,
     /// Other instances by whether their last report is recent (`heard`) or not (`silent`).
     peers: GaugeVec,
@@ -129,7 +129,7 @@
             replica_states: gauges(
                 &registry,
                 "kingcup_replicas",
-                "Replicas by what they may get: open, cold_kept, cold_closed, limited, unusable",
+                "Replicas by what they may get: open, cold_kept, cold_closed, limited, resting, unusable",
                 "state",
             ),
             peers: gauges(
@@ -207,6 +207,7 @@
             ("cold_kept", counts.cold_designated),
             ("cold_closed", counts.cold_not_designated),
             ("limited", counts.limited),
+            ("resting", counts.resting),
             ("unusable", counts.unusable),
         ] {
             self.replica_states
--- a/crates/entry/src/node/statements.rs
+++ b/crates/entry/src/node/statements.rs
@@ -90,8 +90,11 @@
         }
     }
 
-    /// Counts and logs that a replica wants no requests from this instance for a time.
+    /// Keeps requests of this instance from a replica that wants none for a time.
     fn on_rest(&self, replica: &PublishedReplica, id: &str, rest: Duration) {
+        let mut dispatch = self.dispatch.borrow_mut();
+        dispatch.on_rest(Instant::now(), &replica.id, replica.start_unix_ms, rest);
+        drop(dispatch);
         self.metrics.count_statement("rest");
         self.log.line(
             Priority::High,
--- a/crates/entry/src/request/refusals.rs
+++ b/crates/entry/src/request/refusals.rs
@@ -80,7 +80,7 @@
                 .borrow()
                 .availability(Instant::now(), &self.service, &regions);
         let reason = format!(
-            "no room for {} in {} ms in regions {regions}, received in region {}: {} replicas usable, of these {} in other regions, {} cold, {} limited, {} in backoff, {} full; {} requests waiting, drained zones [{}]",
+            "no room for {} in {} ms in regions {regions}, received in region {}: {} replicas usable, of these {} in other regions, {} cold, {} limited, {} resting, {} in backoff, {} full; {} requests waiting, drained zones [{}]",
             self.service,
             self.received.elapsed().as_millis(),
             node.settings().region,
@@ -88,6 +88,7 @@
             availability.region_not_allowed,
             availability.cold_not_designated,
             availability.limited,
+            availability.resting,
             availability.ejected,
             availability.full,
             availability.waiting,
--- a/crates/entry/src/request/slot_request.rs
+++ b/crates/entry/src/request/slot_request.rs
@@ -36,13 +36,17 @@
 const MAX_RESUME_WAIT_FRACTION: f64 = 0.8;
 
 impl RequestContext {
-    /// Returns the replica of an assigned slot, or `None` if the replica is gone or leaves, or the
-    /// request may no longer be served in its region.
+    /// Returns the replica of an assigned slot, or `None` if the replica is gone, leaves or rests, or
+    /// the request may no longer be served in its region.
     pub(super) fn target(&self, node: &Node, slot: &SlotGuard) -> Option<Rc<Target>> {
         let target = node.target(&slot.upstream)?;
-        if node.dispatch.borrow().has_said_leaving(&slot.upstream) {
+        let dispatch = node.dispatch.borrow();
+        if dispatch.has_said_leaving(&slot.upstream)
+            || dispatch.is_resting(Instant::now(), &slot.upstream)
+        {
             return None;
         }
+        drop(dispatch);
         let region = node.region_of(&target.published.zone);
         self.regions().allows(&region).then_some(target)
     }
