Look up replicas of the dispatcher in one place

The search by id stood in five functions; a replica that has said that it leaves was found by a scan over all of them for each request.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -237,15 +237,12 @@
 
     /// Whether a replica wants no request of this instance now.
     pub fn is_resting(&self, now: Instant, upstream: &UpstreamId) -> bool {
-        let index = self
-            .upstreams
-            .binary_search_by(|u| u.replica.id.cmp(upstream));
-        index.is_ok_and(|i| self.upstreams[i].is_resting(now))
+        self.get(upstream).is_some_and(|u| u.is_resting(now))
     }
 
     /// Whether a replica has said that it shuts down.
     pub fn has_said_leaving(&self, upstream: &UpstreamId) -> bool {
-        self.said_leaving().any(|(id, _)| id == upstream)
+        self.get(upstream).is_some_and(|u| u.said_leaving)
     }
 
     /// The replicas that have said that they shut down, and their incarnations.
@@ -288,10 +285,7 @@
 
     /// The limit of a replica in force, in requests per second; `None` if there is none.
     pub fn limit_of(&self, now: Instant, upstream: &UpstreamId) -> Option<f64> {
-        let index = self
-            .upstreams
-            .binary_search_by(|u| u.replica.id.cmp(upstream));
-        self.upstreams[index.ok()?].limit.per_s(now)
+        self.get(upstream)?.limit.per_s(now)
     }
 
     /// The limits in force, in requests per second.
@@ -573,9 +567,7 @@
 
     /// Whether the replica has sent nothing for so long that it is likely dead.
     pub fn is_unresponsive(&self, now: Instant, upstream: &UpstreamId) -> bool {
-        self.upstreams
-            .binary_search_by(|u| u.replica.id.cmp(upstream))
-            .is_ok_and(|i| self.upstreams[i].is_unresponsive(now))
+        self.get(upstream).is_some_and(|u| u.is_unresponsive(now))
     }
 
     /// Records a request as running at the replica with this index and returns its assignment.
@@ -636,21 +628,25 @@
         found.ok().map(|at| &self.size_stats[at].1)
     }
 
-    /// Index of the replica with this id, if it is still the same incarnation.
-    fn index_of_incarnation(&self, upstream: &UpstreamId, incarnation: u64) -> Option<usize> {
+    fn index_of(&self, upstream: &UpstreamId) -> Option<usize> {
         let index = self
             .upstreams
             .binary_search_by(|u| u.replica.id.cmp(upstream));
-        index
-            .ok()
-            .filter(|i| self.upstreams[*i].replica.incarnation == incarnation)
+        index.ok()
+    }
+
+    /// Index of the replica with this id, if it is still the same incarnation.
+    fn index_of_incarnation(&self, upstream: &UpstreamId, incarnation: u64) -> Option<usize> {
+        let index = self.index_of(upstream)?;
+        (self.upstreams[index].replica.incarnation == incarnation).then_some(index)
+    }
+
+    fn get(&self, upstream: &UpstreamId) -> Option<&Upstream> {
+        Some(&self.upstreams[self.index_of(upstream)?])
     }
 
     fn find(&mut self, upstream: &UpstreamId) -> Option<&mut Upstream> {
-        let at = self
-            .upstreams
-            .binary_search_by(|u| u.replica.id.cmp(upstream))
-            .ok()?;
-        Some(&mut self.upstreams[at])
+        let index = self.index_of(upstream)?;
+        Some(&mut self.upstreams[index])
     }
 }
