--- a/crates/standins/src/engine/faults.rs
+++ b/crates/standins/src/engine/faults.rs
@@ -43,6 +43,8 @@
     pub leaving: bool,
     /// New requests are refused with this status and do not run.
     pub status: Option<u16>,
+    /// Seconds of rest that these refusals ask for in `Retry-After`.
+    pub retry_after_s: Option<f64>,
     /// Fault of streams.
     pub stream: Option<StreamFault>,
 }
@@ -54,6 +56,7 @@
             stall: false,
             leaving: false,
             status: None,
+            retry_after_s: None,
             stream: None,
         }
     }
--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -20,7 +20,7 @@
 use crate::engine::shared::{LoadReport, Shared};
 use crate::engine::stream::{Reader, foreign_id, whole_answer};
 use crate::journal::{JournalView, Outcome};
-use crate::listener::broken_body;
+use crate::listener::{broken_body, refusal};
 
 /// How often a reader of cache events looks for new ones.
 const EVENT_POLL: Duration = Duration::from_millis(20);
@@ -64,9 +64,10 @@
         Ok(req) => req,
         Err(e) => return (StatusCode::BAD_REQUEST, e.to_string()).into_response(),
     };
-    if let Some(status) = shared.faults.get().status {
-        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        return (status, "refused by a fault").into_response();
+    let faults = shared.faults.get();
+    if let Some(status) = faults.status {
+        shared.journal.turn_away(request_id);
+        return refusal(status, faults.retry_after_s);
     }
     let job = shared.accept(request_id, &req, chat);
     let fault = shared.faults.lock().take_stream_fault();
--- a/crates/standins/src/journal.rs
+++ b/crates/standins/src/journal.rs
@@ -56,6 +56,15 @@
     pub runs: u32,
 }
 
+/// A request that the fake turned away without running it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnedAway {
+    /// Value of `X-Request-Id`.
+    pub request_id: String,
+    /// Time of arrival, in milliseconds since 1970.
+    pub at_ms: u64,
+}
+
 /// The journal as `GET /journal` prints it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JournalView {
@@ -63,12 +72,16 @@
     pub runs: Vec<Run>,
     /// Count of arrivals by request, sorted by request.
     pub counts: Vec<RunCount>,
+    /// Requests that were turned away, in order.
+    #[serde(default)]
+    pub turned_away: Vec<TurnedAway>,
 }
 
 /// Shared journal of one fake.
 #[derive(Debug, Clone, Default)]
 pub struct Journal {
     runs: Arc<Mutex<Vec<Run>>>,
+    turned_away: Arc<Mutex<Vec<TurnedAway>>>,
 }
 
 impl Journal {
@@ -103,9 +116,18 @@
         JournalView {
             runs: self.runs(),
             counts: self.counts(),
+            turned_away: self.lock_turned_away().clone(),
         }
     }
 
+    /// Adds a request that is turned away.
+    pub(crate) fn turn_away(&self, request_id: &str) {
+        self.lock_turned_away().push(TurnedAway {
+            request_id: request_id.to_owned(),
+            at_ms: epoch_ms(),
+        });
+    }
+
     /// The arrival at `position`.
     pub(crate) fn get(&self, position: usize) -> Option<Run> {
         self.lock().get(position).cloned()
@@ -128,6 +150,12 @@
         }
     }
 
+    fn lock_turned_away(&self) -> MutexGuard<'_, Vec<TurnedAway>> {
+        self.turned_away
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<Run>> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/standins/src/listener.rs
+++ b/crates/standins/src/listener.rs
@@ -7,6 +7,8 @@
 use axum::Router;
 use axum::body::{Body, Bytes};
 use axum::extract::DefaultBodyLimit;
+use axum::http::{HeaderValue, StatusCode, header};
+use axum::response::{IntoResponse, Response};
 use axum::serve::ListenerExt;
 use futures::{StreamExt, stream};
 use tokio::net::TcpListener;
@@ -30,6 +32,17 @@
     Body::from_stream(pieces.chain(stream::once(async { Err(broken().await) })))
 }
 
+/// A refusal of a request that does not run, with the rest that it asks for in `Retry-After`.
+pub(crate) fn refusal(status: u16, retry_after_s: Option<f64>) -> Response {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut refusal = (status, "refused by a fault").into_response();
+    let rest = retry_after_s.and_then(|s| HeaderValue::from_str(&s.to_string()).ok());
+    if let Some(rest) = rest {
+        refusal.headers_mut().insert(header::RETRY_AFTER, rest);
+    }
+    refusal
+}
+
 /// A listening fake; dropping it stops the listening and the background tasks.
 #[derive(Debug)]
 pub(crate) struct Listener {
--- a/crates/standins/src/plain_service.rs
+++ b/crates/standins/src/plain_service.rs
@@ -18,7 +18,7 @@
 use crate::engine::LoadReport;
 use crate::fault_switch::FaultSwitch;
 use crate::journal::{Journal, JournalView, Outcome, Run, epoch_ms};
-use crate::listener::{Listener, broken_body};
+use crate::listener::{Listener, broken_body, refusal};
 
 /// Settings of a fake plain service.
 #[derive(Debug, Clone)]
@@ -58,13 +58,15 @@
 }
 
 /// The faults of a fake plain service; the default is none.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlainServiceFaults {
     /// Time added to each call, in milliseconds.
     pub slow_ms: u64,
     /// Calls are refused with this status and have no effect.
     pub status: Option<u16>,
+    /// Seconds of rest that these refusals ask for in `Retry-After`.
+    pub retry_after_s: Option<f64>,
     /// The call has its effect and its answer never comes.
     pub lose_answer: bool,
     /// The call has its effect and the connection breaks within the answer.
@@ -149,8 +151,8 @@
     };
     let faults = shared.faults.get();
     if let Some(status) = faults.status {
-        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        return (status, "refused by a fault").into_response();
+        shared.journal.turn_away(&request_id);
+        return refusal(status, faults.retry_after_s);
     }
     let call = format!("{method} {}", uri.path());
     let effect = shared.journal.push(Run {
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -29,5 +29,6 @@
 mod stream_faults;
 mod upstream_dies;
 mod upstream_leaving;
+mod upstream_rests;
 mod upstream_slows;
 mod zone_cut;
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -427,15 +427,19 @@
     }
 
     /// Everything that the upstreams ran.
+    pub async fn journal(&self, upstream: &Upstream) -> JournalView {
+        let journal = self
+            .caller
+            .get(upstream.addr, "/journal")
+            .await
+            .expect("a journal");
+        serde_json::from_value(journal).expect("its form")
+    }
+
     pub async fn runs(&self) -> Vec<Ran> {
         let mut all = Vec::new();
         for upstream in &self.upstreams {
-            let journal = self
-                .caller
-                .get(upstream.addr, "/journal")
-                .await
-                .expect("a journal");
-            let journal: JournalView = serde_json::from_value(journal).expect("its form");
+            let journal = self.journal(upstream).await;
             let here = journal.runs.into_iter().map(|run| Ran {
                 upstream: upstream.name.clone(),
                 service: upstream.service,
