Give engines of the own interface the rest that they ask for

An engine that answered all requests with 503 and Retry-After: 3 got 232 requests in its rests, and 282 of 641 drafts ended with an unknown outcome although other engines were free.

Cause: the same as on the platform: the header was not read, and the 503 of an engine counted as a run that had failed. Now 503 with Retry-After keeps requests of that instance away for as long as it says. Drafts and idempotent calls that were turned away have not run and go to another replica; the answer to a call with an idempotency key is passed on, as the call may have run. A broken stream is resumed after the rest.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -231,13 +231,13 @@
         rest: Duration,
     ) {
         if let Some(index) = self.index_of_incarnation(upstream, incarnation) {
-            self.upstreams[index].rest(now, rest);
+            self.upstreams[index].rest.ask(now, rest);
         }
     }
 
     /// Whether a replica wants no request of this instance now.
     pub fn is_resting(&self, now: Instant, upstream: &UpstreamId) -> bool {
-        self.get(upstream).is_some_and(|u| u.is_resting(now))
+        self.get(upstream).is_some_and(|u| u.rest.holds(now))
     }
 
     /// Whether a replica has said that it shuts down.
@@ -313,7 +313,7 @@
                 &mut counts.unusable
             } else if u.is_cold_not_designated(now) {
                 &mut counts.cold_not_designated
-            } else if u.is_resting(now) {
+            } else if u.rest.holds(now) {
                 &mut counts.resting
             } else if !u.limit.admits(now) {
                 &mut counts.limited
@@ -470,7 +470,7 @@
                 availability.region_not_allowed += 1;
             } else if u.is_cold_not_designated(now) {
                 availability.cold_not_designated += 1;
-            } else if u.is_resting(now) {
+            } else if u.rest.holds(now) {
                 availability.resting += 1;
             } else if !u.limit.admits(now) {
                 availability.limited += 1;
--- a/crates/decisions/src/dispatch/departed.rs
+++ b/crates/decisions/src/dispatch/departed.rs
@@ -10,6 +10,7 @@
 use super::upstream::Upstream;
 use crate::id::UpstreamId;
 use crate::replica_limit::ReplicaLimit;
+use crate::rest::Rest;
 
 /// Time for which a replica that is no longer published is remembered: longer than the store is down.
 const RETENTION: Duration = Duration::from_mins(10);
@@ -25,7 +26,7 @@
     incarnation: u64,
     limit: ReplicaLimit,
     said_leaving: bool,
-    rest_until: Option<Instant>,
+    rest: Rest,
 }
 
 /// Replicas that are no longer published, in the order of their departure.
@@ -48,7 +49,7 @@
             incarnation: upstream.replica.incarnation,
             limit: upstream.limit,
             said_leaving: upstream.said_leaving,
-            rest_until: upstream.rest_until,
+            rest: upstream.rest,
         });
     }
 
@@ -63,6 +64,6 @@
         let entry = self.entries.remove(index);
         upstream.limit = entry.limit;
         upstream.said_leaving = entry.said_leaving;
-        upstream.rest_until = entry.rest_until;
+        upstream.rest = entry.rest;
     }
 }
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -8,6 +8,7 @@
 use crate::dispatch::{Job, JobId, latency::LatencyEstimate, size::PromptCost};
 use crate::id::{RegionId, ServiceId, UpstreamId};
 use crate::replica_limit::ReplicaLimit;
+use crate::rest::Rest;
 
 /// Batch steps within which a replica should send something for at least one of its requests: four
 /// times what an engine needs for a first token on top of the prompt, which is about 120 ms at 7 ms
@@ -150,8 +151,8 @@
     pub(super) limit: ReplicaLimit,
     /// Whether the replica has said in a response that it shuts down. The word holds for its incarnation.
     pub(super) said_leaving: bool,
-    /// Time until which the replica wants no request of this instance.
-    pub(super) rest_until: Option<Instant>,
+    /// Time for which the replica wants no request of this instance.
+    pub(super) rest: Rest,
 }
 
 impl Upstream {
@@ -170,7 +171,7 @@
             cold_gate,
             limit: ReplicaLimit::default(),
             said_leaving: false,
-            rest_until: None,
+            rest: Rest::default(),
         }
     }
 
@@ -201,17 +202,7 @@
             && !self.is_unresponsive(now)
             && !self.is_cold_not_designated(now)
             && self.limit.admits(now)
-            && !self.is_resting(now)
-    }
-
-    /// Starts or prolongs a rest. Each refusal asks for its own, so a shorter one doesn't end a longer.
-    pub(super) fn rest(&mut self, now: Instant, rest: Duration) {
-        self.rest_until = self.rest_until.max(Some(now + rest));
-    }
-
-    /// Whether the replica wants no request of this instance now.
-    pub(super) fn is_resting(&self, now: Instant) -> bool {
-        self.rest_until.is_some_and(|until| now < until)
+            && !self.rest.holds(now)
     }
 
     /// Request limit that applies now, `None` unless the replica is cold.
@@ -245,7 +236,7 @@
             && !self.is_being_probed()
             && !self.is_unresponsive(now)
             && self.limit.admits(now)
-            && !self.is_resting(now);
+            && !self.rest.holds(now);
         rested && may_try && self.is_usable() && self.has_room() && self.cold_limit_admits(now)
     }
 
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -12,7 +12,8 @@
 use crate::shared::Shared;
 use crate::slots::{Grant, SlotRequest};
 
-/// Connects that may fail before the request is refused; each time another replica is chosen.
+/// Upstreams that may fail to connect or turn the request away before it is refused; each time another
+/// replica is chosen.
 const MAX_NOT_SENT: u32 = 3;
 
 /// Where the answer to the caller goes; closed when the caller went away.
@@ -23,7 +24,7 @@
 pub enum Sent {
     /// The request has its end.
     Done,
-    /// Not one byte went out: it waits again.
+    /// It has not run: it waits again.
     NotSent(Box<Unsent>),
 }
 
@@ -69,13 +70,20 @@
     };
     let mut waiting = request.admit();
     let mut excluded = Vec::new();
-    for _ in 0..MAX_NOT_SENT {
-        let need = job.need().with_excluded(excluded.clone());
+    let mut attempts = 0;
+    while attempts < MAX_NOT_SENT {
+        let resting = shared.rests.resting();
+        let need = job.need().with_excluded([&excluded[..], &resting].concat());
         let grant = match wait(shared, &waiting, need, &mut head).await {
             Waited::Granted(grant) => grant,
             Waited::Refused(refusal) => return refuse(waiting, head, refusal),
             Waited::CallerGone => return waiting.cancelled(),
         };
+        // The rest began while the request waited: it waits for another replica.
+        if shared.rests.holds(&grant.upstream) {
+            continue;
+        }
+        attempts += 1;
         if !grant.is_valid() {
             continue;
         }
@@ -85,8 +93,8 @@
             Sent::NotSent(unsent) => Unsent { waiting, head } = *unsent,
         }
     }
-    let refusal =
-        Refusal::new(RefusalKind::Unavailable).with_message("no upstream could be connected");
+    let refusal = Refusal::new(RefusalKind::Unavailable)
+        .with_message("no upstream could be connected or took the request");
     refuse(waiting, head, refusal);
 }
 
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -130,9 +130,13 @@
         let dispatched = waiting.dispatch(grant.upstream.clone());
         let id = dispatched.meta().request.clone();
         let answer = upstream.complete(&self.path, &id, self.body.clone()).await;
-        let stream = AnswerStream::new(upstream.clone(), id, self.shared.metrics.clone());
+        let stream = AnswerStream::new(upstream.clone(), grant.upstream.clone(), id, &self.shared);
         let stream = match answer {
             Ok(rsp) if rsp.status() == StatusCode::OK => stream.with_body(rsp.into_body()),
+            Ok(rsp) if let Some(rest) = self.shared.rests.on_response(&grant.upstream, &rsp) => {
+                let waiting = dispatched.not_sent(NotSent::turned_away(rest));
+                return Sent::NotSent(Box::new(Unsent { waiting, head }));
+            }
             Ok(rsp) => {
                 let refusal = upstream_error(rsp.status(), rsp.into_body()).await;
                 dispatched.broke(refusal.message.clone());
--- a/src/keyed_run.rs
+++ b/src/keyed_run.rs
@@ -152,14 +152,25 @@
         };
         let waiting = request.admit();
         let meta = Arc::clone(waiting.meta());
-        let need = SlotRequest::plain_call(self.keyed.body.len() as u64);
-        let granted = timeout_at(self.deadline, self.shared.slots.acquire(&meta, need)).await;
+        let granted = timeout_at(self.deadline, self.acquire(&meta)).await;
         match granted.unwrap_or_else(|_| Err(Refusal::new(RefusalKind::Deadline))) {
             Ok(grant) => Ok((waiting, grant, admission)),
             Err(refusal) => Err(waiting.refuse(refusal).into_refusal()),
         }
     }
 
+    /// Waits for a slot at a replica that doesn't rest.
+    async fn acquire(&self, meta: &Arc<Meta>) -> Result<Grant, Refusal> {
+        loop {
+            let need = SlotRequest::plain_call(self.keyed.body.len() as u64)
+                .with_excluded(self.shared.rests.resting());
+            let grant = self.shared.slots.acquire(meta, need).await?;
+            if !self.shared.rests.holds(&grant.upstream) {
+                return Ok(grant);
+            }
+        }
+    }
+
     /// Asks the witness, once.
     async fn permit(&self, grant: &Grant) -> Result<(), NotRun> {
         match self.shared.keys.ask(&self.key.id(), &grant.upstream) {
@@ -196,7 +207,7 @@
         grant: Grant,
     ) -> KeyReply {
         let started = dispatched.state().at;
-        let answer = self.call(upstream).await;
+        let answer = self.call(upstream, &grant).await;
         let took = started.elapsed();
         let outcome = match answer {
             Ok(answer) => {
@@ -228,7 +239,11 @@
         self.shared.keys.not_sent(&self.key.id())
     }
 
-    async fn call(&self, upstream: &Upstream) -> Result<StoredResponse, ExchangeError> {
+    async fn call(
+        &self,
+        upstream: &Upstream,
+        grant: &Grant,
+    ) -> Result<StoredResponse, ExchangeError> {
         let keyed = &self.keyed;
         let method = Method::from_bytes(keyed.method.as_bytes())
             .map_err(|e| ExchangeError::NotSent(e.to_string()))?;
@@ -243,7 +258,12 @@
             &headers,
             Bytes::from(body),
         );
-        let exchange = async { whole_answer(sent.await?).await };
+        let exchange = async {
+            let answer = sent.await?;
+            // The call may have run all the same, so the answer goes to the caller.
+            self.shared.rests.on_response(&grant.upstream, &answer);
+            whole_answer(answer).await
+        };
         let patience = keyed.time_left + PATIENCE;
         timeout(patience, exchange)
             .await
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod record;
 pub mod reply;
 pub mod request;
+pub mod rests;
 pub mod scheduler;
 pub mod server;
 mod services;
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -166,6 +166,11 @@
             () = sleep_until(deadline) => Err(ExchangeError::Timeout),
         };
         match answer {
+            // Only idempotent calls come here, so one that was turned away may go to another replica.
+            Ok(rsp) if let Some(rest) = self.shared.rests.on_response(&grant.upstream, &rsp) => {
+                let waiting = dispatched.not_sent(NotSent::turned_away(rest));
+                Sent::NotSent(Box::new(Unsent { waiting, head }))
+            }
             Ok(rsp) => {
                 dispatched.first_token();
                 let first_token = started.elapsed();
--- a/src/request.rs
+++ b/src/request.rs
@@ -29,6 +29,7 @@
 //! ```
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use kingcupfield_decisions::id::{OrganisationId, Rank, RequestId, ServiceId, TierId, UpstreamId};
 use tokio::time::Instant;
@@ -107,7 +108,7 @@
     pub refusal: Refusal,
 }
 
-/// Proof that not one byte of a request went out; only a failed connect makes it.
+/// Proof that a request has not run: the connect failed, or the upstream turned it away.
 #[derive(Debug)]
 pub struct NotSent {
     reason: String,
@@ -123,6 +124,13 @@
             ExchangeError::Broke(_) | ExchangeError::Timeout => None,
         }
     }
+
+    /// The proof that an upstream turned a request away and asked for a rest.
+    pub fn turned_away(rest: Duration) -> Self {
+        Self {
+            reason: format!("turned away for {} ms", rest.as_millis()),
+        }
+    }
 }
 
 /// A request in state `S`.
@@ -247,7 +255,7 @@
 }
 
 impl Request<Dispatched> {
-    /// Back to waiting, with the proof that no byte went out.
+    /// Back to waiting, with the proof that it has not run.
     pub fn not_sent(self, proof: NotSent) -> Request<Waiting> {
         let upstream = self.state.upstream.clone();
         let step = Step::NotSent {
--- a/src/services.rs
+++ b/src/services.rs
@@ -13,6 +13,7 @@
 use crate::peers::{PeerToken, Peers};
 use crate::platform::PlatformReader;
 use crate::record::Records;
+use crate::rests::Rests;
 use crate::scheduler::{Identity, Scheduler};
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -92,6 +93,7 @@
         calls: Calls::new(token, kernel.find(FLEET)?),
         slots,
         connector,
+        rests: Rests::default(),
         records,
         metrics,
         counter: Arc::new(AtomicU64::new(1)),
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -13,6 +13,7 @@
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::record::Records;
+use crate::rests::Rests;
 use crate::slots::Slots;
 
 /// Handles that the handlers share; clones are cheap.
@@ -38,6 +39,8 @@
     pub slots: Slots,
     /// The pooled client.
     pub connector: Connector,
+    /// Rests that upstreams asked for.
+    pub rests: Rests,
     /// Lives of requests.
     pub records: Records,
     /// Metrics.
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -9,12 +9,14 @@
 use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use kingcupfield_decisions::id::RequestId;
+use kingcupfield_decisions::id::{RequestId, UpstreamId};
 use tokio::time::sleep;
 
 use crate::answer::{AnswerChecker, CollectedText, Verdict};
 use crate::connector::ExchangeError;
 use crate::metrics::Metrics;
+use crate::rests::Rests;
+use crate::shared::Shared;
 use crate::upstream::Upstream;
 
 /// Resumptions without a new chunk between them before the answer counts as broken.
@@ -40,6 +42,8 @@
 /// One answer of a model engine.
 pub struct AnswerStream {
     upstream: Upstream,
+    upstream_id: UpstreamId,
+    rests: Rests,
     request: RequestId,
     checker: AnswerChecker,
     metrics: Metrics,
@@ -58,14 +62,21 @@
 }
 
 impl AnswerStream {
-    /// Follows the answer to `request` at `upstream`, not yet connected.
-    pub fn new(upstream: Upstream, request: RequestId, metrics: Metrics) -> Self {
+    /// Follows the answer to `request` at `upstream`, which is called `upstream_id`; not yet connected.
+    pub fn new(
+        upstream: Upstream,
+        upstream_id: UpstreamId,
+        request: RequestId,
+        shared: &Shared,
+    ) -> Self {
         let checker = AnswerChecker::new(request.clone());
         Self {
             upstream,
+            upstream_id,
+            rests: shared.rests.clone(),
+            metrics: shared.metrics.clone(),
             request,
             checker,
-            metrics,
             events: None,
             fruitless: 0,
             last_reason: String::new(),
@@ -153,7 +164,13 @@
                 Ok(rsp) if rsp.status() == StatusCode::NOT_FOUND => {
                     return Err(self.broken("the upstream no longer knows the stream"));
                 }
-                Ok(rsp) => self.last_reason = format!("resume: status {}", rsp.status()),
+                Ok(rsp) => {
+                    self.last_reason = format!("resume: status {}", rsp.status());
+                    // Only this upstream has the stream, so it is asked again after its rest.
+                    if let Some(rest) = self.rests.on_response(&self.upstream_id, &rsp) {
+                        sleep(rest).await;
+                    }
+                }
                 Err(ExchangeError::NotSent(e) | ExchangeError::Broke(e)) => self.last_reason = e,
                 Err(ExchangeError::Timeout) => "timeout".clone_into(&mut self.last_reason),
             }
