Send reports of limits only when one of them changes

The reports are ordered by age, so that with two limited replicas each response changed their order and with it the state that is sent at once. Without a limited replica nothing changes: the path is reached only while one names a limit.

--- a/crates/entry/src/gossip/local_state.rs
+++ b/crates/entry/src/gossip/local_state.rs
@@ -20,7 +20,7 @@
     pub(super) upto: u64,
     /// Number of known instances of the own zone, including this one and the silent ones.
     pub(super) zone_size: u16,
-    /// Limits that replicas named to this instance, or that have ended.
+    /// Limits that replicas named to this instance, or that have ended; sorted by replica.
     pub(super) limits: Vec<(NameHash, Option<f64>)>,
     /// Replicas that have said that they shut down, with their start times in Unix milliseconds.
     pub(super) leaving_replicas: Vec<(NameHash, u64)>,
@@ -31,13 +31,16 @@
 /// Reads the current state from the node.
 pub(super) fn local_state(node: &Node) -> LocalState {
     let replicas = node.replica_reports();
+    // The reports are ordered by age, and a change of their order alone isn't sent.
     let limits = replicas.limits.iter().map(|r| (r.replica, r.per_s));
+    let mut limits: Vec<(NameHash, Option<f64>)> = limits.collect();
+    limits.sort_unstable_by_key(|(replica, _)| *replica);
     LocalState {
         loads: local_loads(node),
         waiting: waiting_classes(node),
         upto: node.directory.borrow().complete_up_to(),
         zone_size: node.peers.borrow().zone_size() as u16,
-        limits: limits.collect(),
+        limits,
         leaving_replicas: replicas.leaving,
         leaving: node.process_state() >= ProcessState::Closing,
     }
