Build the reports of replicas once, and decode their headers in one way

The state that an instance compares at each change built the whole reports, with their ages and two readings of the clocks, and sorted them so that an order by age isn't taken for a change. It now reads what it compares, in the order of the ids. Absent and invalid header values are passed on by one function, and two functions of the dispatcher share the look-up of a limit.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -25,7 +25,7 @@
 use crate::cold::{self, ColdGate};
 use crate::id::{InstanceAddress, ServiceId, UpstreamId};
 use crate::regions::Regions;
-use crate::replica_limit::{FleetMembers, LimitReport};
+use crate::replica_limit::{FleetMembers, LimitReport, ReplicaLimit};
 
 use departed::Departed;
 use priority::Waiting;
@@ -192,11 +192,9 @@
         incarnation: u64,
         report: LimitReport,
     ) {
-        let Some(index) = self.index_of_incarnation(upstream, incarnation) else {
-            return;
-        };
-        let limit = &mut self.upstreams[index].limit;
-        limit.on_own_report(upstream, &self.fleet, report);
+        if let Some((limit, fleet)) = self.shared_limit(upstream, incarnation) {
+            limit.on_own_report(upstream, fleet, report);
+        }
     }
 
     /// Applies what another instance was told about the limit of a replica.
@@ -206,11 +204,19 @@
         incarnation: u64,
         report: LimitReport,
     ) {
-        let Some(index) = self.index_of_incarnation(upstream, incarnation) else {
-            return;
-        };
-        let limit = &mut self.upstreams[index].limit;
-        limit.on_peer_report(upstream, &self.fleet, report);
+        if let Some((limit, fleet)) = self.shared_limit(upstream, incarnation) {
+            limit.on_peer_report(upstream, fleet, report);
+        }
+    }
+
+    /// The limit of a replica and the fleet that shares it, if the replica is still the same incarnation.
+    fn shared_limit(
+        &mut self,
+        upstream: &UpstreamId,
+        incarnation: u64,
+    ) -> Option<(&mut ReplicaLimit, &FleetMembers)> {
+        let index = self.index_of_incarnation(upstream, incarnation)?;
+        Some((&mut self.upstreams[index].limit, &self.fleet))
     }
 
     /// Records that a replica has said that it shuts down, to this instance or to another one. It gets no
--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -83,6 +83,20 @@
     Invalid(String),
 }
 
+impl<T> Stated<T> {
+    /// Converts a valid value; one that can't be converted becomes invalid, with the returned text.
+    pub fn and_then<U, F>(self, convert: F) -> Stated<U>
+    where
+        F: FnOnce(T) -> Result<U, String>,
+    {
+        match self {
+            Self::Absent => Stated::Absent,
+            Self::Valid(value) => convert(value).map_or_else(Stated::Invalid, Stated::Valid),
+            Self::Invalid(text) => Stated::Invalid(text),
+        }
+    }
+}
+
 /// What a replica states about itself in the head of a response.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ReplicaStatement {
--- a/crates/entry/src/gossip/local_state.rs
+++ b/crates/entry/src/gossip/local_state.rs
@@ -20,7 +20,7 @@
     pub(super) upto: u64,
     /// Number of known instances of the own zone, including this one and the silent ones.
     pub(super) zone_size: u16,
-    /// Limits that replicas named to this instance, or that have ended; sorted by replica.
+    /// Limits that replicas named to this instance, or that have ended; in the order of their ids.
     pub(super) limits: Vec<(NameHash, Option<f64>)>,
     /// Replicas that have said that they shut down, with their start times in Unix milliseconds.
     pub(super) leaving_replicas: Vec<(NameHash, u64)>,
@@ -30,18 +30,13 @@
 
 /// Reads the current state from the node.
 pub(super) fn local_state(node: &Node) -> LocalState {
-    let replicas = node.replica_reports();
-    // The reports are ordered by age, and a change of their order alone isn't sent.
-    let limits = replicas.limits.iter().map(|r| (r.replica, r.per_s));
-    let mut limits: Vec<(NameHash, Option<f64>)> = limits.collect();
-    limits.sort_unstable_by_key(|(replica, _)| *replica);
     LocalState {
         loads: local_loads(node),
         waiting: waiting_classes(node),
         upto: node.directory.borrow().complete_up_to(),
         zone_size: node.peers.borrow().zone_size() as u16,
-        limits,
-        leaving_replicas: replicas.leaving,
+        limits: named_limits(node),
+        leaving_replicas: node.leaving_replicas(),
         leaving: node.process_state() >= ProcessState::Closing,
     }
 }
@@ -70,6 +65,15 @@
         .collect()
 }
 
+/// What replicas told this instance about their limits, in the order of their ids.
+fn named_limits(node: &Node) -> Vec<(NameHash, Option<f64>)> {
+    node.dispatch
+        .borrow()
+        .own_limit_reports(Instant::now())
+        .map(|(id, _, report)| (name_hash(id), report.per_s))
+        .collect()
+}
+
 /// The most urgent class of the waiting requests, by service.
 fn waiting_classes(node: &Node) -> Vec<(NameHash, PriorityClass)> {
     let classes = node
--- a/crates/entry/src/node/statements.rs
+++ b/crates/entry/src/node/statements.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http::response::Parts;
-use kingcupfield_decisions::id::{UpstreamId, name_hash};
+use kingcupfield_decisions::id::{NameHash, UpstreamId, name_hash};
 use kingcupfield_decisions::replica_limit::LimitReport;
 use tokio::time::Instant;
 
@@ -108,14 +108,22 @@
 
     /// What replicas have said about themselves, for the other instances.
     pub fn replica_reports(&self) -> ReplicaReports {
-        let dispatch = self.dispatch.borrow();
-        let leaving = dispatch.said_leaving().take(MAX_REPORTS);
+        let mut leaving = self.leaving_replicas();
+        leaving.truncate(MAX_REPORTS);
         ReplicaReports {
             limits: self.own_limit_reports(),
-            leaving: leaving.map(|(id, start)| (name_hash(id), start)).collect(),
+            leaving,
         }
     }
 
+    /// Name hashes and start times, in Unix milliseconds, of the replicas that have said that they shut
+    /// down.
+    pub fn leaving_replicas(&self) -> Vec<(NameHash, u64)> {
+        let dispatch = self.dispatch.borrow();
+        let leaving = dispatch.said_leaving();
+        leaving.map(|(id, start)| (name_hash(id), start)).collect()
+    }
+
     /// What this instance was told itself about the limits of replicas; at most [`MAX_REPORTS`], the
     /// latest first.
     fn own_limit_reports(&self) -> Vec<ReplicaLimitReport> {
