Hand over the reading of the store as soon as a call fails

Cause: an instance counted as a reader of the store for 5.5 s after its last response, also while the store refused it. After these 5.5 s all instances read at once, and all of a zone that start at once did too: calls grew with the fleet.

Change: a failed call is reported at once by leaving out the age of the last response, and without a reader only the first four of a zone and of the fleet by address read. Their number grows with time only when nobody has had a response for 5.5 s.

--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -96,6 +96,7 @@
     loop {
         let Err(e) = follow(&node, &mut failures).await;
         node.directory_reader.borrow_mut().store_failed_at = Some(Instant::now());
+        node.record_store_failure();
         failures += 1;
         if failures == 1 || failures % 16 == 0 {
             let reason = e.to_string();
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -402,7 +402,9 @@
             zone: self.zone,
             region: self.region,
             upto: state.upto,
-            store_age_ms: node.store_age().map(|age| age.as_millis() as u32),
+            store_age_ms: node
+                .reported_store_age()
+                .map(|age| age.as_millis() as u32),
             leaving: state.leaving,
             zone_size: state.zone_size,
             unreachable: unreachable_replicas(node),
--- a/crates/entry/src/gossip/local_state.rs
+++ b/crates/entry/src/gossip/local_state.rs
@@ -18,6 +18,8 @@
     pub(super) waiting: Vec<(NameHash, PriorityClass)>,
     /// Directory revision up to which this instance has all entries.
     pub(super) upto: u64,
+    /// Whether this instance reads the store, and its calls succeed.
+    pub(super) reads_store: bool,
     /// Number of known instances of the own zone, including this one and the silent ones.
     pub(super) zone_size: u16,
     /// Limits that replicas named to this instance, or that have ended; in the order of their ids.
@@ -34,6 +36,7 @@
         loads: local_loads(node),
         waiting: waiting_classes(node),
         upto: node.directory.borrow().complete_up_to(),
+        reads_store: node.reported_store_age().is_some() && node.reads_store(),
         zone_size: node.peers.borrow().zone_size() as u16,
         limits: named_limits(node),
         leaving_replicas: node.leaving_replicas(),
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -117,6 +117,8 @@
     pub queue_wakeup: Notify,
     /// When the store last responded.
     last_store_response: Cell<Option<Instant>>,
+    /// Whether the last call to the store failed.
+    store_failing: Cell<bool>,
     /// Table in force.
     table: RefCell<Option<Rc<Table>>>,
     /// Published replicas, sorted by id.
@@ -175,6 +177,7 @@
             outbox_wakeup: Notify::new(),
             needs_full_list: Cell::new(false),
             last_store_response: Cell::new(None),
+            store_failing: Cell::new(false),
             directory_reader: RefCell::new(DirectoryReader::default()),
             process_state: watch::Sender::new(ProcessState::Serving),
             version_tx: watch::Sender::new(0),
@@ -248,6 +251,21 @@
     /// Records that the store has just responded.
     pub fn record_store_response(&self) {
         self.last_store_response.set(Some(Instant::now()));
+        self.store_failing.set(false);
+    }
+
+    /// Records that a call to the store has failed, and tells the other instances, so that one of
+    /// them reads it instead.
+    pub fn record_store_failure(&self) {
+        if !self.store_failing.replace(true) {
+            self.state_changed.notify_one();
+        }
+    }
+
+    /// Time since the last response of the store as reported to the other instances: `None` before
+    /// the first response, and since a call failed.
+    pub fn reported_store_age(&self) -> Option<Duration> {
+        self.store_age().filter(|_| !self.store_failing.get())
     }
 
     /// Time since the last response of the store, `None` before the first.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -49,6 +49,17 @@
 /// Number of instances of the whole fleet that read the store, also if all are in one zone.
 const MIN_STORE_READERS: usize = 2;
 
+/// Number of instances of a zone that try to read the store at once while none of them has a
+/// response: the store may refuse some of them.
+const STORE_CANDIDATES: usize = 4;
+
+/// Time in which [`STORE_CANDIDATES`] doubles once no instance at all has had a response for too
+/// long.
+const STORE_CANDIDATES_DOUBLING: Duration = Duration::from_millis(250);
+
+/// Most doublings of [`STORE_CANDIDATES`], enough for any fleet.
+const MAX_DOUBLINGS: u128 = 16;
+
 /// Effects of a digest, for the caller to act on.
 #[derive(Debug, Default)]
 pub struct DigestEffects {
@@ -68,6 +79,21 @@
     removed_at: Instant,
 }
 
+/// Live instances with a lower address than this one.
+#[derive(Debug, Default)]
+struct LowerInstances {
+    all: usize,
+    /// Those with a recent response of the store.
+    readers: usize,
+}
+
+impl LowerInstances {
+    fn add(&mut self, is_reader: bool) {
+        self.all += 1;
+        self.readers += usize::from(is_reader);
+    }
+}
+
 /// The other instances, sorted by address.
 #[derive(Debug)]
 pub struct Peers {
@@ -99,6 +125,8 @@
     accruing_since: Option<Instant>,
     /// No instance can fall silent before this, so that not every message has to check all of them.
     next_silence_check: Instant,
+    /// Latest response of the store to another instance that is known here.
+    store_responded_at: Option<Instant>,
 }
 
 impl Peers {
@@ -120,6 +148,7 @@
             connected_since: None,
             accruing_since: None,
             next_silence_check: now,
+            store_responded_at: None,
         }
     }
 
@@ -274,6 +303,8 @@
         peer.count_load(&mut self.remote_load, &digest.loads);
         peer.digest = digest;
         peer.last_digest_at = Some(now);
+        let store_responded_at = peer.store_age().and_then(|age| now.checked_sub(age));
+        self.store_responded_at = self.store_responded_at.max(store_responded_at);
         let recently_greeted = peer
             .last_greeting_at
             .is_some_and(|at| now.saturating_duration_since(at) < GREETING_COOLDOWN);
@@ -416,27 +447,38 @@
     /// Whether this instance is one of the few that read the store, so that the others need not.
     ///
     /// The first instance of each zone by address reads it, and the first two of the fleet. An
-    /// instance reads it as well if no live instance has had a response of the store within
-    /// `max_store_age`.
+    /// instance whose calls fail counts as one that does not read. Without a reader the first few
+    /// of the zone and of the fleet read, however many instances there are. Only if nobody has had a
+    /// response within `max_store_age`, their number grows with time: the first ones may be refused
+    /// while the store serves others.
     pub fn reads_store(&self, now: Instant, zone: NameHash, max_store_age: Duration) -> bool {
-        let mut lower_in_zone = 0;
-        let mut lower_in_fleet = 0;
-        let mut readers = 0;
+        let candidates = self.store_candidates(now, max_store_age);
+        let mut lower_in_zone = LowerInstances::default();
+        let mut lower_in_fleet = LowerInstances::default();
         for peer in self.others.iter().filter(|p| p.is_live(now)) {
-            let age = peer
-                .digest
-                .store_age_ms
-                .map(|ms| Duration::from_millis(u64::from(ms)));
-            if age.is_none_or(|age| age > max_store_age) {
-                continue;
+            if peer.address >= self.own {
+                break;
             }
-            readers += 1;
-            if peer.address < self.own {
-                lower_in_fleet += 1;
-                lower_in_zone += usize::from(peer.digest.zone == zone);
+            let is_reader = peer.store_age().is_some_and(|age| age <= max_store_age);
+            lower_in_fleet.add(is_reader);
+            if peer.digest.zone == zone {
+                lower_in_zone.add(is_reader);
             }
         }
-        readers == 0 || lower_in_zone == 0 || lower_in_fleet < MIN_STORE_READERS
+        let is_first = |lower: &LowerInstances, readers| {
+            lower.readers < readers && lower.all < candidates.max(readers)
+        };
+        is_first(&lower_in_zone, 1) || is_first(&lower_in_fleet, MIN_STORE_READERS)
+    }
+
+    /// How many instances of a zone may try to read the store while none of them has a response.
+    fn store_candidates(&self, now: Instant, max_store_age: Duration) -> usize {
+        let responded_at = self.store_responded_at.unwrap_or(self.started);
+        let overdue = now
+            .saturating_duration_since(responded_at)
+            .saturating_sub(max_store_age);
+        let doublings = overdue.as_millis() / STORE_CANDIDATES_DOUBLING.as_millis();
+        STORE_CANDIDATES.saturating_mul(1 << doublings.min(MAX_DOUBLINGS))
     }
 
     /// All known instances, including this one and the silent ones; `None` while discovery of the fleet
--- a/crates/entry/src/peers/digest.rs
+++ b/crates/entry/src/peers/digest.rs
@@ -52,7 +52,8 @@
     pub zone: NameHash,
     /// Name hash of its region.
     pub region: NameHash,
-    /// Milliseconds since the last response of the store; none before the first.
+    /// Milliseconds since the last response of the store; none before the first, and while calls
+    /// fail.
     pub store_age_ms: Option<u32>,
     /// Whether it is shutting down.
     pub leaving: bool,
--- a/crates/entry/src/peers/peer.rs
+++ b/crates/entry/src/peers/peer.rs
@@ -1,6 +1,7 @@
 //! Last known state of one other instance.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use kingcupfield_decisions::id::NameHash;
 use kingcupfield_decisions::remote_load::{RemoteLoad, ReplicaLoad};
@@ -49,6 +50,13 @@
             .is_some_and(|at| now.saturating_duration_since(at) < SILENCE_TIMEOUT)
     }
 
+    /// Time from the last response of the store to its last digest; `None` if it does not read the
+    /// store, or its calls fail.
+    pub fn store_age(&self) -> Option<Duration> {
+        let age_ms = self.digest.store_age_ms?;
+        Some(Duration::from_millis(u64::from(age_ms)))
+    }
+
     /// Its distance from an instance of this zone and region.
     pub fn nearness(&self, zone: NameHash, region: NameHash) -> Nearness {
         if self.last_digest_at.is_none() {
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -1,6 +1,7 @@
 //! View of an instance on the others when messages arrive late, are lost or are duplicated.
 
 use std::net::Ipv4Addr;
+use std::ops::Range;
 use std::time::Duration;
 
 use kingcupfield_decisions::credit::Distance;
@@ -160,6 +161,42 @@
     );
 }
 
+/// Instances of a zone by what they report of the store, and the number of them that read it.
+struct Fleet {
+    instances: u8,
+    /// Milliseconds since the last response of the store to each of them.
+    store_age_ms: Option<u32>,
+    /// Time since their start.
+    after: Duration,
+    readers: Range<usize>,
+}
+
+/// The store fails for all instances of a zone, or has answered none of them yet. If all of them
+/// read it at once, the calls would grow with the fleet; if none did, nobody would see it return.
+#[parameterized(
+    small_zone_starts = { Fleet { instances: 20, store_age_ms: None, after: Duration::ZERO, readers: 2..5 } },
+    large_zone_starts = { Fleet { instances: 200, store_age_ms: None, after: Duration::ZERO, readers: 2..5 } },
+    small_zone_has_lost_it = { Fleet { instances: 20, store_age_ms: None, after: Duration::from_secs(4), readers: 2..5 } },
+    large_zone_has_lost_it = { Fleet { instances: 200, store_age_ms: None, after: Duration::from_secs(4), readers: 2..5 } },
+    all_have_responses = { Fleet { instances: 200, store_age_ms: Some(10), after: Duration::ZERO, readers: 2..3 } },
+    the_first_are_refused_for_long = { Fleet { instances: 200, store_age_ms: None, after: Duration::from_secs(9), readers: 200..201 } },
+)]
+fn the_number_of_store_readers_does_not_grow_with_the_zone(case: Fleet) {
+    let start = Instant::now();
+    let now = start + case.after;
+    let reads = |own: u8| {
+        let mut peers = Peers::new(start, address(own), true);
+        for other in (0..case.instances).filter(|other| *other != own) {
+            let mut digest = digest(1);
+            digest.store_age_ms = case.store_age_ms;
+            peers.on_digest(now, address(other), digest);
+        }
+        peers.reads_store(now, 1, Duration::from_secs(5))
+    };
+    let readers = (0..case.instances).filter(|own| reads(*own)).count();
+    assert!(case.readers.contains(&readers), "{readers} read the store");
+}
+
 /// A fleet starts at once. An instance whose first digest arrives is greeted once, so that all know
 /// each other after a few round trips and no message goes back and forth forever.
 #[test]
