Apply a listing without comparing each entry with all others

Cause: for each known entry the whole list was searched, 9 million comparisons of keys for a fleet of 3,000 replicas, each time the store's history is lost.

Change: the keys of the list are sorted once and searched.

--- a/crates/decisions/src/store_view.rs
+++ b/crates/decisions/src/store_view.rs
@@ -43,13 +43,21 @@
         &self.entries
     }
 
+    /// The entry with this key, which may have been removed.
+    pub fn entry(&self, key: &str) -> Option<&Entry> {
+        let index = self.entries.binary_search_by(|e| (*e.key).cmp(key)).ok()?;
+        Some(&self.entries[index])
+    }
+
     /// Applies a list that is complete up to revision `upto`; returns the keys that changed.
     ///
     /// An entry that is not in the list was removed by then, unless a later change of it is known.
     pub fn apply_list(&mut self, upto: Revision, list: Vec<Entry>) -> Vec<String> {
         let mut changed = Vec::new();
+        let mut listed: Vec<&str> = list.iter().map(|e| &*e.key).collect();
+        listed.sort_unstable();
         for entry in &mut self.entries {
-            let is_listed = list.iter().any(|e| e.key == entry.key);
+            let is_listed = listed.binary_search(&&*entry.key).is_ok();
             if !is_listed && entry.value.is_some() && entry.revision <= upto {
                 entry.value = None;
                 entry.revision = upto;
--- a/crates/decisions/tests/store_view.rs
+++ b/crates/decisions/tests/store_view.rs
@@ -74,3 +74,21 @@
     assert_eq!(value(&view, "came"), Some("up"));
     assert_eq!(view.complete_up_to(), 9);
 }
+
+/// The history of the store is lost again and again, and thousands of replicas are listed each time.
+/// If each entry were compared with each other one, a small machine would do nothing else.
+#[test]
+fn a_list_of_many_entries_is_applied_in_time() {
+    let entry = |i: u32, revision| Entry {
+        key: format!("replicas/{i:06}"),
+        revision,
+        value: Some(vec![1]),
+    };
+    let list = |revision| -> Vec<Entry> { (0..100_000).map(|i| entry(i, revision)).collect() };
+    let started = std::time::Instant::now();
+    let mut view = StoreView::new();
+    view.apply_list(1, list(1));
+    let changed = view.apply_list(2, list(2).split_off(50_000));
+    assert_eq!(changed.len(), 100_000);
+    assert!(started.elapsed() < std::time::Duration::from_secs(10));
+}
