--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -23,6 +23,7 @@
 
 use tokio::time::Instant;
 
+use crate::cells::OwnCell;
 use crate::cold::{self, ColdGate};
 use crate::id::{InstanceAddress, ServiceId, UpstreamId};
 use crate::regions::Regions;
@@ -49,12 +50,14 @@
     waiting: Vec<Waiting>,
     /// Request sizes and prompt costs learned for each service, sorted by service.
     size_stats: Vec<(ServiceId, SizeStats)>,
-    /// Highest priority that waits at each other instance of the zone.
+    /// Highest priority that waits at each other instance of the cell.
     competitors: Vec<Competitor>,
     /// Address of this instance, by which the other instances identify it.
     own_address: u32,
     /// Instances of this zone including this one; `None` while they are unknown.
     members: Option<Vec<InstanceAddress>>,
+    /// The cell of this instance in its zone; the whole zone while the members are unknown.
+    cell: OwnCell,
     /// All instances, which share the limits that replicas name.
     fleet: FleetMembers,
     /// Replicas that are no longer published. An entry may be missing for a moment and come back, and
@@ -98,6 +101,7 @@
         }
         self.upstreams
             .sort_by(|a, b| a.replica.id.cmp(&b.replica.id));
+        self.update_cell();
     }
 
     /// Creates the state of a replica that has just been published, possibly again.
@@ -117,6 +121,7 @@
             return;
         }
         self.members = members;
+        self.update_cell();
         let designated: Vec<bool> = self
             .upstreams
             .iter()
@@ -127,6 +132,29 @@
         }
     }
 
+    /// Determines the cell of this instance and the replicas that belong to it.
+    fn update_cell(&mut self) {
+        self.cell = OwnCell::new(
+            self.own_address,
+            self.members.as_deref().unwrap_or_default(),
+        );
+        let in_zone = |u: &&Upstream| u.replica.in_own_zone;
+        let services = self.upstreams.iter().filter(in_zone);
+        let mut services: Vec<ServiceId> = services.map(|u| u.replica.service.clone()).collect();
+        services.sort_unstable();
+        services.dedup();
+        for service in services {
+            let of_service = |u: &&Upstream| in_zone(u) && u.replica.service == service;
+            let ids = self.upstreams.iter().filter(of_service);
+            let ids: Vec<&UpstreamId> = ids.map(|u| &u.replica.id).collect();
+            let mut in_cell = self.cell.has_replicas(&ids).into_iter();
+            let upstreams = self.upstreams.iter_mut();
+            for u in upstreams.filter(|u| of_service(&&**u)) {
+                u.in_cell = in_cell.next().unwrap_or_default();
+            }
+        }
+    }
+
     /// Whether this instance is the one that may send requests to the replica while it is cold.
     fn is_designated(&self, replica: &Replica) -> bool {
         let members = self.members.as_deref().filter(|_| replica.in_own_zone);
@@ -139,12 +167,11 @@
     /// running at a replica.
     pub fn update_remote_load(&mut self, upstream: &UpstreamId, running: u32, prompt_tokens: f64) {
         if let Some(u) = self.find(upstream) {
-            u.remote_running = running;
-            u.remote_prompt_tokens = prompt_tokens;
+            u.set_remote_load(running, prompt_tokens);
         }
     }
 
-    /// Updates the highest priorities that wait at the other instances of the zone.
+    /// Updates the highest priorities that wait at the other instances of the cell.
     pub fn update_competitors(&mut self, competitors: Vec<Competitor>) {
         self.competitors = competitors;
     }
@@ -271,6 +298,14 @@
         self.waiting.len()
     }
 
+    /// Records which replicas have room now, also while no request waits: replicas whose load is known
+    /// late are used only if they have had room for some time.
+    pub fn update_room(&mut self, now: Instant) {
+        for u in &mut self.upstreams {
+            u.update_free_since(now);
+        }
+    }
+
     /// Assigns waiting requests to replicas until no replica can accept another one.
     pub fn assign(&mut self, now: Instant) -> Vec<Assignment> {
         self.assign_preferring_connected(now, |_| false)
@@ -287,10 +322,10 @@
         W: Fn(&UpstreamId) -> bool,
     {
         let mut assignments = Vec::new();
-        let mut accepting = self.accepting_replicas(now);
         if self.waiting.is_empty() {
             return assignments;
         }
+        let mut accepting = self.accepting_replicas(now);
         let mut last_resorts = self.last_resorts(now);
         self.waiting
             .sort_by_key(|w| (w.class(now), w.job.received_at));
@@ -302,7 +337,7 @@
                 _ if self.any_accepts_work(now, &w.job) => &[],
                 resorts => resorts,
             };
-            let candidates = accepting.iter().chain(resorts).copied();
+            let candidates = || accepting.iter().chain(resorts).copied();
             match self.choose_replica(now, w, candidates, &is_connected) {
                 Some((index, details)) => {
                     let job = self.waiting.remove(i).job;
--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -2,6 +2,7 @@
 //! and have room.
 
 use std::cell::LazyCell;
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -21,10 +22,63 @@
 /// Network round trip from which a replica's load is known too late to choose by load alone.
 const FAR_ROUND_TRIP: Duration = Duration::from_millis(20);
 
-/// Distant replicas considered for one request. All instances of the other regions see the same
-/// slot become free and would send to it at once; the best of a few random replicas is nearly as
-/// good.
-const FAR_CANDIDATES_PER_REQUEST: u64 = 3;
+/// Replicas with late counts that are considered for one request, in each group of them. Many
+/// instances see the same slot become free and would send to it at once; the best of a few random
+/// replicas is nearly as good.
+const CANDIDATES_PER_REQUEST: u64 = 3;
+
+/// Cost of a replica of another cell of the zone, whose load may have grown since the last report,
+/// expressed as time.
+const OTHER_CELL_COST_MS: f64 = 30.0;
+
+/// Which replicas with late counts are considered for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Search {
+    /// A random sample of each group.
+    Sampled,
+    /// All replicas of the region, and a sample of the others.
+    Region,
+}
+
+/// Replicas by how late their load is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Group {
+    /// Known at once.
+    Cell,
+    /// In another cell of the zone.
+    OtherCell,
+    /// In another zone of the region, before a divided zone.
+    OtherZone,
+    /// In another region.
+    Far,
+}
+
+/// Random samples of the groups for one request.
+#[derive(Debug)]
+struct Samples {
+    search: Search,
+    salt: u64,
+    /// Number of replicas of each group that may serve the request.
+    other_cell: u64,
+    other_zone: u64,
+    far: u64,
+}
+
+impl Samples {
+    /// Whether the replica with this index is considered for the request.
+    fn contains(&self, index: usize, group: Group) -> bool {
+        let size = match (group, self.search) {
+            (Group::Cell, _) | (Group::OtherCell | Group::OtherZone, Search::Region) => {
+                return true;
+            }
+            (Group::OtherCell, Search::Sampled) => self.other_cell,
+            (Group::OtherZone, Search::Sampled) => self.other_zone,
+            (Group::Far, _) => self.far,
+        };
+        let key = [self.salt, index as u64].map(u64::to_le_bytes).concat();
+        xxh3_64(&key) % size.max(1) < CANDIDATES_PER_REQUEST
+    }
+}
 
 impl Dispatcher {
     /// Indices of the replicas that can accept another request now. While requests wait, there are
@@ -51,12 +105,36 @@
     }
 
     /// Chooses the candidate with the lowest cost, as an index; `None` if the request has to wait.
-    pub(super) fn choose_replica<C, W>(
+    ///
+    /// If the zone is divided, all replicas of the region are considered once the cell and the
+    /// samples have none with room.
+    pub(super) fn choose_replica<F, C, W>(
+        &self,
+        now: Instant,
+        w: &Waiting,
+        candidates: F,
+        is_connected: &W,
+    ) -> Option<(usize, ChoiceDetails)>
+    where
+        F: Fn() -> C,
+        C: Iterator<Item = usize>,
+        W: Fn(&UpstreamId) -> bool,
+    {
+        let sampled = self.cheapest(now, w, candidates(), is_connected, Search::Sampled);
+        if sampled.is_some() || self.cell.is_whole_zone() {
+            return sampled;
+        }
+        self.cheapest(now, w, candidates(), is_connected, Search::Region)
+    }
+
+    /// The candidate with the lowest cost among those that `search` considers.
+    fn cheapest<C, W>(
         &self,
         now: Instant,
         w: &Waiting,
         candidates: C,
         is_connected: &W,
+        search: Search,
     ) -> Option<(usize, ChoiceDetails)>
     where
         C: Iterator<Item = usize>,
@@ -67,14 +145,14 @@
         let another_can_finish =
             LazyCell::new(|| self.any_finishes_by_deadline(now, job, &prompt_cost));
         let lowest_failure_share = self.lowest_failure_share(now, &job.service);
-        let far_count = self.upstreams.iter().filter(|u| is_far(u, job)).count() as u64;
+        let samples = self.samples(job, search);
         let mut best: Option<(usize, ChoiceDetails)> = None;
         let mut candidates_with_room = 0;
         for index in candidates {
             let u = &self.upstreams[index];
             if !is_candidate(u, job)
                 || !self.may_claim_slot(now, u, w)
-                || (is_far(u, job) && !is_sampled(index, job, far_count))
+                || !samples.contains(index, self.group(now, u))
             {
                 continue;
             }
@@ -82,17 +160,22 @@
                 continue;
             }
             candidates_with_room += 1;
-            let connection_cost_ms = if is_connected(&u.replica.id) {
-                0.0
-            } else {
-                CONNECTION_COST_MS
-            };
-            let cost_ms = if u.limit.needs_probe(now) {
-                0.0
-            } else {
-                u.cost_ms(now, job, &prompt_cost, lowest_failure_share) + connection_cost_ms
-            };
-            if best.is_none_or(|(_, least)| cost_ms < least.cost_ms) {
+            let mut cost_ms = u.cost_ms(now, job, &prompt_cost, lowest_failure_share);
+            if !is_connected(&u.replica.id) {
+                cost_ms += CONNECTION_COST_MS;
+            }
+            if u.is_in_other_cell() {
+                cost_ms += OTHER_CELL_COST_MS;
+            }
+            if u.limit.needs_probe(now) {
+                cost_ms = 0.0;
+            }
+            let is_best = best.is_none_or(|(chosen, least)| {
+                let order = cost_ms.total_cmp(&least.cost_ms);
+                order.then_with(|| self.preference(chosen).cmp(&self.preference(index)))
+                    == Ordering::Less
+            });
+            if is_best {
                 let details = ChoiceDetails {
                     cost_ms,
                     replicas_with_room: candidates_with_room,
@@ -115,6 +198,48 @@
         })
     }
 
+    /// The group that a replica belongs to.
+    fn group(&self, now: Instant, u: &Upstream) -> Group {
+        if u.replica.network_round_trip >= FAR_ROUND_TRIP {
+            return Group::Far;
+        }
+        let is_designated = u.is_cold(now) && !u.is_cold_not_designated(now);
+        if u.is_in_other_cell() && !is_designated {
+            return Group::OtherCell;
+        }
+        if !u.replica.in_own_zone && !self.cell.is_whole_zone() {
+            return Group::OtherZone;
+        }
+        Group::Cell
+    }
+
+    /// The samples of the groups for a request.
+    fn samples(&self, job: &Job, search: Search) -> Samples {
+        let mut samples = Samples {
+            search,
+            salt: job.salt,
+            other_cell: 0,
+            other_zone: 0,
+            far: 0,
+        };
+        for u in self.upstreams.iter().filter(|u| may_serve(u, job)) {
+            if u.replica.network_round_trip >= FAR_ROUND_TRIP {
+                samples.far += 1;
+            } else if !u.replica.in_own_zone {
+                samples.other_zone += 1;
+            } else if u.is_in_other_cell() {
+                samples.other_cell += 1;
+            }
+        }
+        samples
+    }
+
+    /// Preference of this instance for a replica over others of the same cost. Instances that all
+    /// preferred the first one would send to it at once.
+    fn preference(&self, index: usize) -> u64 {
+        priority::claim_rank(self.own_address, &self.upstreams[index].replica.id)
+    }
+
     /// Whether some replica that accepts work is expected to complete the response by its deadline.
     ///
     /// A long response started at a replica that can't complete it in time holds a slot until the
@@ -138,7 +263,7 @@
             self.own_address,
             &self.competitors,
             id,
-            u.replica.propagation_delay,
+            u.propagation_delay(),
         );
         required.is_some_and(|p| u.free_duration(now) >= p)
     }
@@ -154,17 +279,6 @@
     }
 }
 
-/// Whether a replica that may serve the request is so distant that its load is known late.
-fn is_far(u: &Upstream, job: &Job) -> bool {
-    u.replica.network_round_trip >= FAR_ROUND_TRIP && may_serve(u, job)
-}
-
-/// Whether a distant replica belongs to the random sample considered for this request.
-fn is_sampled(index: usize, job: &Job, far_count: u64) -> bool {
-    let key = [job.salt, index as u64].map(u64::to_le_bytes).concat();
-    xxh3_64(&key) % far_count.max(1) < FAR_CANDIDATES_PER_REQUEST
-}
-
 /// Whether the replica belongs to the request's service and to a permitted region.
 fn may_serve(u: &Upstream, job: &Job) -> bool {
     u.replica.service == job.service && job.regions.allows(&u.replica.region)
--- a/crates/decisions/src/dispatch/priority.rs
+++ b/crates/decisions/src/dispatch/priority.rs
@@ -6,10 +6,10 @@
 //! of them did, a low-priority request at one instance could get ahead of a high-priority one at
 //! another.
 //!
-//! The instances of a zone therefore send each other the highest priority in their queues. The
+//! The instances of a cell therefore send each other the highest priority in their queues. The
 //! instance with the highest priority uses the slot; among equals, a hash that all instances
 //! compute alike decides. The others use it if it is still free a moment later. Instances of other
-//! zones, whose information is older, wait for the propagation delay first. Wrong information does
+//! cells and zones, whose information is older, wait for the propagation delay first. Wrong information does
 //! no lasting harm: a slot idles for that moment, or an engine is overfilled by one request. To
 //! prevent starvation, each request ignores the other instances for a part of the time.
 
@@ -66,7 +66,7 @@
 /// messages take to arrive.
 const YIELD_TIME: Duration = Duration::from_millis(15);
 
-/// Highest priority that another instance of the zone has waiting for a service.
+/// Highest priority that another instance of the cell has waiting for a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Competitor {
     /// Service that the requests wait for.
@@ -105,7 +105,7 @@
 }
 
 /// Rank of an instance for a replica's slots; among equal priorities, the highest rank goes first.
-fn claim_rank(address: u32, replica: &UpstreamId) -> u64 {
+pub(super) fn claim_rank(address: u32, replica: &UpstreamId) -> u64 {
     xxh3_64_with_seed(replica.as_bytes(), u64::from(address))
 }
 
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::Instant;
 
+use crate::cells;
 use crate::cold::{ColdGate, ColdLimit};
 use crate::dispatch::{Job, JobId, latency::LatencyEstimate, size::PromptCost};
 use crate::id::{RegionId, ServiceId, UpstreamId};
@@ -128,6 +129,8 @@
 #[derive(Debug)]
 pub(super) struct Upstream {
     pub(super) replica: Replica,
+    /// Whether it belongs to the cell of this instance, if it is in its zone.
+    pub(super) in_cell: bool,
     pub(super) latency: LatencyEstimate,
     /// Requests of this instance that run there.
     pub(super) running: Vec<Running>,
@@ -159,6 +162,7 @@
     pub(super) fn new(replica: Replica, cold_gate: ColdGate) -> Self {
         Self {
             replica,
+            in_cell: true,
             latency: LatencyEstimate::default(),
             running: Vec::new(),
             remote_running: 0,
@@ -175,6 +179,28 @@
         }
     }
 
+    /// Sets the load of other instances from their latest reports.
+    pub(super) fn set_remote_load(&mut self, running: u32, prompt_tokens: f64) {
+        self.remote_running = running;
+        self.remote_prompt_tokens = prompt_tokens;
+        if !self.has_room() {
+            self.free_since = None;
+        }
+    }
+
+    /// Whether it is in the own zone, but in another cell.
+    pub(super) fn is_in_other_cell(&self) -> bool {
+        self.replica.in_own_zone && !self.in_cell
+    }
+
+    /// Time until a change of its load is known here.
+    pub(super) fn propagation_delay(&self) -> Duration {
+        if self.is_in_other_cell() {
+            return self.replica.propagation_delay.max(cells::NEWS_INTERVAL);
+        }
+        self.replica.propagation_delay
+    }
+
     /// Requests of all instances that run at the replica.
     pub(super) fn running_total(&self) -> u32 {
         self.running.len() as u32 + self.remote_running
--- a/crates/decisions/src/fanout.rs
+++ b/crates/decisions/src/fanout.rs
@@ -1,13 +1,13 @@
 //! Relays that forward messages in an availability zone, instead of a full mesh.
 //!
-//! Load pattern: three hundred instances, each of which sends updates ten times a second. If every
+//! Load pattern: hundreds of instances, each of which sends updates ten times a second. If every
 //! instance sent to all, a zone of fifty would receive 2,500 datagrams for each update per second
-//! and instance, and small machines would do nothing else. Instead an instance sends to one relay,
-//! which collects the updates of a dozen instances and forwards them together.
+//! and instance, and small machines would do nothing else.
 //!
-//! In a small zone each instance sends to every other one, and relays forward only to other zones:
-//! a slot that becomes free is taken within milliseconds, and a message that takes two hops arrives
-//! too late.
+//! Each instance sends every update to the others of its [cell](crate::cells), which is all of a
+//! small zone: a slot that becomes free is taken within milliseconds, and a message that takes two
+//! hops arrives too late. To the other cells and zones it sends less often, through one relay, which
+//! collects the updates of a dozen instances and forwards them together.
 //!
 //! All instances compute the relays from the members that they know. An instance with a different
 //! view may send to one that is not a relay, which forwards the update all the same.
@@ -23,8 +23,7 @@
 /// Number of instances that one relay serves.
 const INSTANCES_PER_RELAY: usize = 12;
 
-/// Largest number of instances of a zone that form a full mesh: messages grow with the square of
-/// their number.
+/// Largest number of instances that form a full mesh: messages grow with the square of their number.
 pub const MAX_FULL_MESH: usize = 24;
 
 /// A relay that has sent nothing for [`SILENT_AFTER`] is not chosen for [`EXCLUDED_FOR`]. That is
@@ -86,18 +85,6 @@
         self.relays_since.iter().any(|(r, _)| *r == member)
     }
 
-    /// Returns the instances that `own` sends its updates to. `others` are the other instances of
-    /// its zone.
-    pub fn receivers(&self, own: InstanceAddress, others: &[InstanceAddress]) -> Receivers {
-        let relay = self.relay_for(own).filter(|relay| *relay != own);
-        let is_small = others.len() < MAX_FULL_MESH;
-        let neighbours = others.iter().copied().filter(|m| Some(*m) != relay);
-        Receivers {
-            relay,
-            neighbours: is_small.then(|| neighbours.collect()),
-        }
-    }
-
     /// The relay that serves a member.
     pub fn relay_for(&self, member: InstanceAddress) -> Option<InstanceAddress> {
         let relays: Vec<InstanceAddress> = self.relays_since.iter().map(|(r, _)| *r).collect();
@@ -105,15 +92,6 @@
     }
 }
 
-/// Instances to which an instance sends its updates.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Receivers {
-    /// The relay; `None` if the instance is its own relay.
-    pub relay: Option<InstanceAddress>,
-    /// The other instances of a small zone; `None` if the relay forwards to the zone.
-    pub neighbours: Option<Vec<InstanceAddress>>,
-}
-
 /// Selects the relays among the members of a zone, by rank.
 pub fn choose_relays(members: &[InstanceAddress]) -> Vec<InstanceAddress> {
     let mut ranked = members.to_vec();
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,11 +4,13 @@
 //! generator, and carries out the actions that are returned. Nothing here opens a socket, reads a
 //! file or spawns a task, so each decision can be understood and tested alone.
 
+pub mod cells;
 pub mod cold;
 pub mod concurrency;
 pub mod configuration;
 pub mod credit;
 pub mod decimal;
+pub mod digest_timing;
 pub mod dispatch;
 pub mod drain;
 pub mod drained_zones;
--- /dev/null
+++ b/crates/decisions/tests/cells.rs
@@ -0,0 +1,205 @@
+//! Cells of a zone: their size, what a change of the members moves, and where requests go.
+
+use std::time::Duration;
+
+use kingcupfield_decisions::cells::OwnCell;
+use kingcupfield_decisions::dispatch::{Dispatcher, Job, Outcome, Replica};
+use kingcupfield_decisions::fanout::MAX_FULL_MESH;
+use kingcupfield_decisions::id::{InstanceAddress, UpstreamId};
+use kingcupfield_decisions::regions::Regions;
+use tokio::time::Instant;
+use yare::parameterized;
+
+struct Zone {
+    instances: u32,
+    replicas: usize,
+    /// Most replicas of a service in one cell.
+    max_cell_replicas: usize,
+}
+
+fn replicas(count: usize) -> Vec<UpstreamId> {
+    (0..count).map(|i| format!("replica-{i}").into()).collect()
+}
+
+/// The number of instances that share a replica must not grow with the zone, or the messages about
+/// its load would; and each replica must belong to a cell, or it would idle.
+#[parameterized(
+    small = { Zone { instances: 7, replicas: 12, max_cell_replicas: 12 } },
+    full_mesh = { Zone { instances: 24, replicas: 40, max_cell_replicas: 40 } },
+    two_cells = { Zone { instances: 25, replicas: 40, max_cell_replicas: 20 } },
+    hundred = { Zone { instances: 100, replicas: 495, max_cell_replicas: 99 } },
+    two_hundred = { Zone { instances: 200, replicas: 1000, max_cell_replicas: 112 } },
+    fewer_replicas_than_cells = { Zone { instances: 200, replicas: 3, max_cell_replicas: 1 } },
+)]
+fn cells_are_small_and_cover_the_zone(zone: Zone) {
+    let members: Vec<InstanceAddress> = (0..zone.instances).map(|i| 0x0a01_0000 + i).collect();
+    let ids = replicas(zone.replicas);
+    let ids: Vec<&UpstreamId> = ids.iter().collect();
+    let mut covered = vec![false; ids.len()];
+    for own in &members {
+        let cell = OwnCell::new(*own, &members);
+        let in_cell = cell.members(&members);
+        assert!(in_cell.len() <= MAX_FULL_MESH && in_cell.contains(own));
+        assert_eq!(cell.is_whole_zone(), members.len() <= MAX_FULL_MESH);
+        assert_eq!(cell.is_whole_zone(), in_cell.len() == members.len());
+        for member in &in_cell {
+            assert_eq!(OwnCell::new(*member, &members), cell);
+        }
+        let has = cell.has_replicas(&ids);
+        let size = has.iter().filter(|h| **h).count();
+        assert!(size >= 1 && size <= zone.max_cell_replicas, "{size}");
+        for (covered, has) in covered.iter_mut().zip(has) {
+            *covered |= has;
+        }
+    }
+    assert!(covered.iter().all(|c| *c));
+}
+
+/// One instance of a hundred starts or ends. Few others may change their cell: each of them loses
+/// what it knows of its replicas and its connections to them.
+#[test]
+fn few_instances_change_their_cell_when_one_ends() {
+    let members: Vec<InstanceAddress> = (0..100).collect();
+    let rest: Vec<InstanceAddress> = members.iter().copied().filter(|m| *m != 17).collect();
+    let moved = rest
+        .iter()
+        .filter(|m| OwnCell::new(**m, &members) != OwnCell::new(**m, &rest))
+        .count();
+    assert!(moved <= 4, "{moved} moved");
+}
+
+/// An instance that does not know its zone yet uses all replicas.
+#[test]
+fn an_unknown_zone_is_one_cell() {
+    let ids = replicas(30);
+    let ids: Vec<&UpstreamId> = ids.iter().collect();
+    let cell = OwnCell::new(1, &[]);
+    assert!(cell.is_whole_zone());
+    assert!(cell.has_replicas(&ids).into_iter().all(|has| has));
+}
+
+fn replica(id: &UpstreamId) -> Replica {
+    Replica {
+        id: id.clone(),
+        incarnation: 1,
+        service: "drafting".into(),
+        region: "north".into(),
+        slots: 4,
+        weighted_round_trip: Duration::ZERO,
+        network_round_trip: Duration::ZERO,
+        propagation_delay: Duration::ZERO,
+        is_engine: true,
+        tokens_per_event: 7,
+        usable: true,
+        in_own_zone: true,
+        cold_until: None,
+        cold_limit: None,
+    }
+}
+
+fn job(id: u64, now: Instant) -> Job {
+    Job {
+        id,
+        priority: (1, 0),
+        received_at: now,
+        slo_deadline: now + Duration::from_millis(1200),
+        deadline: now + Duration::from_secs(15),
+        queue_deadline: now + Duration::from_secs(4),
+        service: "drafting".into(),
+        regions: Regions::all(),
+        prompt_tokens: 2000.0,
+        expected_output_tokens: 120.0,
+        max_event_gap: Duration::from_millis(600),
+        tried_replicas: Vec::new(),
+        salt: id.wrapping_mul(0x9E37_79B9_7F4A_7C15),
+    }
+}
+
+/// The dispatchers of all instances of a zone, which know its members and replicas.
+fn zone(now: Instant, members: &[InstanceAddress], replicas: &[UpstreamId]) -> Vec<Dispatcher> {
+    let replicas: Vec<Replica> = replicas.iter().map(replica).collect();
+    let dispatcher = |own: &InstanceAddress| {
+        let mut dispatcher = Dispatcher::new().with_address(*own);
+        dispatcher.update_replicas(now, &replicas);
+        dispatcher.update_members(now, Some(members.to_vec()));
+        dispatcher.update_room(now);
+        dispatcher
+    };
+    members.iter().map(dispatcher).collect()
+}
+
+struct Herd {
+    instances: u32,
+    replicas: usize,
+}
+
+/// One replica is known to be the fastest, and a request arrives at each instance before any can
+/// tell the others where its own went. The requests that one replica gets must not grow with the
+/// zone: they would wait there while others idle.
+#[parameterized(
+    small = { Herd { instances: 24, replicas: 120 } },
+    large = { Herd { instances: 100, replicas: 500 } },
+    twice_as_large = { Herd { instances: 200, replicas: 1000 } },
+)]
+fn simultaneous_requests_to_one_replica_do_not_grow_with_the_zone(herd: Herd) {
+    let now = Instant::now();
+    let members: Vec<InstanceAddress> = (0..herd.instances).collect();
+    let ids = replicas(herd.replicas);
+    let mut received = vec![0; ids.len()];
+    for mut dispatcher in zone(now, &members, &ids) {
+        for _ in 0..10 {
+            dispatcher.on_events(now, &ids[3], 1, Duration::from_millis(28));
+        }
+        dispatcher.enqueue(job(u64::from(herd.instances), now));
+        for assignment in dispatcher.assign(now) {
+            let index = ids.iter().position(|id| *id == assignment.upstream);
+            received[index.expect("a replica of the zone")] += 1;
+        }
+    }
+    assert_eq!(received.iter().sum::<u32>(), herd.instances);
+    assert!(received.iter().max() <= Some(&(MAX_FULL_MESH as u32)));
+}
+
+/// All replicas look alike, as after a start, and a request arrives at each instance of a zone at
+/// once. If all instances preferred the same replica, it would get one request of each.
+#[test]
+fn simultaneous_requests_to_equal_replicas_are_spread() {
+    let now = Instant::now();
+    let members: Vec<InstanceAddress> = (0..24).collect();
+    let ids = replicas(120);
+    let mut chosen = Vec::new();
+    for mut dispatcher in zone(now, &members, &ids) {
+        dispatcher.enqueue(job(1, now));
+        chosen.extend(dispatcher.assign(now).into_iter().map(|a| a.upstream));
+    }
+    chosen.sort_unstable();
+    chosen.dedup();
+    assert!(
+        chosen.len() >= 16,
+        "{} replicas for 24 requests",
+        chosen.len()
+    );
+}
+
+/// All replicas of a cell are full or leave. Its requests must reach those of other cells at once.
+#[test]
+fn requests_leave_a_cell_without_room() {
+    let now = Instant::now();
+    let members: Vec<InstanceAddress> = (0..100).collect();
+    let ids = replicas(500);
+    let later = now + Duration::from_secs(2);
+    let dispatcher = &mut zone(now, &members, &ids)[0];
+    for id in 0..400 {
+        dispatcher.enqueue(job(id, later));
+    }
+    let assigned = dispatcher.assign(later);
+    assert_eq!(assigned.len(), 400);
+    assert_eq!(dispatcher.waiting_count(), 0);
+    for assignment in &assigned {
+        dispatcher.on_end(later, &assignment.upstream, assignment.job, Outcome::Served);
+    }
+    let mut cell: Vec<&UpstreamId> = assigned.iter().map(|a| &a.upstream).collect();
+    cell.sort_unstable();
+    cell.dedup();
+    assert!(cell.len() > 60, "{} replicas were used", cell.len());
+}
--- a/crates/decisions/tests/fanout.rs
+++ b/crates/decisions/tests/fanout.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kingcupfield_decisions::fanout::{MAX_FULL_MESH, Relays, choose_relays, relay_of};
+use kingcupfield_decisions::fanout::{Relays, choose_relays, relay_of};
 use kingcupfield_decisions::id::InstanceAddress;
 use tokio::time::Instant;
 use yare::parameterized;
@@ -131,38 +131,3 @@
     assert!(silent.is_empty(), "{silent:?}");
     assert!(!relays.contains(first_relay));
 }
-
-struct FullMeshCase {
-    members: u32,
-    /// Whether each instance sends to all others.
-    full_mesh: bool,
-}
-
-/// In a small zone updates must reach each instance by exactly one path. With a second hop a free
-/// slot is already taken when the update arrives, and duplicates cause duplicate work. In a large
-/// zone only relays receive them.
-#[parameterized(
-    two = { FullMeshCase { members: 2, full_mesh: true } },
-    fifteen = { FullMeshCase { members: 15, full_mesh: true } },
-    largest_small = { FullMeshCase { members: MAX_FULL_MESH as u32, full_mesh: true } },
-    fifty = { FullMeshCase { members: 50, full_mesh: false } },
-)]
-fn a_small_zone_is_a_full_mesh(case: FullMeshCase) {
-    let now = Instant::now();
-    let members: Vec<InstanceAddress> = (0..case.members).collect();
-    for own in &members {
-        let others: Vec<InstanceAddress> = members.iter().copied().filter(|m| m != own).collect();
-        let mut relays = Relays::default();
-        relays.update(now, *own, &others, |_| Some(now));
-        let receivers = relays.receivers(*own, &others);
-        assert_eq!(receivers.relay.is_none(), relays.contains(*own));
-        let neighbours = receivers.neighbours.clone().unwrap_or_default();
-        assert_eq!(receivers.neighbours.is_some(), case.full_mesh);
-        let mut receivers_of_own: Vec<InstanceAddress> =
-            neighbours.into_iter().chain(receivers.relay).collect();
-        receivers_of_own.sort_unstable();
-        if case.full_mesh {
-            assert_eq!(receivers_of_own, others);
-        }
-    }
-}
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -51,11 +51,18 @@
 const PAUSE_AFTER_CHANGES: Duration = Duration::from_millis(60);
 
 /// Time for which an instance that is not a configured contact waits for entries from a peer before
-/// it reads the store itself, when the whole fleet starts for the first time: otherwise it would
-/// read the store sixty times over. At any other start callers are waiting already, and the wait
-/// would lose 0.01 of the value that is served on a day of heavy load.
+/// it reads the store itself, when the whole fleet starts for the first time: otherwise each
+/// instance would read the whole directory from the store.
 const PEER_HEAD_START: Duration = Duration::from_millis(700);
 
+/// Time for which an instance waits for the first digest of a peer at any other start, when callers
+/// are waiting already: with it, the instance knows whether it has to read the store at all.
+const FIRST_DIGEST_WAIT: Duration = Duration::from_millis(150);
+
+/// Time without any entry after which an instance reads the store, even if others are to read it:
+/// it may reach the store and not their snapshots.
+const MAX_TIME_WITHOUT_ENTRIES: Duration = Duration::from_secs(2);
+
 /// Minimum interval of full listings: a sixth of the operator's bound of three seconds, so that an
 /// instance still catches up in time if the history is lost twice.
 const MIN_LIST_INTERVAL: Duration = Duration::from_millis(500);
@@ -113,23 +120,41 @@
     }
 }
 
-/// At the first start of the fleet, waits until a peer has sent the directory, for
-/// `PEER_HEAD_START` at most.
+/// Waits until it is known whether peers have the directory: at the first start of the fleet until
+/// one has sent it, otherwise until the first digest.
 async fn wait_for_peers(node: &Node) {
     let cfg = node.settings();
-    let deadline = Instant::now() + PEER_HEAD_START;
-    let should_wait = cfg.first_start && !cfg.is_contact();
-    while should_wait && node.directory.borrow().complete_up_to() == 0 && Instant::now() < deadline
-    {
+    if !cfg.has_other_contacts() {
+        return;
+    }
+    let is_first_start = cfg.first_start && !cfg.is_contact();
+    let max_wait = if is_first_start {
+        PEER_HEAD_START
+    } else {
+        FIRST_DIGEST_WAIT
+    };
+    let is_informed = || {
+        node.directory.borrow().complete_up_to() > 0
+            || !is_first_start && node.peers.borrow().live_count(Instant::now()) > 1
+    };
+    let deadline = Instant::now() + max_wait;
+    while !is_informed() && Instant::now() < deadline {
         sleep(MIN_PEER_REQUEST_INTERVAL).await;
     }
 }
 
+/// Whether this instance has to read the store now.
+fn has_to_read(node: &Node) -> bool {
+    let now = Instant::now();
+    let is_empty = node.directory.borrow().complete_up_to() == 0;
+    node.reads_store() || is_empty && node.peers.borrow().uptime(now) >= MAX_TIME_WITHOUT_ENTRIES
+}
+
 /// Lists the directory once and then watches for changes; returns at the first failure.
 async fn follow(node: &Rc<Node>, failures: &mut usize) -> Result<Infallible, DirectoryError> {
     let mut listed_at = Instant::now();
     loop {
-        while !node.reads_store() {
+        while !has_to_read(node) {
             sleep(READER_CHECK_INTERVAL).await;
         }
         let after = node.directory.borrow().complete_up_to();
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -1,8 +1,9 @@
 //! Exchange of state between the instances.
 //!
-//! An instance sends each change of its state to every instance of a small zone, and to the zone's
-//! relay that is responsible for it. A relay collects digests for a moment and sends them to its
-//! zone, and less often to a relay of each other zone, which forwards them to its own zone.
+//! An instance sends each change of its state to every instance of its cell, which is all of a
+//! small zone, and to the zone's relay that is responsible for it; in a divided zone only news and
+//! heartbeats go to the relay. A relay collects digests for a moment and sends them to its zone, and
+//! less often to a relay of each other zone, which forwards them to its own zone.
 
 mod local_state;
 
@@ -10,7 +11,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use kingcupfield_decisions::fanout::{self, Receivers, Relays};
+use kingcupfield_decisions::digest_timing::{self, FAR_ZONE, HEARTBEAT, NEAR_ZONE};
+use kingcupfield_decisions::fanout::{self, Relays};
 use kingcupfield_decisions::id::{InstanceAddress, NameHash, name_hash};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, interval, sleep, sleep_until};
@@ -24,29 +26,9 @@
 
 use local_state::{LocalState, live_members, local_state, local_step_times, unreachable_replicas};
 
-/// Interval at which silent peers, changed load and due messages are checked.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Minimum time between two messages of an instance about itself.
 const MIN_STATE_INTERVAL: Duration = Duration::from_millis(4);
 
-/// Time for which a relay collects digests of its zone, per pair of instances there: each instance
-/// is both a source and a receiver.
-const COLLECT_TIME_PER_PAIR: Duration = Duration::from_micros(40);
-
-/// Longest time for which a relay collects digests of its zone.
-const MAX_COLLECT_TIME: Duration = Duration::from_millis(100);
-
-/// Interval of messages to another zone of the region. It is longer if a zone has more than
-/// [`fanout::MAX_FULL_MESH`] instances, each of which has to receive them.
-const NEAR_ZONE_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Interval of messages to a zone of another region; longer for large zones in the same way.
-const FAR_ZONE_INTERVAL: Duration = Duration::from_millis(400);
-
-/// Interval of messages while nothing changes.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Interval of messages to the configured contacts until discovery of the zone is complete: after
 /// all instances were killed, they start some tenths of a second apart, and no organisation has
 /// credit until then.
@@ -68,16 +50,18 @@
     tokio::task::spawn_local(credit::run(Rc::clone(&node)));
     tokio::task::spawn_local(receiver::receive(Rc::clone(&node), Rc::clone(&socket)));
     let mut sender = Sender::new(&node, incarnation);
-    let mut ticks = interval(CHECK_INTERVAL);
+    let mut ticks = interval(digest_timing::CHECK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         let own_zone_due = sender.own_zone_due(&node);
         tokio::select! {
             _ = ticks.tick() => {
                 receiver::expire_silent(&node);
+                update_cell(&node);
                 credit::update_fleet_view(&node);
                 receiver::apply_loads(&node);
                 receiver::apply_waiting(&node);
+                node.dispatch.borrow_mut().update_room(Instant::now());
                 node.assign_slots();
                 sender.tick(&node, &socket);
             }
@@ -94,6 +78,15 @@
     }
 }
 
+/// Determines the cell of this instance, and how late the load of replicas is known if that changes.
+fn update_cell(node: &Node) {
+    let was_divided = node.peers.borrow().is_zone_divided();
+    node.peers.borrow_mut().update_cell();
+    if node.peers.borrow().is_zone_divided() != was_divided {
+        node.refresh_replicas();
+    }
+}
+
 /// How much of its state an instance sends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StateKind {
@@ -116,10 +109,12 @@
     region: NameHash,
     /// Sequence number of the last digest.
     seq: u32,
-    /// State at the last message, to detect changes.
+    /// State at the last message to the cell, to detect changes.
     last_sent: LocalState,
-    /// When this instance last sent its state.
-    state_sent_at: Option<Instant>,
+    /// State at the last message to the other cells and zones.
+    last_news: LocalState,
+    /// When this instance last sent its state to the other cells and zones.
+    news_sent_at: Option<Instant>,
     /// When the step times and the clock were last included.
     full_state_sent_at: Option<Instant>,
     /// When greetings were last sent to the configured contacts.
@@ -145,7 +140,8 @@
             region: name_hash(&cfg.region),
             seq: 0,
             last_sent: LocalState::default(),
-            state_sent_at: None,
+            last_news: LocalState::default(),
+            news_sent_at: None,
             full_state_sent_at: None,
             contacts_sent_at: None,
             own_zone_sent_at: now,
@@ -165,14 +161,14 @@
             self.full_state_sent_at = Some(now);
             self.send_state(node, socket, StateKind::Full);
             self.greet_relays(node, socket);
-        } else if has_passed(self.state_sent_at, HEARTBEAT_INTERVAL) {
+        } else if has_passed(self.news_sent_at, HEARTBEAT) {
             self.send_state(node, socket, StateKind::Heartbeat);
         } else {
             self.send_state(node, socket, StateKind::Change);
         }
         let accrues_credit = node.credit_ledger.borrow().accrues();
         let contact_interval = if accrues_credit {
-            HEARTBEAT_INTERVAL
+            HEARTBEAT
         } else {
             CONTACT_INTERVAL
         };
@@ -185,23 +181,19 @@
         {
             self.flush_own_zone(node, socket);
         }
-        if now.saturating_duration_since(self.near_zones_sent_at)
-            >= cross_zone_interval(node, NEAR_ZONE_INTERVAL)
-        {
+        if now.saturating_duration_since(self.near_zones_sent_at) >= NEAR_ZONE {
             self.near_zones_sent_at = now;
             let collected = node.outbox.borrow_mut().take_near_zones();
             self.send_cross_zone(node, socket, collected, true);
         }
-        if now.saturating_duration_since(self.far_zones_sent_at)
-            >= cross_zone_interval(node, FAR_ZONE_INTERVAL)
-        {
+        if now.saturating_duration_since(self.far_zones_sent_at) >= FAR_ZONE {
             self.far_zones_sent_at = now;
             let collected = node.outbox.borrow_mut().take_far_zones();
             self.send_cross_zone(node, socket, collected, false);
         }
     }
 
-    /// Sends the state of this instance to its zone and to its relay.
+    /// Sends the state of this instance to its cell, and, if it is due, to the other cells and zones.
     fn send_state(&mut self, node: &Node, socket: &UdpSocket, kind: StateKind) {
         let now = Instant::now();
         let state = local_state(node);
@@ -209,40 +201,42 @@
             return;
         }
         self.last_sent.clone_from(&state);
-        self.state_sent_at = Some(now);
-        let digest = self.build_digest(node, state, kind);
-        self.update_relays(node, now);
-        let others = node.peers.borrow().reachable(now, self.zone);
-        let others: Vec<InstanceAddress> = others.iter().map(|a| a.to_bits()).collect();
-        let receivers = self.relays.receivers(self.own_address.to_bits(), &others);
-        self.send_digest(node, socket, digest, receivers);
+        let is_divided = node.peers.borrow().is_zone_divided();
+        let is_news = !is_divided || kind != StateKind::Change || state.is_news(&self.last_news);
+        let digest = Box::new(self.build_digest(node, state, kind));
+        let cell = node.peers.borrow().reachable_in_cell(now);
+        let to_cell = PeerMessage::Digest(digest.clone(), ForwardScope::Nobody);
+        send_to(node, socket, &to_cell, &cell);
+        if is_news {
+            self.last_news.clone_from(&self.last_sent);
+            self.news_sent_at = Some(now);
+            self.update_relays(node, now);
+            let scope = if is_divided {
+                ForwardScope::AllZones
+            } else {
+                ForwardScope::OtherZones
+            };
+            self.send_to_relay(node, socket, digest, scope);
+        }
     }
 
-    /// Sends a digest of this instance to its receivers, and queues it in the own outbox if this
-    /// instance is its own relay.
-    fn send_digest(&self, node: &Node, socket: &UdpSocket, digest: Digest, receivers: Receivers) {
-        let scope = match receivers.neighbours {
-            Some(_) => ForwardScope::OtherZones,
-            None => ForwardScope::AllZones,
-        };
-        let digest = Box::new(digest);
-        if let Some(neighbours) = receivers.neighbours {
-            let to: Vec<Ipv4Addr> = neighbours.into_iter().map(Ipv4Addr::from_bits).collect();
-            let message = PeerMessage::Digest(digest.clone(), ForwardScope::Nobody);
-            send_to(node, socket, &message, &to);
-        }
-        if let Some(relay) = receivers.relay {
+    /// Sends a digest of this instance to its relay, or queues it if this instance is its own relay.
+    fn send_to_relay(
+        &self,
+        node: &Node,
+        socket: &UdpSocket,
+        digest: Box<Digest>,
+        scope: ForwardScope,
+    ) {
+        let own = self.own_address.to_bits();
+        if let Some(relay) = self.relays.relay_for(own).filter(|relay| *relay != own) {
             let message = PeerMessage::Digest(digest, scope);
             send_to(node, socket, &message, &[Ipv4Addr::from_bits(relay)]);
             return;
         }
-        let mut outbox = node.outbox.borrow_mut();
-        match scope {
-            ForwardScope::AllZones => outbox.add_for_all_zones(self.own_address, *digest),
-            ForwardScope::OtherZones | ForwardScope::Nobody => {
-                outbox.add_for_other_zones(self.own_address, *digest);
-            }
-        }
+        node.outbox
+            .borrow_mut()
+            .add(self.own_address, *digest, scope);
     }
 
     /// Determines the relays of the zone. One that doesn't send although it is a relay is passed
@@ -274,10 +268,8 @@
         if !node.outbox.borrow().has_own_zone() {
             return None;
         }
-        let members = node.peers.borrow().zone_size() as u32;
-        let collect_time =
-            (COLLECT_TIME_PER_PAIR * members.saturating_mul(members)).min(MAX_COLLECT_TIME);
-        Some(self.own_zone_sent_at + collect_time.max(MIN_STATE_INTERVAL))
+        let zone_size = node.peers.borrow().zone_size();
+        Some(self.own_zone_sent_at + digest_timing::collect_time(zone_size))
     }
 
     /// Sends the collected digests to all instances of the zone.
@@ -402,9 +394,7 @@
             zone: self.zone,
             region: self.region,
             upto: state.upto,
-            store_age_ms: node
-                .reported_store_age()
-                .map(|age| age.as_millis() as u32),
+            store_age_ms: node.reported_store_age().map(|age| age.as_millis() as u32),
             leaving: state.leaving,
             zone_size: state.zone_size,
             unreachable: unreachable_replicas(node),
@@ -462,15 +452,14 @@
         return Duration::ZERO;
     }
     let region = cfg.regions_by_zone.get(zone);
-    if region.is_some_and(|r| **r == *cfg.region) {
-        return cross_zone_interval(node, NEAR_ZONE_INTERVAL);
+    let interval = if region.is_some_and(|r| **r == *cfg.region) {
+        NEAR_ZONE
+    } else {
+        FAR_ZONE
+    };
+    // The instances of a divided zone send changes to the other zones with their heartbeats only.
+    if node.peers.borrow().is_zone_divided() {
+        return interval + HEARTBEAT;
     }
-    cross_zone_interval(node, FAR_ZONE_INTERVAL)
-}
-
-/// Interval of messages to other zones, for zones of the size of this one.
-fn cross_zone_interval(node: &Node, base_interval: Duration) -> Duration {
-    let members = node.peers.borrow().zone_size() as u32;
-    let small_zone = fanout::MAX_FULL_MESH as u32;
-    base_interval * members.max(small_zone) / small_zone
+    interval
 }
--- a/crates/entry/src/gossip/local_state.rs
+++ b/crates/entry/src/gossip/local_state.rs
@@ -30,6 +30,20 @@
     pub(super) leaving: bool,
 }
 
+impl LocalState {
+    /// Whether the other cells and zones have to know of this state before the next heartbeat.
+    ///
+    /// The load at replicas concerns the own cell. A new directory revision spreads from the few
+    /// instances that read the store.
+    pub(super) fn is_news(&self, last_sent: &Self) -> bool {
+        self.leaving != last_sent.leaving
+            || self.reads_store != last_sent.reads_store
+            || self.reads_store && self.upto != last_sent.upto
+            || self.limits != last_sent.limits
+            || self.leaving_replicas != last_sent.leaving_replicas
+    }
+}
+
 /// Reads the current state from the node.
 pub(super) fn local_state(node: &Node) -> LocalState {
     LocalState {
--- a/crates/entry/src/node/replicas.rs
+++ b/crates/entry/src/node/replicas.rs
@@ -115,7 +115,7 @@
         }
     }
 
-    /// Passes the requests that wait at the other instances of the zone to the dispatcher: instance,
+    /// Passes the requests that wait at the other instances of the cell to the dispatcher: instance,
     /// service and most urgent class.
     pub fn set_competitors<I>(&self, waiting: I)
     where
--- a/crates/entry/src/outbox.rs
+++ b/crates/entry/src/outbox.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use crate::peers::Digest;
+use crate::peers::{Digest, ForwardScope};
 
 /// Maximum payload of a datagram in bytes, which links carry without fragmentation.
 const MAX_DATAGRAM_BYTES: usize = 1200;
@@ -19,6 +19,15 @@
 }
 
 impl Outbox {
+    /// Adds a digest of an instance of the own zone for the instances that `scope` names.
+    pub fn add(&mut self, from: Ipv4Addr, digest: Digest, scope: ForwardScope) {
+        match scope {
+            ForwardScope::Nobody => {}
+            ForwardScope::OtherZones => self.add_for_other_zones(from, digest),
+            ForwardScope::AllZones => self.add_for_all_zones(from, digest),
+        }
+    }
+
     /// Adds a digest of an instance of the own zone, for all zones.
     pub fn add_for_all_zones(&mut self, from: Ipv4Addr, digest: Digest) {
         add(&mut self.own_zone, from, digest.clone());
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -4,6 +4,7 @@
 //! directory revision that it has reached. There is no consensus: a message replaces the one
 //! before, and the last state of a silent instance is forgotten after a while.
 
+mod cell;
 mod digest;
 mod discovery;
 mod peer;
@@ -18,6 +19,8 @@
 use kingcupfield_decisions::store_view::Revision;
 use tokio::time::Instant;
 
+use cell::Cell;
+
 pub use digest::{Digest, ForwardScope, PeerMessage, ReplicaLimitReport, ReplicaReports};
 pub use peer::{Nearness, Peer};
 
@@ -103,6 +106,8 @@
     zones: Vec<(NameHash, Distance)>,
     /// Whether the settings name other instances to contact.
     has_contacts: bool,
+    /// The cell of this instance in its zone.
+    cell: Cell,
     /// Sorted by address.
     others: Vec<Peer>,
     /// Instances that have shut down, kept so that late digests don't add them again.
@@ -137,6 +142,7 @@
             own,
             zones: vec![(NameHash::default(), Distance::SameZone)],
             has_contacts,
+            cell: Cell::default(),
             others: Vec::new(),
             leaving: Vec::new(),
             remote_load: RemoteLoad::new(),
@@ -388,15 +394,14 @@
         self.leaving.retain(|peer| !is_gone(peer));
     }
 
-    /// Requests that wait at the live instances of a zone: the instance, the service and its most
-    /// urgent class.
-    pub fn waiting_in_zone(
+    /// Requests that wait at the live instances of the own cell: the instance, the service and its
+    /// most urgent class.
+    pub fn waiting_in_cell(
         &self,
         now: Instant,
-        zone: NameHash,
     ) -> impl Iterator<Item = (Ipv4Addr, NameHash, PriorityClass)> {
-        let in_zone = move |p: &&Peer| p.is_live(now) && p.digest.zone == zone;
-        self.others.iter().filter(in_zone).flat_map(|p| {
+        let in_cell = move |p: &&Peer| p.is_live(now) && self.is_in_cell(p.address);
+        self.others.iter().filter(in_cell).flat_map(|p| {
             let waiting = p.digest.waiting.iter();
             waiting.map(|(service, class)| (p.address, *service, *class))
         })
@@ -433,7 +438,10 @@
     ) -> Option<&Peer> {
         let (zone, region) = location;
         let is_ahead = |p: &&Peer| p.is_live(now) && p.digest.upto > upto;
-        let nearness = |p: &Peer| p.nearness(zone, region) as u8;
+        let nearness = |p: &Peer| {
+            let is_outside = !self.is_in_cell(p.address);
+            (is_outside, p.nearness(zone, region) as u8)
+        };
         let nearest = self.others.iter().filter(is_ahead).map(nearness).min()?;
         let candidates: Vec<&Peer> = self
             .others
--- a/crates/entry/src/receiver.rs
+++ b/crates/entry/src/receiver.rs
@@ -18,6 +18,10 @@
 /// store: within it the store usually returns the same change.
 const STORE_HEAD_START: Duration = Duration::from_millis(250);
 
+/// Delay before a peer of another cell is asked: within it the first instance of the own cell has
+/// the change. If all asked at once, the one that has it would serve its whole zone.
+const CELL_HEAD_START: Duration = Duration::from_millis(250);
+
 /// Receives and applies datagrams until the process ends.
 pub async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; 64 * 1024];
@@ -49,18 +53,9 @@
 /// Applies a digest that came from the instance itself, and queues it for the instances to which
 /// `scope` asks this relay to forward it.
 fn on_direct_digest(node: &Rc<Node>, from: Ipv4Addr, digest: Digest, scope: ForwardScope) {
-    match scope {
-        ForwardScope::Nobody => {}
-        ForwardScope::OtherZones => node
-            .outbox
-            .borrow_mut()
-            .add_for_other_zones(from, digest.clone()),
-        ForwardScope::AllZones => {
-            node.outbox
-                .borrow_mut()
-                .add_for_all_zones(from, digest.clone());
-            node.outbox_wakeup.notify_one();
-        }
+    if scope != ForwardScope::Nobody {
+        node.outbox.borrow_mut().add(from, digest.clone(), scope);
+        node.outbox_wakeup.notify_one();
     }
     apply_digest(node, from, digest);
     update_dispatcher(node);
@@ -109,12 +104,21 @@
     apply_unreachable(node, &unreachable);
     node.on_peer_replica_reports(from, &replicas);
     if upto > node.directory.borrow().complete_up_to() {
-        let delay = if node.reads_store() {
-            STORE_HEAD_START
-        } else {
-            Duration::ZERO
-        };
-        directory::schedule_peer_sync(node, delay);
+        directory::schedule_peer_sync(node, sync_delay(node, from));
+    }
+}
+
+/// Delay before the directory is updated from peers, after `from` has reported a newer revision.
+fn sync_delay(node: &Node, from: Ipv4Addr) -> Duration {
+    if node.reads_store() {
+        return STORE_HEAD_START;
+    }
+    let peers = node.peers.borrow();
+    let waits = peers.is_zone_divided() && !peers.is_first_in_cell() && !peers.is_in_cell(from);
+    if waits {
+        CELL_HEAD_START
+    } else {
+        Duration::ZERO
     }
 }
 
@@ -184,9 +188,8 @@
     }
 }
 
-/// Passes the requests that wait at the other instances of the zone to the dispatcher.
+/// Passes the requests that wait at the other instances of the cell to the dispatcher.
 pub fn apply_waiting(node: &Node) {
-    let zone = name_hash(&node.settings().availability_zone);
     let peers = node.peers.borrow();
-    node.set_competitors(peers.waiting_in_zone(Instant::now(), zone));
+    node.set_competitors(peers.waiting_in_cell(Instant::now()));
 }
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::credit::Distance;
+use kingcupfield_decisions::digest_timing;
+use kingcupfield_decisions::fanout::MAX_FULL_MESH;
 use kingcupfield_decisions::remote_load::{ReplicaLoad, TotalLoad};
-use kingcupfield_entry::peers::{Digest, Nearness, PeerMessage, Peers};
+use kingcupfield_entry::peers::{Digest, Nearness, PeerMessage, Peers, SILENCE_TIMEOUT};
 use proptest::prelude::*;
 use tokio::time::Instant;
 use yare::parameterized;
@@ -161,6 +163,39 @@
     );
 }
 
+/// Zones of a fleet and of one twice and ten times its size.
+const ZONE_SIZES: [usize; 5] = [7, 24, 100, 200, 1000];
+
+/// Digests of another region arrive late in a large fleet. If they came less often than instances
+/// are given up, all would count each other as silent and as live again all the time.
+#[test]
+fn digests_arrive_in_time_in_zones_of_any_size() {
+    for zone_size in ZONE_SIZES {
+        let interval = digest_timing::max_digest_interval(zone_size);
+        assert!(interval < SILENCE_TIMEOUT, "{zone_size}: {interval:?}");
+    }
+}
+
+/// A change of an instance's load is sent to each of its cell at once. If the receivers grew with
+/// the zone, the messages of a fleet would grow with its square.
+#[test]
+fn receivers_of_each_change_do_not_grow_with_the_zone() {
+    for zone_size in ZONE_SIZES {
+        let now = Instant::now();
+        let member = |i: usize| Ipv4Addr::from(0x0a00_0000 + i as u32);
+        let mut peers = Peers::new(now, member(0), true).with_zones([(1, Distance::SameZone)]);
+        for other in 1..zone_size {
+            peers.on_digest(now, member(other), digest(1));
+        }
+        peers.update_cell();
+        let receivers = peers.reachable_in_cell(now);
+        assert_eq!(peers.is_zone_divided(), zone_size > MAX_FULL_MESH);
+        assert!(receivers.len() < MAX_FULL_MESH.min(zone_size + 1));
+        assert!(receivers.len() >= (zone_size - 1).min(MAX_FULL_MESH / 2 - 1));
+        assert!(receivers.iter().all(|r| peers.is_in_cell(*r)));
+    }
+}
+
 /// Instances of a zone by what they report of the store, and the number of them that read it.
 struct Fleet {
     instances: u8,
