Spread batches over all relays, and work on single changes

Cause: relays of five zones sent to the first two relays of the sixth, which forwarded the digests of the whole fleet: their load grew with its square. Each change of one replica copied, sorted and compared all 3,000 published ones; a digest listed the step times of all replicas that its sender had heard of; each datagram walked over all replicas and instances.

Change: each relay takes turns between two of its own; one replica is updated in place; only replicas in use are walked over; only measured step times are told. Directory changes spread within the cell first. An instance that hears nobody pauses 0.9 to 1.8 s between calls to the store.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -15,6 +15,7 @@
 mod job;
 mod latency;
 mod priority;
+mod published;
 mod size;
 mod statements;
 mod upstream;
@@ -24,7 +25,6 @@
 use tokio::time::Instant;
 
 use crate::cells::OwnCell;
-use crate::cold::{self, ColdGate};
 use crate::id::{InstanceAddress, ServiceId, UpstreamId};
 use crate::regions::Regions;
 use crate::replica_limit::FleetMembers;
@@ -46,7 +46,11 @@
 /// Queue of waiting requests and load of each replica, as seen by one instance.
 #[derive(Debug, Default)]
 pub struct Dispatcher {
+    /// Sorted by id.
     upstreams: Vec<Upstream>,
+    /// Indices of the replicas that are not idle or of which something is known beyond their
+    /// publication, and of some others; sorted.
+    active: Vec<usize>,
     waiting: Vec<Waiting>,
     /// Request sizes and prompt costs learned for each service, sorted by service.
     size_stats: Vec<(ServiceId, SizeStats)>,
@@ -78,91 +82,6 @@
         self
     }
 
-    /// Replaces the list of replicas. What was learned about a replica stays while its incarnation
-    /// does.
-    pub fn update_replicas(&mut self, now: Instant, replicas: &[Replica]) {
-        let old = std::mem::take(&mut self.upstreams);
-        let ids: Vec<UpstreamId> = old.iter().map(|u| u.replica.id.clone()).collect();
-        let mut old: Vec<Option<Upstream>> = old.into_iter().map(Some).collect();
-        for replica in replicas {
-            let known = ids.binary_search(&replica.id).ok();
-            let known = known.and_then(|i| old[i].take());
-            let upstream = match known.filter(|u| u.replica.incarnation == replica.incarnation) {
-                Some(mut known) => {
-                    known.replica = replica.clone();
-                    known
-                }
-                None => self.new_upstream(now, replica),
-            };
-            self.upstreams.push(upstream);
-        }
-        for departed in old.into_iter().flatten() {
-            self.departed.add(now, departed);
-        }
-        self.upstreams
-            .sort_by(|a, b| a.replica.id.cmp(&b.replica.id));
-        self.update_cell();
-    }
-
-    /// Creates the state of a replica that has just been published, possibly again.
-    fn new_upstream(&mut self, now: Instant, replica: &Replica) -> Upstream {
-        let cold_gate = ColdGate::new(now, self.is_designated(replica));
-        let mut upstream = Upstream::new(replica.clone(), cold_gate);
-        self.departed.restore(&mut upstream);
-        let limit = &mut upstream.limit;
-        limit.on_fleet_change(now, &replica.id, &self.fleet);
-        upstream
-    }
-
-    /// Replaces the list of instances in this zone, which includes this one and those that don't
-    /// respond. `None` if the list is unknown or this instance is shutting down.
-    pub fn update_members(&mut self, now: Instant, members: Option<Vec<InstanceAddress>>) {
-        if self.members == members {
-            return;
-        }
-        self.members = members;
-        self.update_cell();
-        let designated: Vec<bool> = self
-            .upstreams
-            .iter()
-            .map(|u| self.is_designated(&u.replica))
-            .collect();
-        for (u, designated) in self.upstreams.iter_mut().zip(designated) {
-            u.cold_gate.set_designated(now, designated);
-        }
-    }
-
-    /// Determines the cell of this instance and the replicas that belong to it.
-    fn update_cell(&mut self) {
-        self.cell = OwnCell::new(
-            self.own_address,
-            self.members.as_deref().unwrap_or_default(),
-        );
-        let in_zone = |u: &&Upstream| u.replica.in_own_zone;
-        let services = self.upstreams.iter().filter(in_zone);
-        let mut services: Vec<ServiceId> = services.map(|u| u.replica.service.clone()).collect();
-        services.sort_unstable();
-        services.dedup();
-        for service in services {
-            let of_service = |u: &&Upstream| in_zone(u) && u.replica.service == service;
-            let ids = self.upstreams.iter().filter(of_service);
-            let ids: Vec<&UpstreamId> = ids.map(|u| &u.replica.id).collect();
-            let mut in_cell = self.cell.has_replicas(&ids).into_iter();
-            let upstreams = self.upstreams.iter_mut();
-            for u in upstreams.filter(|u| of_service(&&**u)) {
-                u.in_cell = in_cell.next().unwrap_or_default();
-            }
-        }
-    }
-
-    /// Whether this instance is the one that may send requests to the replica while it is cold.
-    fn is_designated(&self, replica: &Replica) -> bool {
-        let members = self.members.as_deref().filter(|_| replica.in_own_zone);
-        members.is_some_and(|members| {
-            cold::designated_instance(&replica.id, members) == Some(self.own_address)
-        })
-    }
-
     /// Updates the number of requests, and their pending prompt tokens, that other instances have
     /// running at a replica.
     pub fn update_remote_load(&mut self, upstream: &UpstreamId, running: u32, prompt_tokens: f64) {
@@ -199,8 +118,7 @@
 
     /// Replicas in backoff because a connection to them failed.
     pub fn unreachable_replicas(&self, now: Instant) -> impl Iterator<Item = &UpstreamId> {
-        self.upstreams
-            .iter()
+        self.active_upstreams()
             .filter(move |u| u.connect_failures > 0 && u.in_backoff(now))
             .map(|u| &u.replica.id)
     }
@@ -244,21 +162,22 @@
         counts
     }
 
-    /// For each replica: number of requests of this instance that run there, the prompt tokens of
-    /// these that it has yet to process, and its step time in milliseconds, if known.
-    pub fn own_load(&self) -> impl Iterator<Item = (&UpstreamId, u32, f64, Option<f64>)> {
-        self.upstreams.iter().map(|u| {
+    /// For each replica that is not idle: number of requests of this instance that run there, and the
+    /// prompt tokens of these that it has yet to process.
+    pub fn own_load(&self) -> impl Iterator<Item = (&UpstreamId, u32, f64)> {
+        let loaded = self.active_upstreams().filter(|u| !u.running.is_empty());
+        loaded.map(|u| {
             let pending_prompt_tokens = u.running.iter().map(|r| r.pending_prompt_tokens).sum();
-            let running = u.running.len() as u32;
-            (
-                &u.replica.id,
-                running,
-                pending_prompt_tokens,
-                u.latency.learned_step_ms(),
-            )
+            (&u.replica.id, u.running.len() as u32, pending_prompt_tokens)
         })
     }
 
+    /// Step times of replicas in milliseconds, as far as they were measured here.
+    pub fn own_step_times(&self) -> impl Iterator<Item = (&UpstreamId, f64)> {
+        let measured = self.upstreams.iter();
+        measured.filter_map(|u| Some((&u.replica.id, u.latency.measured_step_ms()?)))
+    }
+
     /// Half tiers by which a request is demoted for its size relative to other requests of its
     /// service.
     pub fn size_demotion(
@@ -301,8 +220,24 @@
     /// Records which replicas have room now, also while no request waits: replicas whose load is known
     /// late are used only if they have had room for some time.
     pub fn update_room(&mut self, now: Instant) {
-        for u in &mut self.upstreams {
+        for index in std::mem::take(&mut self.active) {
+            let u = &mut self.upstreams[index];
             u.update_free_since(now);
+            if u.is_active(now) {
+                self.active.push(index);
+            }
+        }
+    }
+
+    /// The replicas that may be active.
+    fn active_upstreams(&self) -> impl Iterator<Item = &Upstream> {
+        self.active.iter().map(|index| &self.upstreams[*index])
+    }
+
+    /// Marks a replica as active.
+    fn activate(&mut self, index: usize) {
+        if let Err(at) = self.active.binary_search(&index) {
+            self.active.insert(at, index);
         }
     }
 
@@ -503,6 +438,7 @@
         index: usize,
         details: ChoiceDetails,
     ) -> Assignment {
+        self.activate(index);
         let u = &mut self.upstreams[index];
         let queueing_allowance = if u.replica.is_engine {
             u.queueing_allowance(job)
@@ -572,6 +508,7 @@
 
     fn find(&mut self, upstream: &UpstreamId) -> Option<&mut Upstream> {
         let index = self.index_of(upstream)?;
+        self.activate(index);
         Some(&mut self.upstreams[index])
     }
 }
--- a/crates/decisions/src/dispatch/latency.rs
+++ b/crates/decisions/src/dispatch/latency.rs
@@ -56,6 +56,11 @@
         self.step_ms
     }
 
+    /// Milliseconds per step, if measured here.
+    pub fn measured_step_ms(&self) -> Option<f64> {
+        self.step_ms.filter(|_| !self.gaps_ms.is_empty())
+    }
+
     /// Stores a peer's step time unless this instance has measurements of its own.
     pub fn on_peer_step_ms(&mut self, step_ms: f64) {
         if self.gaps_ms.is_empty() {
--- a/crates/decisions/src/dispatch/statements.rs
+++ b/crates/decisions/src/dispatch/statements.rs
@@ -41,6 +41,7 @@
         incarnation: u64,
     ) -> Option<(&mut ReplicaLimit, &FleetMembers)> {
         let index = self.index_of_incarnation(upstream, incarnation)?;
+        self.activate(index);
         Some((&mut self.upstreams[index].limit, &self.fleet))
     }
 
@@ -50,6 +51,7 @@
         let Some(index) = self.index_of_incarnation(upstream, incarnation) else {
             return false;
         };
+        self.activate(index);
         !std::mem::replace(&mut self.upstreams[index].said_leaving, true)
     }
 
@@ -78,7 +80,7 @@
 
     /// The replicas that have said that they shut down, and their incarnations.
     pub fn said_leaving(&self) -> impl Iterator<Item = (&UpstreamId, u64)> {
-        let leaving = self.upstreams.iter().filter(|u| u.said_leaving);
+        let leaving = self.active_upstreams().filter(|u| u.said_leaving);
         leaving.map(|u| (&u.replica.id, u.replica.incarnation))
     }
 
@@ -88,7 +90,7 @@
         &self,
         now: Instant,
     ) -> impl Iterator<Item = (&UpstreamId, u64, LimitReport)> {
-        self.upstreams.iter().filter_map(move |u| {
+        self.active_upstreams().filter_map(move |u| {
             let report = u.limit.own_report(now)?;
             Some((&u.replica.id, u.replica.incarnation, report))
         })
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -201,6 +201,15 @@
         self.replica.propagation_delay
     }
 
+    /// Whether it is not idle, or something is known of it beyond its publication.
+    pub(super) fn is_active(&self, now: Instant) -> bool {
+        self.running_total() > 0
+            || self.free_since.is_none()
+            || self.connect_failures > 0
+            || self.said_leaving
+            || self.limit.own_report(now).is_some()
+    }
+
     /// Requests of all instances that run at the replica.
     pub(super) fn running_total(&self) -> u32 {
         self.running.len() as u32 + self.remote_running
--- a/crates/decisions/src/fanout.rs
+++ b/crates/decisions/src/fanout.rs
@@ -110,6 +110,23 @@
     own.or(ranked).copied()
 }
 
+/// The relay of another zone to which a relay sends its batch number `turn`.
+///
+/// It takes turns between two, so that a dead one does not lose all batches, and each sender has two
+/// of its own: if all sent to the same ones, the load of these would grow with the square of the
+/// fleet.
+pub fn relay_by_turn(
+    sender: InstanceAddress,
+    relays: &[InstanceAddress],
+    turn: u64,
+) -> Option<InstanceAddress> {
+    let mut ranked = relays.to_vec();
+    ranked.sort_unstable_by_key(|r| Reverse((rank(*r, u64::from(sender) + 1), *r)));
+    ranked.truncate(2);
+    let turns = ranked.len().max(1) as u64;
+    ranked.get((turn % turns) as usize).copied()
+}
+
 fn rank(member: InstanceAddress, seed: u64) -> u64 {
     xxh3_64_with_seed(&member.to_be_bytes(), seed)
 }
--- a/crates/decisions/tests/cells.rs
+++ b/crates/decisions/tests/cells.rs
@@ -203,3 +203,57 @@
     cell.dedup();
     assert!(cell.len() > 60, "{} replicas were used", cell.len());
 }
+
+/// Replicas of a zone by name and incarnation.
+type Published = &'static [(&'static str, u64)];
+
+struct Release {
+    before: Published,
+    after: Published,
+}
+
+/// Replicas are published, replaced and removed one by one. A request must go where it would go if
+/// all of them had been published at once.
+#[parameterized(
+    added = { Release { before: &[("b", 1)], after: &[("a", 1), ("b", 1), ("c", 1)] } },
+    removed = { Release { before: &[("a", 1), ("b", 1), ("c", 1)], after: &[("a", 1), ("c", 1)] } },
+    restarted = { Release { before: &[("a", 1), ("b", 1)], after: &[("a", 1), ("b", 2)] } },
+    replaced = { Release { before: &[("a", 1), ("b", 1)], after: &[("c", 1), ("d", 1)] } },
+)]
+fn single_changes_have_the_effect_of_a_new_list(release: Release) {
+    let now = Instant::now();
+    let of = |(id, incarnation): &(&str, u64)| Replica {
+        incarnation: *incarnation,
+        ..replica(&(*id).into())
+    };
+    let list = |published: Published| -> Vec<Replica> { published.iter().map(of).collect() };
+    let (before, after) = (list(release.before), list(release.after));
+    let loaded = |replicas: &[Replica]| {
+        let mut dispatcher = Dispatcher::new().with_address(1);
+        dispatcher.update_replicas(now, replicas);
+        dispatcher.enqueue(job(0, now));
+        dispatcher.assign(now);
+        dispatcher.update_room(now);
+        dispatcher
+    };
+    let mut at_once = loaded(&before);
+    at_once.update_replicas(now, &after);
+    let mut one_by_one = loaded(&before);
+    for gone in before.iter().filter(|b| after.iter().all(|a| a.id != b.id)) {
+        one_by_one.remove_replica(now, &gone.id);
+    }
+    for replica in after.iter().rev() {
+        one_by_one.update_replica(now, replica);
+    }
+    let results = [&mut at_once, &mut one_by_one].map(|dispatcher| {
+        let load: Vec<(UpstreamId, u32)> = dispatcher
+            .own_load()
+            .map(|(id, running, _)| (id.clone(), running))
+            .collect();
+        for id in 1..30 {
+            dispatcher.enqueue(job(id, now));
+        }
+        (load, dispatcher.assign(now))
+    });
+    assert_eq!(results[0], results[1]);
+}
--- a/crates/decisions/tests/fanout.rs
+++ b/crates/decisions/tests/fanout.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kingcupfield_decisions::fanout::{Relays, choose_relays, relay_of};
+use kingcupfield_decisions::fanout::{Relays, choose_relays, relay_by_turn, relay_of};
 use kingcupfield_decisions::id::InstanceAddress;
 use tokio::time::Instant;
 use yare::parameterized;
@@ -131,3 +131,30 @@
     assert!(silent.is_empty(), "{silent:?}");
     assert!(!relays.contains(first_relay));
 }
+
+/// The relays of five zones send to those of a sixth. If they all chose the same two, these would
+/// forward the digests of the whole fleet and saturate their links.
+#[parameterized(
+    small = { 24 },
+    hundred = { 100 },
+    two_hundred = { 200 },
+    thousand = { 1000 },
+)]
+fn batches_from_other_zones_are_spread_over_the_relays(zone_size: u32) {
+    let zone = |index: u32| -> Vec<InstanceAddress> {
+        let members: Vec<InstanceAddress> = (0..zone_size).map(|i| (index << 16) + i).collect();
+        choose_relays(&members)
+    };
+    let receivers = zone(0);
+    let mut received = vec![0; receivers.len()];
+    for sender in (1..6).flat_map(zone) {
+        for turn in 0..2 {
+            let receiver = relay_by_turn(sender, &receivers, turn);
+            let index = receivers.iter().position(|r| Some(*r) == receiver);
+            received[index.expect("a relay of the zone")] += 1;
+        }
+    }
+    // Each of the five zones has as many relays, which send two batches each.
+    let mean = 5 * 2;
+    assert!(received.iter().all(|n| *n <= mean * 5 / 2), "{received:?}");
+}
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -38,6 +38,11 @@
     Duration::from_millis(900),
 ];
 
+/// The same on an instance that receives nothing from other instances: it is likely to be cut off from
+/// the store as well, and gets the directory from them as soon as it is not.
+const ISOLATED_RETRY_PAUSES: [Duration; 2] =
+    [Duration::from_millis(900), Duration::from_millis(1800)];
+
 /// Time for which a replica stays in use after its entry lapsed while the store had failed: a live
 /// replica writes its entry again within two seconds of the store's return.
 const LAPSED_REPLICA_GRACE: Duration = Duration::from_millis(2300);
@@ -73,6 +78,9 @@
 /// Minimum interval of directory requests to peers.
 const MIN_PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(30);
 
+/// Most replicas that are updated one by one; more of them, as in a list, are replaced at once.
+const MAX_SINGLE_UPDATES: usize = 32;
+
 /// Result of the last parse of a directory entry; only a replica or a drained zone sets its field.
 #[derive(Debug)]
 struct ReadEntry {
@@ -115,11 +123,23 @@
         if node.table().is_none() {
             schedule_peer_sync(&node, Duration::ZERO);
         }
-        let pause = RETRY_PAUSES[failures.min(RETRY_PAUSES.len()) - 1];
+        let pause = retry_pause(&node, failures);
         sleep(pause.mul_f64(rand::rng().random_range(0.7..1.3))).await;
     }
 }
 
+/// Pause after a call to the store that failed, as the last of `failures` in a row.
+fn retry_pause(node: &Node, failures: usize) -> Duration {
+    let is_isolated =
+        node.settings().has_other_contacts() && node.peers.borrow().live_count(Instant::now()) == 1;
+    let pauses: &[Duration] = if is_isolated {
+        &ISOLATED_RETRY_PAUSES
+    } else {
+        &RETRY_PAUSES
+    };
+    pauses[failures.min(pauses.len()) - 1]
+}
+
 /// Waits until it is known whether peers have the directory: at the first start of the fleet until
 /// one has sent it, otherwise until the first digest.
 async fn wait_for_peers(node: &Node) {
@@ -226,7 +246,7 @@
             changed.len()
         ),
     );
-    apply_directory(node);
+    apply_directory(node, &changed);
 }
 
 /// Applies a listing of changes; returns whether anything changed.
@@ -236,7 +256,7 @@
         .borrow_mut()
         .apply_changes(listing.revision, listing.entries);
     if !changed.is_empty() {
-        apply_directory(node);
+        apply_directory(node, &changed);
         node.state_changed.notify_one();
     }
     !changed.is_empty()
@@ -304,40 +324,80 @@
     if upto <= node.directory.borrow().complete_up_to() {
         return;
     }
-    node.directory.borrow_mut().apply_changes(upto, entries);
-    apply_directory(node);
+    let changed = node.directory.borrow_mut().apply_changes(upto, entries);
+    apply_directory(node, &changed);
     node.state_changed.notify_one();
 }
 
 /// Parses the entries that have changed, and passes the table, the drained zones and the replicas
 /// to the node.
-pub fn apply_directory(node: &Rc<Node>) {
+fn apply_directory(node: &Rc<Node>, keys: &[String]) {
     let now = Instant::now();
-    let mut any_lapsed = false;
+    let table_version = node.table_version();
+    let mut changes = Changes::default();
     {
         let directory = node.directory.borrow();
         let mut reader = node.directory_reader.borrow_mut();
         let store_failed = reader.store_failed_recently();
-        for entry in directory.entries() {
-            reader.apply_entry(node, now, entry, store_failed);
+        for entry in keys.iter().filter_map(|key| directory.entry(key)) {
+            reader.apply_entry(node, now, entry, store_failed, &mut changes);
         }
-        any_lapsed |= reader.entries.iter().any(|r| r.in_use_until.is_some());
     }
-    // Set before the replicas, which are usable only outside of drained zones.
-    let drained_zones = node.directory_reader.borrow().drained_zones();
-    node.set_drained_zones(now, drained_zones);
-    let replicas = node.directory_reader.borrow_mut().replicas(now);
-    node.set_replicas(replicas);
-    if any_lapsed {
+    if changes.drained_zones {
+        let drained_zones = node.directory_reader.borrow().drained_zones();
+        node.set_drained_zones(now, drained_zones);
+    }
+    update_replicas(node, changes.replicas);
+    // What a replica may get depends on the table and on the drained zones.
+    if changes.drained_zones || node.table_version() != table_version {
+        node.refresh_replicas();
+    }
+    node.assign_slots();
+    if changes.any_lapsed {
         let node = Rc::clone(node);
         tokio::task::spawn_local(async move {
             sleep(LAPSED_REPLICA_GRACE).await;
-            let replicas = node.directory_reader.borrow_mut().replicas(Instant::now());
-            node.set_replicas(replicas);
+            let ended = node.directory_reader.borrow_mut().end_grace(Instant::now());
+            update_replicas(&node, ended);
+            node.assign_slots();
         });
     }
 }
 
+/// Passes the state of the replicas with these ids to the node.
+fn update_replicas(node: &Node, mut ids: Vec<UpstreamId>) {
+    ids.sort_unstable();
+    ids.dedup();
+    let reader = node.directory_reader.borrow();
+    if ids.len() > MAX_SINGLE_UPDATES {
+        let replicas: Vec<PublishedReplica> = reader.replicas().cloned().collect();
+        drop(reader);
+        node.set_replicas(replicas);
+        return;
+    }
+    let mut published: Vec<Option<PublishedReplica>> = vec![None; ids.len()];
+    for replica in reader.replicas() {
+        if let Ok(index) = ids.binary_search(&replica.id) {
+            published[index] = Some(replica.clone());
+        }
+    }
+    drop(reader);
+    for (id, published) in ids.iter().zip(published) {
+        node.update_replica(id, published);
+    }
+}
+
+/// What a change of the directory concerns.
+#[derive(Debug, Default)]
+struct Changes {
+    /// Replicas whose entries have changed, before and after the change.
+    replicas: Vec<UpstreamId>,
+    /// Whether the entry of a drained zone has changed.
+    drained_zones: bool,
+    /// Whether a replica's entry lapsed while the store had failed.
+    any_lapsed: bool,
+}
+
 impl DirectoryReader {
     /// Whether a call to the store failed within the last seconds, as seen here or by the peer that
     /// sent the entries.
@@ -347,7 +407,14 @@
     }
 
     /// Parses an entry if its revision is new, and applies it.
-    fn apply_entry(&mut self, node: &Node, now: Instant, entry: &Entry, store_failed: bool) {
+    fn apply_entry(
+        &mut self,
+        node: &Node,
+        now: Instant,
+        entry: &Entry,
+        store_failed: bool,
+        changes: &mut Changes,
+    ) {
         let found = self.entries.binary_search_by(|r| r.key.cmp(&entry.key));
         if found.is_ok_and(|index| self.entries[index].revision >= entry.revision) {
             return;
@@ -355,6 +422,8 @@
         let previous = found
             .ok()
             .and_then(|index| self.entries[index].replica.take());
+        let was_drained = found.is_ok_and(|i| self.entries[i].drained_zone.is_some());
+        let previous_id = previous.as_ref().map(|p| p.id.clone());
         let mut updated = ReadEntry {
             key: entry.key.clone(),
             revision: entry.revision,
@@ -366,6 +435,11 @@
             Some(value) => updated.apply_value(node, value, previous.as_ref()),
             None => apply_lapse(node, now, previous, store_failed, &mut updated),
         }
+        let updated_id = updated.replica.as_ref().map(|r| r.id.clone());
+        changes.replicas.extend(previous_id);
+        changes.replicas.extend(updated_id);
+        changes.drained_zones |= was_drained || updated.drained_zone.is_some();
+        changes.any_lapsed |= updated.in_use_until.is_some();
         match found {
             Ok(index) => self.entries[index] = updated,
             Err(index) => self.entries.insert(index, updated),
@@ -380,18 +454,21 @@
             .collect()
     }
 
-    /// The replicas in use at `now`, including lapsed ones within their grace time.
-    fn replicas(&mut self, now: Instant) -> Vec<PublishedReplica> {
+    /// The replicas in use, including lapsed ones within their grace time.
+    fn replicas(&self) -> impl Iterator<Item = &PublishedReplica> {
+        self.entries.iter().filter_map(|r| r.replica.as_ref())
+    }
+
+    /// Removes the lapsed replicas whose grace time is over, and returns their ids.
+    fn end_grace(&mut self, now: Instant) -> Vec<UpstreamId> {
+        let mut ended = Vec::new();
         for entry in &mut self.entries {
             if entry.in_use_until.is_some_and(|deadline| now >= deadline) {
                 entry.in_use_until = None;
-                entry.replica = None;
+                ended.extend(entry.replica.take().map(|r| r.id));
             }
         }
-        self.entries
-            .iter()
-            .filter_map(|r| r.replica.clone())
-            .collect()
+        ended
     }
 }
 
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -14,6 +14,7 @@
 use kingcupfield_decisions::digest_timing::{self, FAR_ZONE, HEARTBEAT, NEAR_ZONE};
 use kingcupfield_decisions::fanout::{self, Relays};
 use kingcupfield_decisions::id::{InstanceAddress, NameHash, name_hash};
+use rand::RngExt as _;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, interval, sleep, sleep_until};
 
@@ -293,15 +294,14 @@
         if collected.is_empty() {
             return;
         }
-        // Alternates between two relays, so that a dead one does not lose all messages.
-        let turn = self.seq as usize;
-        let alternate =
-            |relays: &[InstanceAddress]| relays.get(turn % relays.len().clamp(1, 2)).copied();
+        let own = self.own_address.to_bits();
+        let turn = rand::rng().random();
         let zones = self
             .other_zones(node)
             .into_iter()
             .filter(|(_, in_region)| *in_region == same_region);
-        let relays = zones.filter_map(|(zone, _)| alternate(&relays_of(node, zone)));
+        let relays =
+            zones.filter_map(|(zone, _)| fanout::relay_by_turn(own, &relays_of(node, zone), turn));
         let to: Vec<Ipv4Addr> = relays.map(Ipv4Addr::from_bits).collect();
         send_collected(node, socket, collected, &to);
     }
--- a/crates/entry/src/gossip/local_state.rs
+++ b/crates/entry/src/gossip/local_state.rs
@@ -73,8 +73,7 @@
     node.dispatch
         .borrow()
         .own_load()
-        .filter(|(_, running, _, _)| *running > 0)
-        .map(|(id, running, prompt, _)| ReplicaLoad {
+        .map(|(id, running, prompt)| ReplicaLoad {
             replica: name_hash(id),
             running: running as u16,
             prompt: prompt as u32,
@@ -107,8 +106,8 @@
 pub(super) fn local_step_times(node: &Node) -> Vec<(NameHash, u32)> {
     node.dispatch
         .borrow()
-        .own_load()
-        .filter_map(|(id, _, _, step_ms)| Some((name_hash(id), (step_ms? * 1000.0) as u32)))
+        .own_step_times()
+        .map(|(id, step_ms)| (name_hash(id), (step_ms * 1000.0) as u32))
         .collect()
 }
 
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -135,14 +135,12 @@
     }
 }
 
-/// Refreshes the replicas, closes idle connections and detects suspensions, once per interval.
+/// Closes idle connections and detects suspensions, once per interval.
 async fn run_housekeeping(node: Rc<Node>) {
     let mut ticks = interval(HOUSEKEEPING_INTERVAL);
     loop {
         ticks.tick().await;
         let now = Instant::now();
-        // The propagation delay between instances depends on the number of reachable instances.
-        node.refresh_replicas();
         for target in node.targets() {
             target.pool.close_expired(now);
         }
--- a/crates/entry/src/node/replicas.rs
+++ b/crates/entry/src/node/replicas.rs
@@ -3,6 +3,7 @@
 
 use std::net::Ipv4Addr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use kingcupfield_decisions::dispatch::{Competitor, PriorityClass, Replica};
@@ -87,6 +88,44 @@
         self.assign_slots();
     }
 
+    /// Applies a change of one published replica: a new or changed one, or `None` with the id of one
+    /// that is no longer published.
+    ///
+    /// A release replaces thousands of replicas one after the other, so the work does not depend on
+    /// the number of the others.
+    pub fn update_replica(&self, id: &UpstreamId, published: Option<PublishedReplica>) {
+        let now = Instant::now();
+        let mut targets = self.targets.borrow_mut();
+        let found = targets.binary_search_by(|t| t.published.id.cmp(id));
+        let Some(published) = published else {
+            if let Ok(index) = found {
+                targets.remove(index);
+            }
+            drop(targets);
+            self.dispatch.borrow_mut().remove_replica(now, id);
+            return;
+        };
+        let old = found.ok().map(|index| &targets[index]);
+        let pool = old.filter(|t| is_same_incarnation(t, &published));
+        let target = Rc::new(Target {
+            pool: pool.map_or_else(Rc::default, |old| Rc::clone(&old.pool)),
+            published,
+        });
+        let replica = self.dispatch_replica(&target.published);
+        match found {
+            Ok(index) => targets[index] = target,
+            Err(index) => targets.insert(index, target),
+        }
+        drop(targets);
+        self.dispatch.borrow_mut().update_replica(now, &replica);
+        let name = name_hash(id);
+        insert_name(&mut self.replicas_by_hash.borrow_mut(), name, id);
+        let service = &replica.service;
+        insert_name(&mut self.services.borrow_mut(), name_hash(service), service);
+        let load = self.peers.borrow().load_at(name);
+        self.set_remote_load(name, load);
+    }
+
     /// Passes all replicas to the dispatcher again, after a change of them or of the table.
     pub fn refresh_replicas(&self) {
         let replicas: Vec<Replica> = self
@@ -209,6 +248,14 @@
     }
 }
 
+/// Adds a name to a list that is sorted by hash, if it is not in it yet.
+fn insert_name(names: &mut Vec<(NameHash, Arc<str>)>, hash: NameHash, name: &Arc<str>) {
+    let entry = (hash, Arc::clone(name));
+    if let Err(index) = names.binary_search(&entry) {
+        names.insert(index, entry);
+    }
+}
+
 /// Whether a published replica is the same process as a target, so that its connections stay
 /// usable.
 fn is_same_incarnation(target: &Target, replica: &PublishedReplica) -> bool {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -422,6 +422,14 @@
         self.remote_load.take_changed()
     }
 
+    /// Distance of an instance from this one, whose zone and region are `location`.
+    pub fn nearness_of(&self, address: Ipv4Addr, location: (NameHash, NameHash)) -> Nearness {
+        let index = self.index_of(address);
+        index.map_or(Nearness::OtherRegion, |index| {
+            self.others[index].nearness(location.0, location.1)
+        })
+    }
+
     /// Picks a peer to get newer directory entries from: one of the nearest whose revision is above
     /// `upto`, chosen by `salt`, which is random. `location` is the zone and the region of this
     /// instance.
--- a/crates/entry/src/receiver.rs
+++ b/crates/entry/src/receiver.rs
@@ -18,9 +18,10 @@
 /// store: within it the store usually returns the same change.
 const STORE_HEAD_START: Duration = Duration::from_millis(250);
 
-/// Delay before a peer of another cell is asked: within it the first instance of the own cell has
-/// the change. If all asked at once, the one that has it would serve its whole zone.
-const CELL_HEAD_START: Duration = Duration::from_millis(250);
+/// Delay before a peer further away than another one is asked: of another cell, zone or region.
+/// Within it the change usually arrives nearer. If all asked at once, the few that have it would
+/// serve the whole fleet, over the expensive links between regions.
+const NEARER_HEAD_START: Duration = Duration::from_millis(250);
 
 /// Receives and applies datagrams until the process ends.
 pub async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
@@ -113,13 +114,16 @@
     if node.reads_store() {
         return STORE_HEAD_START;
     }
+    let is_empty = node.directory.borrow().complete_up_to() == 0;
     let peers = node.peers.borrow();
-    let waits = peers.is_zone_divided() && !peers.is_first_in_cell() && !peers.is_in_cell(from);
-    if waits {
-        CELL_HEAD_START
-    } else {
-        Duration::ZERO
+    if is_empty || !peers.is_zone_divided() || peers.is_in_cell(from) {
+        return Duration::ZERO;
     }
+    let cfg = node.settings();
+    let location = (name_hash(&cfg.availability_zone), name_hash(&cfg.region));
+    let distance = peers.nearness_of(from, location) as u32;
+    let turn = u32::from(!peers.is_first_in_cell());
+    NEARER_HEAD_START * (distance + turn)
 }
 
 /// Updates the dispatcher with the new load, and assigns the slots that this has freed.
--- a/crates/entry/src/reload.rs
+++ b/crates/entry/src/reload.rs
@@ -59,6 +59,7 @@
         .iter()
         .partition(|field| Settings::RELOADABLE.contains(field));
     node.apply_settings(&cfg);
+    node.refresh_replicas();
     node.log.line(
         Priority::High,
         format_args!(
