Queue datagrams that the socket can't take

Hypothesis: a relay's burst to a hundred instances exceeds the buffer of its socket, and the last datagrams are lost each time: instances of the zones that come last in a batch fell silent five times as often as those of the first.

--- a/crates/entry/src/credit.rs
+++ b/crates/entry/src/credit.rs
@@ -201,15 +201,12 @@
 
 /// Sends a credit message to another instance.
 fn send(node: &Node, to: InstanceAddress, message: Message) {
-    let Some(socket) = node.peer_socket.get() else {
-        return;
-    };
     let Ok(message) = rmp_serde::to_vec(&PeerMessage::Credit(message)) else {
         return;
     };
     let to = SocketAddr::from((Ipv4Addr::from_bits(to), node.settings().peer_port));
     // Lost requests are sent again, and lost credit expires.
-    let _ = socket.try_send_to(&message, to);
+    node.send_queue.push_urgent(message.into(), to);
 }
 
 /// Removes and returns the sender of a waiting request's verdict.
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -333,7 +333,7 @@
 /// to the node.
 fn apply_directory(node: &Rc<Node>, keys: &[String]) {
     let now = Instant::now();
-    let table_version = node.table_version();
+    let old_table = node.table();
     let mut changes = Changes::default();
     {
         let directory = node.directory.borrow();
@@ -348,8 +348,12 @@
         node.set_drained_zones(now, drained_zones);
     }
     update_replicas(node, changes.replicas);
-    // What a replica may get depends on the table and on the drained zones.
-    if changes.drained_zones || node.table_version() != table_version {
+    let same_services = match (&old_table, &node.table()) {
+        (Some(old), Some(new)) => old.has_same_services(new),
+        (old, new) => old.is_none() && new.is_none(),
+    };
+    // What a replica may get depends on its service in the table and on the drained zones.
+    if changes.drained_zones || !same_services {
         node.refresh_replicas();
     }
     node.assign_slots();
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -46,10 +46,9 @@
 /// `incarnation` is greater for each start of the process.
 pub async fn run(node: Rc<Node>, socket: UdpSocket, incarnation: u64) {
     let socket = Rc::new(socket);
-    // Set only here, and this function runs once per process.
-    let _ = node.peer_socket.set(Rc::clone(&socket));
     tokio::task::spawn_local(credit::run(Rc::clone(&node)));
     tokio::task::spawn_local(receiver::receive(Rc::clone(&node), Rc::clone(&socket)));
+    tokio::task::spawn_local(send_queued(Rc::clone(&node), socket));
     let mut sender = Sender::new(&node, incarnation);
     let mut ticks = interval(digest_timing::CHECK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -64,21 +63,26 @@
                 receiver::apply_waiting(&node);
                 node.dispatch.borrow_mut().update_room(Instant::now());
                 node.assign_slots();
-                sender.tick(&node, &socket);
+                sender.tick(&node);
             }
-            () = node.greeting_wakeup.notified() => sender.greet(&node, &socket),
+            () = node.greeting_wakeup.notified() => sender.greet(&node),
             () = node.state_changed.notified() => {
-                sender.send_state(&node, &socket, StateKind::Change);
+                sender.send_state(&node, StateKind::Change);
                 sleep(MIN_STATE_INTERVAL).await;
             }
             () = node.outbox_wakeup.notified() => {}
             () = sleep_until(own_zone_due.unwrap_or_else(Instant::now)), if own_zone_due.is_some() => {
-                sender.flush_own_zone(&node, &socket);
+                sender.flush_own_zone(&node);
             }
         }
     }
 }
 
+/// Sends the messages to other instances until the process ends.
+async fn send_queued(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    node.send_queue.run(&socket).await;
+}
+
 /// Determines the cell of this instance, and how late the load of replicas is known if that changes.
 fn update_cell(node: &Node) {
     let was_divided = node.peers.borrow().is_zone_divided();
@@ -153,19 +157,19 @@
     }
 
     /// Sends the messages that are due at a periodic check.
-    fn tick(&mut self, node: &Node, socket: &UdpSocket) {
+    fn tick(&mut self, node: &Node) {
         let now = Instant::now();
         let has_passed = |sent_at: Option<Instant>, interval| {
             sent_at.is_none_or(|sent_at| now.saturating_duration_since(sent_at) >= interval)
         };
         if has_passed(self.full_state_sent_at, FULL_STATE_INTERVAL) {
             self.full_state_sent_at = Some(now);
-            self.send_state(node, socket, StateKind::Full);
-            self.greet_relays(node, socket);
+            self.send_state(node, StateKind::Full);
+            self.greet_relays(node);
         } else if has_passed(self.news_sent_at, HEARTBEAT) {
-            self.send_state(node, socket, StateKind::Heartbeat);
+            self.send_state(node, StateKind::Heartbeat);
         } else {
-            self.send_state(node, socket, StateKind::Change);
+            self.send_state(node, StateKind::Change);
         }
         let accrues_credit = node.credit_ledger.borrow().accrues();
         let contact_interval = if accrues_credit {
@@ -175,27 +179,27 @@
         };
         if has_passed(self.contacts_sent_at, contact_interval) {
             self.contacts_sent_at = Some(now);
-            self.greet_contacts(node, socket);
+            self.greet_contacts(node);
         }
         if self.is_relay()
             && now.saturating_duration_since(self.own_zone_sent_at) >= RELAY_HEARTBEAT_INTERVAL
         {
-            self.flush_own_zone(node, socket);
+            self.flush_own_zone(node);
         }
         if now.saturating_duration_since(self.near_zones_sent_at) >= NEAR_ZONE {
             self.near_zones_sent_at = now;
             let collected = node.outbox.borrow_mut().take_near_zones();
-            self.send_cross_zone(node, socket, collected, true);
+            self.send_cross_zone(node, collected, true);
         }
         if now.saturating_duration_since(self.far_zones_sent_at) >= FAR_ZONE {
             self.far_zones_sent_at = now;
             let collected = node.outbox.borrow_mut().take_far_zones();
-            self.send_cross_zone(node, socket, collected, false);
+            self.send_cross_zone(node, collected, false);
         }
     }
 
     /// Sends the state of this instance to its cell, and, if it is due, to the other cells and zones.
-    fn send_state(&mut self, node: &Node, socket: &UdpSocket, kind: StateKind) {
+    fn send_state(&mut self, node: &Node, kind: StateKind) {
         let now = Instant::now();
         let state = local_state(node);
         if kind == StateKind::Change && state == self.last_sent {
@@ -207,7 +211,7 @@
         let digest = Box::new(self.build_digest(node, state, kind));
         let cell = node.peers.borrow().reachable_in_cell(now);
         let to_cell = PeerMessage::Digest(digest.clone(), ForwardScope::Nobody);
-        send_to(node, socket, &to_cell, &cell);
+        send_to(node, &to_cell, &cell);
         if is_news {
             self.last_news.clone_from(&self.last_sent);
             self.news_sent_at = Some(now);
@@ -217,22 +221,16 @@
             } else {
                 ForwardScope::OtherZones
             };
-            self.send_to_relay(node, socket, digest, scope);
+            self.send_to_relay(node, digest, scope);
         }
     }
 
     /// Sends a digest of this instance to its relay, or queues it if this instance is its own relay.
-    fn send_to_relay(
-        &self,
-        node: &Node,
-        socket: &UdpSocket,
-        digest: Box<Digest>,
-        scope: ForwardScope,
-    ) {
+    fn send_to_relay(&self, node: &Node, digest: Box<Digest>, scope: ForwardScope) {
         let own = self.own_address.to_bits();
         if let Some(relay) = self.relays.relay_for(own).filter(|relay| *relay != own) {
             let message = PeerMessage::Digest(digest, scope);
-            send_to(node, socket, &message, &[Ipv4Addr::from_bits(relay)]);
+            send_to(node, &message, &[Ipv4Addr::from_bits(relay)]);
             return;
         }
         node.outbox
@@ -274,23 +272,17 @@
     }
 
     /// Sends the collected digests to all instances of the zone.
-    fn flush_own_zone(&mut self, node: &Node, socket: &UdpSocket) {
+    fn flush_own_zone(&mut self, node: &Node) {
         let now = Instant::now();
         self.own_zone_sent_at = now;
         let collected = node.outbox.borrow_mut().take_own_zone();
         let to = node.peers.borrow().reachable(now, self.zone);
-        send_collected(node, socket, collected, &to);
+        send_collected(node, collected, &to);
     }
 
     /// Sends the collected digests to a relay of each other zone, either in this region or outside
     /// of it.
-    fn send_cross_zone(
-        &self,
-        node: &Node,
-        socket: &UdpSocket,
-        collected: DigestBatch,
-        same_region: bool,
-    ) {
+    fn send_cross_zone(&self, node: &Node, collected: DigestBatch, same_region: bool) {
         if collected.is_empty() {
             return;
         }
@@ -303,7 +295,7 @@
         let relays =
             zones.filter_map(|(zone, _)| fanout::relay_by_turn(own, &relays_of(node, zone), turn));
         let to: Vec<Ipv4Addr> = relays.map(Ipv4Addr::from_bits).collect();
-        send_collected(node, socket, collected, &to);
+        send_collected(node, collected, &to);
     }
 
     /// The other zones, and whether each is in the region of this instance.
@@ -318,7 +310,7 @@
 
     /// Sends greetings to instances that have just become known: a fleet that starts at once is
     /// complete after a few round trips instead of some seconds.
-    fn greet(&mut self, node: &Node, socket: &UdpSocket) {
+    fn greet(&mut self, node: &Node) {
         let now = Instant::now();
         let to = std::mem::take(&mut *node.greeting_targets.borrow_mut());
         for address in &to {
@@ -327,14 +319,13 @@
         let digest = self.build_digest(node, local_state(node), StateKind::Greeting);
         send_to(
             node,
-            socket,
             &PeerMessage::Digest(Box::new(digest), ForwardScope::Nobody),
             &to,
         );
     }
 
     /// Sends greetings to the configured contacts that are not live.
-    fn greet_contacts(&mut self, node: &Node, socket: &UdpSocket) {
+    fn greet_contacts(&mut self, node: &Node) {
         let now = Instant::now();
         let cfg = node.settings();
         let contacts = cfg.contacts.iter().filter_map(|c| match c {
@@ -356,7 +347,6 @@
         let digest = self.build_digest(node, local_state(node), StateKind::Greeting);
         send_to(
             node,
-            socket,
             &PeerMessage::Digest(Box::new(digest), ForwardScope::Nobody),
             &to,
         );
@@ -364,7 +354,7 @@
 
     /// As a relay, sends greetings to the relays of other zones: two parts of the fleet that have
     /// found only themselves would not find each other.
-    fn greet_relays(&mut self, node: &Node, socket: &UdpSocket) {
+    fn greet_relays(&mut self, node: &Node) {
         if !self.is_relay() {
             return;
         }
@@ -378,7 +368,6 @@
         let digest = self.build_digest(node, local_state(node), StateKind::Greeting);
         send_to(
             node,
-            socket,
             &PeerMessage::Digest(Box::new(digest), ForwardScope::Nobody),
             &to,
         );
@@ -424,24 +413,25 @@
 }
 
 /// Sends collected digests to each of the receivers, in as few datagrams as possible.
-fn send_collected(node: &Node, socket: &UdpSocket, collected: DigestBatch, to: &[Ipv4Addr]) {
+fn send_collected(node: &Node, collected: DigestBatch, to: &[Ipv4Addr]) {
     for datagram in outbox::datagrams(collected) {
-        send_to(node, socket, &PeerMessage::Relayed(datagram), to);
+        send_to(node, &PeerMessage::Relayed(datagram), to);
     }
 }
 
 /// Sends a message to each of the receivers.
-fn send_to(node: &Node, socket: &UdpSocket, message: &PeerMessage, to: &[Ipv4Addr]) {
+fn send_to(node: &Node, message: &PeerMessage, to: &[Ipv4Addr]) {
     if to.is_empty() {
         return;
     }
     let Ok(bytes) = rmp_serde::to_vec(message) else {
         return;
     };
+    let bytes: Rc<[u8]> = bytes.into();
+    let port = node.settings().peer_port;
     for address in to {
-        let to = SocketAddr::from((*address, node.settings().peer_port));
-        // A message that can't be sent now is superseded by the next one.
-        let _ = socket.try_send_to(&bytes, to);
+        node.send_queue
+            .push(Rc::clone(&bytes), SocketAddr::from((*address, port)));
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod replica;
 pub mod request;
 pub mod request_log;
+pub mod send_queue;
 pub mod server;
 pub mod settings;
 pub mod shutdown;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -4,7 +4,7 @@
 mod slots;
 mod statements;
 
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, RefCell};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +15,6 @@
 use kingcupfield_decisions::id::{NameHash, ServiceId, UpstreamId, name_hash};
 use kingcupfield_decisions::store_view::StoreView;
 use kingcupfield_decisions::upstream_retries::UpstreamRetryBudget;
-use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
@@ -27,6 +26,7 @@
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
 use crate::peers::Peers;
+use crate::send_queue::SendQueue;
 use crate::settings::Settings;
 use crate::table::Table;
 
@@ -73,8 +73,8 @@
     pub credit_waiters: RefCell<Vec<(MessageNumber, oneshot::Sender<CreditVerdict>)>>,
     /// Wakes the task that times out requests waiting for credit.
     pub credit_wakeup: Notify,
-    /// UDP socket for messages to the other instances; set when gossip starts.
-    pub peer_socket: OnceCell<Rc<UdpSocket>>,
+    /// Messages to other instances that are to be sent.
+    pub send_queue: SendQueue,
     /// Budget for retries.
     pub retry_budget: RefCell<UpstreamRetryBudget>,
     /// Latest known entry of each directory key.
@@ -160,7 +160,7 @@
             credit_ledger: RefCell::new(ledger),
             credit_waiters: RefCell::new(Vec::new()),
             credit_wakeup: Notify::new(),
-            peer_socket: OnceCell::new(),
+            send_queue: SendQueue::default(),
             retry_budget: RefCell::new(UpstreamRetryBudget::new(cfg.retry_bounds())),
             directory: RefCell::new(StoreView::new()),
             peers: RefCell::new(
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -400,8 +400,9 @@
         &self,
         now: Instant,
     ) -> impl Iterator<Item = (Ipv4Addr, NameHash, PriorityClass)> {
-        let in_cell = move |p: &&Peer| p.is_live(now) && self.is_in_cell(p.address);
-        self.others.iter().filter(in_cell).flat_map(|p| {
+        let in_cell = self.cell.others().iter();
+        let in_cell = in_cell.filter_map(|a| Some(&self.others[self.index_of(*a).ok()?]));
+        in_cell.filter(move |p| p.is_live(now)).flat_map(|p| {
             let waiting = p.digest.waiting.iter();
             waiting.map(|(service, class)| (p.address, *service, *class))
         })
--- a/crates/entry/src/peers/cell.rs
+++ b/crates/entry/src/peers/cell.rs
@@ -18,6 +18,13 @@
     others: Vec<Ipv4Addr>,
 }
 
+impl Cell {
+    /// The other members, sorted by address.
+    pub(super) fn others(&self) -> &[Ipv4Addr] {
+        &self.others
+    }
+}
+
 impl Peers {
     /// Determines the own cell from the known members of the zone.
     pub fn update_cell(&mut self) {
--- a/crates/entry/src/table.rs
+++ b/crates/entry/src/table.rs
@@ -63,7 +63,7 @@
 }
 
 /// A service, which a group of replicas provides.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     /// Name of the service.
     pub name: ServiceId,
@@ -141,6 +141,11 @@
 }
 
 impl Table {
+    /// Whether another table describes the same services.
+    pub fn has_same_services(&self, other: &Self) -> bool {
+        self.services == other.services
+    }
+
     /// Creates a table; `organisations`, each with its keys, is `None` where no keys are in use.
     pub fn new(
         version: Version,
--- /dev/null
+++ b/crates/entry/tests/send_queue.rs
@@ -0,0 +1,68 @@
+//! Datagrams that wait for the socket.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+
+use kingcupfield_entry::send_queue::SendQueue;
+
+fn to(receiver: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, receiver))
+}
+
+/// Sends as a socket does whose buffer has room for `room` datagrams; returns the receivers.
+fn drain(queue: &SendQueue, room: usize) -> Vec<u16> {
+    let mut sent = Vec::new();
+    queue.drain(|_, to| {
+        if sent.len() == room {
+            return Err(io::ErrorKind::WouldBlock.into());
+        }
+        sent.push(to.port());
+        Ok(1)
+    });
+    sent
+}
+
+/// A relay sends to more instances than its socket's buffer has room for. All of them must get the
+/// message, or the last ones never hear of the instances that the relay serves.
+#[test]
+fn a_full_socket_delays_datagrams_and_loses_none() {
+    let queue = SendQueue::default();
+    for receiver in 1..=200 {
+        queue.push(Rc::from([1]), to(receiver));
+    }
+    assert_eq!(drain(&queue, 90), (1..=90).collect::<Vec<u16>>());
+    queue.push_urgent(Rc::from([2]), to(999));
+    assert_eq!(drain(&queue, 90)[..2], [999, 91]);
+    assert_eq!(drain(&queue, 90).len(), 21);
+    assert!(queue.is_empty());
+}
+
+/// The link of an instance is down for long. Its waiting messages must not grow without bound, and
+/// the latest ones are kept, as they supersede the earlier ones.
+#[test]
+fn a_blocked_socket_keeps_the_latest_datagrams() {
+    let queue = SendQueue::default();
+    for receiver in 0..20_000 {
+        queue.push(Rc::from([1]), to(receiver));
+    }
+    assert!(queue.len() <= 4096);
+    assert_eq!(drain(&queue, 20_000).last(), Some(&19_999));
+}
+
+/// A receiver can't be reached. The others must still get their messages.
+#[test]
+fn a_failed_datagram_does_not_hold_up_the_others() {
+    let queue = SendQueue::default();
+    queue.push(Rc::from([1]), to(1));
+    queue.push(Rc::from([1]), to(2));
+    let mut sent = 0;
+    let is_empty = queue.drain(|_, to| {
+        sent += usize::from(to.port() == 2);
+        match to.port() {
+            1 => Err(io::ErrorKind::ConnectionRefused.into()),
+            _ => Ok(1),
+        }
+    });
+    assert!(is_empty && sent == 1);
+}
