--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -49,6 +49,9 @@
 /// less, so the clock was set back.
 const CLOCK_LOSS_TO_LOG_MS: i64 = 1000;
 
+/// Most instances that are remembered, twice those of the largest fleet that is planned for.
+const MAX_INSTANCES: usize = 20_000;
+
 /// Number of instances of the whole fleet that read the store, also if all are in one zone.
 const MIN_STORE_READERS: usize = 2;
 
@@ -72,6 +75,8 @@
     pub greet: Vec<Ipv4Addr>,
     /// Instances that have fallen silent since the last check.
     pub silent: Vec<Ipv4Addr>,
+    /// Whether instances were left out because too many are known.
+    pub is_list_full: bool,
 }
 
 /// An instance that announced its shutdown.
@@ -238,6 +243,9 @@
         if address == self.own {
             return false;
         }
+        if self.others.len() >= MAX_INSTANCES {
+            return false;
+        }
         if let Err(index) = self.index_of(address) {
             let peer = Peer {
                 address,
@@ -290,8 +298,12 @@
             return DigestEffects::default();
         }
         self.add(now, from, digest.zone);
+        let is_list_full = self.others.len() >= MAX_INSTANCES;
         let Ok(index) = self.index_of(from) else {
-            return DigestEffects::default();
+            return DigestEffects {
+                is_list_full,
+                ..DigestEffects::default()
+            };
         };
         let silent = self.drop_silent(now);
         let own_zone = self.zones[0].0;
@@ -321,6 +333,7 @@
             is_new,
             greet,
             silent,
+            is_list_full,
         }
     }
 
--- a/crates/entry/src/receiver.rs
+++ b/crates/entry/src/receiver.rs
@@ -90,6 +90,12 @@
     let replicas = digest.replicas.clone();
     let effects = node.peers.borrow_mut().on_digest(now, from, digest);
     log_silent(node, &effects.silent);
+    if effects.is_list_full {
+        node.log.line(
+            Priority::High,
+            format_args!("event=peer_list_full from={from}"),
+        );
+    }
     if effects.is_new {
         node.log
             .line(Priority::High, format_args!("event=peer_heard peer={from}"));
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -8,7 +8,9 @@
 use kingcupfield_decisions::digest_timing;
 use kingcupfield_decisions::fanout::MAX_FULL_MESH;
 use kingcupfield_decisions::remote_load::{ReplicaLoad, TotalLoad};
-use kingcupfield_entry::peers::{Digest, Nearness, PeerMessage, Peers, SILENCE_TIMEOUT};
+use kingcupfield_entry::peers::{
+    Digest, DigestEffects, Nearness, PeerMessage, Peers, SILENCE_TIMEOUT,
+};
 use proptest::prelude::*;
 use tokio::time::Instant;
 use yare::parameterized;
@@ -196,6 +198,25 @@
     }
 }
 
+/// A broken message lists instances that don't exist, again and again. The list must not grow without
+/// bound, and those that are known stay.
+#[test]
+fn the_list_of_instances_is_bounded() {
+    let now = Instant::now();
+    let mut peers = Peers::new(now, OWN, true).with_zones([(1, Distance::SameZone)]);
+    peers.on_digest(now, address(1), digest(1));
+    let mut effects = DigestEffects::default();
+    for part in 0..10_u32 {
+        let mut broken = digest(1);
+        let member = |i: u32| Ipv4Addr::from(0x0b00_0000 + part * 10_000 + i);
+        broken.members = vec![(1, (0..10_000).map(member).collect())];
+        effects = peers.on_digest(now, address(1), broken);
+    }
+    assert!(effects.is_list_full);
+    assert!(peers.instance_count() <= 20_001);
+    assert!(peers.last_datagram_at(address(1)).is_none() && peers.live_count(now) == 2);
+}
+
 /// Instances of a zone by what they report of the store, and the number of them that read it.
 struct Fleet {
     instances: u8,
