Give up a stuck peer sooner when only changes are missing

A fetch of the latest changes had 1.2 s, as much as one of the whole directory; four stuck peers in a row make a replica's entry later than the operator's bound of 5 s.

--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -13,9 +13,13 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Maximum time to get a snapshot from a peer: two round trips between regions and the transfer of
+/// Maximum time to get all entries from a peer: two round trips between regions and the transfer of
 /// a large table over a slow link.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(1200);
+const FULL_FETCH_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// Maximum time to get the latest changes from a peer. They are few, so that one which takes longer
+/// is stuck, and another one is asked.
+const CHANGES_FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Maximum size of a snapshot in bytes.
 const MAX_SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
@@ -38,7 +42,12 @@
 
 /// Gets the entries from a peer that changed after the revision `after`.
 pub async fn fetch(peer: SocketAddr, after: Revision) -> std::io::Result<Snapshot> {
-    timeout(FETCH_TIMEOUT, fetch_without_timeout(peer, after))
+    let max_time = if after == 0 {
+        FULL_FETCH_TIMEOUT
+    } else {
+        CHANGES_FETCH_TIMEOUT
+    };
+    timeout(max_time, fetch_without_timeout(peer, after))
         .await
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?
 }
