--- a/crates/decisions/tests/cells.rs
+++ b/crates/decisions/tests/cells.rs
@@ -254,3 +254,20 @@
     });
     assert_eq!(results[0], results[1]);
 }
+
+/// Peers report step times of thousands of replicas. An instance must report only those that it
+/// measured itself: if each repeated what it had heard, digests would grow with the fleet.
+#[test]
+fn only_measured_step_times_are_reported() {
+    let now = Instant::now();
+    let ids = replicas(1000);
+    let mut dispatcher = Dispatcher::new();
+    dispatcher.update_replicas(now, &ids.iter().map(replica).collect::<Vec<_>>());
+    for id in &ids {
+        dispatcher.on_peer_step_time(id, 5.0);
+    }
+    assert_eq!(dispatcher.own_step_times().count(), 0);
+    dispatcher.on_events(now, &ids[7], 1, Duration::from_millis(28));
+    let reported: Vec<&UpstreamId> = dispatcher.own_step_times().map(|(id, _)| id).collect();
+    assert_eq!(reported, [&ids[7]]);
+}
