--- a/crates/decisions/src/cells.rs
+++ b/crates/decisions/src/cells.rs
@@ -74,7 +74,7 @@
 
     /// For each replica of one service in the zone, whether it belongs to the cell. A service with
     /// fewer replicas than cells has one in several of them.
-    pub fn has_replicas(self, replicas: &[&UpstreamId]) -> Vec<bool> {
+    pub fn contains_replicas(self, replicas: &[&UpstreamId]) -> Vec<bool> {
         let mut ranked: Vec<usize> = (0..replicas.len()).collect();
         ranked.sort_by_key(|i| (xxh3_64(replicas[*i].as_bytes()), *i));
         let mut in_cell = vec![false; replicas.len()];
--- a/crates/decisions/src/dispatch/published.rs
+++ b/crates/decisions/src/dispatch/published.rs
@@ -130,7 +130,7 @@
             let of_service = |u: &&Upstream| in_zone(u) && u.replica.service == service;
             let ids = self.upstreams.iter().filter(of_service);
             let ids: Vec<&UpstreamId> = ids.map(|u| &u.replica.id).collect();
-            let mut in_cell = self.cell.has_replicas(&ids).into_iter();
+            let mut in_cell = self.cell.contains_replicas(&ids).into_iter();
             let upstreams = self.upstreams.iter_mut();
             for u in upstreams.filter(|u| of_service(&&**u)) {
                 u.in_cell = in_cell.next().unwrap_or_default();
--- a/crates/decisions/tests/cells.rs
+++ b/crates/decisions/tests/cells.rs
@@ -45,7 +45,7 @@
         for member in &in_cell {
             assert_eq!(OwnCell::new(*member, &members), cell);
         }
-        let has = cell.has_replicas(&ids);
+        let has = cell.contains_replicas(&ids);
         let size = has.iter().filter(|h| **h).count();
         assert!(size >= 1 && size <= zone.max_cell_replicas, "{size}");
         for (covered, has) in covered.iter_mut().zip(has) {
@@ -75,7 +75,7 @@
     let ids: Vec<&UpstreamId> = ids.iter().collect();
     let cell = OwnCell::new(1, &[]);
     assert!(cell.is_whole_zone());
-    assert!(cell.has_replicas(&ids).into_iter().all(|has| has));
+    assert!(cell.contains_replicas(&ids).into_iter().all(|has| has));
 }
 
 fn replica(id: &UpstreamId) -> Replica {
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -21,6 +21,7 @@
 use crate::node::Node;
 use crate::replica::PublishedReplica;
 use crate::snapshot;
+use crate::table::Table;
 
 use reader::{Changes, LAPSED_REPLICA_GRACE};
 
@@ -323,12 +324,8 @@
         node.set_drained_zones(now, drained_zones);
     }
     update_replicas(node, changes.replicas);
-    let same_services = match (&old_table, &node.table()) {
-        (Some(old), Some(new)) => old.has_same_services(new),
-        (old, new) => old.is_none() && new.is_none(),
-    };
     // What a replica may get depends on its service in the table and on the drained zones.
-    if changes.drained_zones || !same_services {
+    if changes.drained_zones || has_other_services(old_table, node.table()) {
         node.refresh_replicas();
     }
     node.assign_slots();
@@ -343,6 +340,14 @@
     }
 }
 
+/// Whether two tables, if there are any, describe different services.
+fn has_other_services(old: Option<Rc<Table>>, new: Option<Rc<Table>>) -> bool {
+    match (old, new) {
+        (Some(old), Some(new)) => !old.has_same_services(&new),
+        (old, new) => old.is_some() || new.is_some(),
+    }
+}
+
 /// Passes the state of the replicas with these ids to the node.
 fn update_replicas(node: &Node, mut ids: Vec<UpstreamId>) {
     ids.sort_unstable();
--- a/crates/entry/src/peers/store_readers.rs
+++ b/crates/entry/src/peers/store_readers.rs
@@ -58,10 +58,10 @@
                 lower_in_zone.add(is_reader);
             }
         }
-        let is_first = |lower: &LowerInstances, readers| {
+        let is_needed = |lower: &LowerInstances, readers| {
             lower.readers < readers && lower.all < candidates.max(readers)
         };
-        is_first(&lower_in_zone, 1) || is_first(&lower_in_fleet, MIN_STORE_READERS)
+        is_needed(&lower_in_zone, 1) || is_needed(&lower_in_fleet, MIN_STORE_READERS)
     }
 
     /// How many instances of a zone may try to read the store while none of them has a response.
