--- a/crates/entry/src/send_queue.rs
+++ b/crates/entry/src/send_queue.rs
@@ -1,8 +1,9 @@
-//! Datagrams to other instances that the socket can't take at once.
+//! Datagrams to other instances, sent at a pace that the link carries.
 //!
-//! Load pattern: a relay sends to a hundred instances within a millisecond. The socket's buffer holds
-//! fewer datagrams than that, and the link drains it in tens of milliseconds. If the rest were
-//! dropped, it would be the same instances each time, to which the relay would look dead.
+//! Load pattern: a relay sends to a hundred instances within a millisecond. The queue of the link
+//! holds fewer datagrams than that and takes tens of milliseconds to send them. What exceeds it is
+//! dropped, each time the datagrams that come last, and their receivers believe that the relay, or
+//! the instances that it serves, are dead.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -59,9 +60,13 @@
         self.wakeup.notify_one();
     }
 
-    /// Adds a datagram that goes before all others.
+    /// Adds a datagram that goes before all others; the latest one is dropped if too many wait.
     pub fn push_urgent(&self, bytes: Rc<[u8]>, to: SocketAddr) {
-        self.waiting.borrow_mut().push_front((bytes, to));
+        let mut waiting = self.waiting.borrow_mut();
+        if waiting.len() >= MAX_WAITING {
+            waiting.pop_back();
+        }
+        waiting.push_front((bytes, to));
         self.wakeup.notify_one();
     }
 
--- a/crates/entry/tests/send_queue.rs
+++ b/crates/entry/tests/send_queue.rs
@@ -47,6 +47,9 @@
         queue.push(Rc::from([1]), to(receiver));
     }
     assert!(queue.len() <= 4096);
+    queue.push_urgent(Rc::from([2]), to(1));
+    assert!(queue.len() <= 4096);
+    queue.push(Rc::from([1]), to(19_999));
     assert_eq!(drain(&queue, 20_000).last(), Some(&19_999));
 }
 
