Forget the name of a replica that is gone

Found on reading the change: since replicas are updated one by one, the name of one that is removed stayed in the list of names by hash until more than 32 replicas changed at once, so the list grew with each release. The list was also built, searched and extended in four places, for replicas and services.

Change: NameIndex holds such names; a removed replica leaves it. Targets are built in one place. The new test shows that a removed name is not found; it can't be compiled on the code before, which had no removal.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod lifecycle;
 pub mod log;
 pub mod metrics;
+pub mod name_index;
 pub mod node;
 pub mod outbox;
 pub mod peers;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -12,7 +12,7 @@
 use kingcupfield_decisions::credit::{Ledger, MessageNumber, Verdict as CreditVerdict};
 use kingcupfield_decisions::dispatch::{Dispatcher, JobId};
 use kingcupfield_decisions::drained_zones::DrainedZones;
-use kingcupfield_decisions::id::{NameHash, ServiceId, UpstreamId, name_hash};
+use kingcupfield_decisions::id::name_hash;
 use kingcupfield_decisions::store_view::StoreView;
 use kingcupfield_decisions::upstream_retries::UpstreamRetryBudget;
 use tokio::sync::{Notify, oneshot, watch};
@@ -24,6 +24,7 @@
 use crate::directory::DirectoryReader;
 use crate::log::{Log, Priority};
 use crate::metrics::Metrics;
+use crate::name_index::NameIndex;
 use crate::outbox::Outbox;
 use crate::peers::Peers;
 use crate::send_queue::SendQueue;
@@ -123,10 +124,10 @@
     table: RefCell<Option<Rc<Table>>>,
     /// Published replicas, sorted by id.
     targets: RefCell<Vec<Rc<Target>>>,
-    /// Replica ids, sorted by name hash.
-    replicas_by_hash: RefCell<Vec<(NameHash, UpstreamId)>>,
-    /// Service ids, sorted by name hash.
-    services: RefCell<Vec<(NameHash, ServiceId)>>,
+    /// Ids of the published replicas.
+    replicas_by_hash: RefCell<NameIndex>,
+    /// Services of the published replicas.
+    services: RefCell<NameIndex>,
     /// Requests that wait for a concurrency slot.
     slot_waiters: RefCell<Vec<(JobId, oneshot::Sender<SlotResult>)>>,
     /// Id of the next request.
@@ -188,8 +189,8 @@
             queue_wakeup: Notify::new(),
             table: RefCell::new(None),
             targets: RefCell::new(Vec::new()),
-            replicas_by_hash: RefCell::new(Vec::new()),
-            services: RefCell::new(Vec::new()),
+            replicas_by_hash: RefCell::default(),
+            services: RefCell::default(),
             slot_waiters: RefCell::new(Vec::new()),
             next_job_id: Cell::new(1),
             cfg: RefCell::new(Rc::new(cfg)),
--- a/crates/entry/src/node/replicas.rs
+++ b/crates/entry/src/node/replicas.rs
@@ -3,7 +3,6 @@
 
 use std::net::Ipv4Addr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use kingcupfield_decisions::dispatch::{Competitor, PriorityClass, Replica};
@@ -14,6 +13,7 @@
 use super::Node;
 use crate::gossip;
 use crate::log::Priority;
+use crate::name_index::NameIndex;
 use crate::pool::ConnectionPool;
 use crate::replica::PublishedReplica;
 use crate::table::ColdStart;
@@ -40,6 +40,18 @@
     pub pool: Rc<ConnectionPool>,
 }
 
+impl Target {
+    /// Creates the target of a published replica. It keeps the connections of `old` if that is the
+    /// same process.
+    fn new(published: PublishedReplica, old: Option<&Self>) -> Self {
+        let same = old.filter(|old| is_same_incarnation(old, &published));
+        Self {
+            pool: same.map_or_else(Rc::default, |old| Rc::clone(&old.pool)),
+            published,
+        }
+    }
+}
+
 impl Node {
     /// Sets the drained zones, whose replicas get no new requests, and logs each change.
     pub fn set_drained_zones(&self, now: Instant, zones: Vec<ZoneId>) {
@@ -59,28 +71,18 @@
     pub fn set_replicas(&self, published: Vec<PublishedReplica>) {
         let mut targets = Vec::with_capacity(published.len());
         for replica in published {
-            let old = self
-                .target(&replica.id)
-                .filter(|t| is_same_incarnation(t, &replica));
+            let old = self.target(&replica.id);
             targets.push(match old {
                 Some(old) if old.published == replica => old,
-                old => Rc::new(Target {
-                    published: replica,
-                    pool: old.map_or_else(Rc::default, |old| Rc::clone(&old.pool)),
-                }),
+                old => Rc::new(Target::new(replica, old.as_deref())),
             });
         }
         targets.sort_by(|a, b| a.published.id.cmp(&b.published.id));
         let ids = targets.iter().map(|t| &t.published.id);
-        let mut replicas_by_hash: Vec<_> = ids.map(|id| (name_hash(id), id.clone())).collect();
-        replicas_by_hash.sort_unstable();
+        *self.replicas_by_hash.borrow_mut() = NameIndex::new(ids);
         let services = targets.iter().map(|t| &t.published.service);
-        let mut services: Vec<_> = services.map(|s| (name_hash(s), s.clone())).collect();
-        services.sort_unstable();
-        services.dedup();
-        *self.services.borrow_mut() = services;
+        *self.services.borrow_mut() = NameIndex::new(services);
         *self.targets.borrow_mut() = targets;
-        *self.replicas_by_hash.borrow_mut() = replicas_by_hash;
         self.refresh_replicas();
         for (name, sum) in self.peers.borrow().loads() {
             self.set_remote_load(*name, *sum);
@@ -91,8 +93,7 @@
     /// Applies a change of one published replica: a new or changed one, or `None` with the id of one
     /// that is no longer published.
     ///
-    /// A release replaces thousands of replicas one after the other, so the work does not depend on
-    /// the number of the others.
+    /// A release replaces thousands of replicas one after the other, so the others are not copied.
     pub fn update_replica(&self, id: &UpstreamId, published: Option<PublishedReplica>) {
         let now = Instant::now();
         let mut targets = self.targets.borrow_mut();
@@ -102,15 +103,12 @@
                 targets.remove(index);
             }
             drop(targets);
+            self.replicas_by_hash.borrow_mut().remove(id);
             self.dispatch.borrow_mut().remove_replica(now, id);
             return;
         };
-        let old = found.ok().map(|index| &targets[index]);
-        let pool = old.filter(|t| is_same_incarnation(t, &published));
-        let target = Rc::new(Target {
-            pool: pool.map_or_else(Rc::default, |old| Rc::clone(&old.pool)),
-            published,
-        });
+        let old = found.ok().map(|index| &*targets[index]);
+        let target = Rc::new(Target::new(published, old));
         let replica = self.dispatch_replica(&target.published);
         match found {
             Ok(index) => targets[index] = target,
@@ -118,10 +116,9 @@
         }
         drop(targets);
         self.dispatch.borrow_mut().update_replica(now, &replica);
+        self.replicas_by_hash.borrow_mut().insert(id);
+        self.services.borrow_mut().insert(&replica.service);
         let name = name_hash(id);
-        insert_name(&mut self.replicas_by_hash.borrow_mut(), name, id);
-        let service = &replica.service;
-        insert_name(&mut self.services.borrow_mut(), name_hash(service), service);
         let load = self.peers.borrow().load_at(name);
         self.set_remote_load(name, load);
     }
@@ -140,9 +137,7 @@
 
     /// The replica with this name hash, which identifies it in messages between instances.
     pub fn replica_by_name_hash(&self, name: NameHash) -> Option<UpstreamId> {
-        let names = self.replicas_by_hash.borrow();
-        let index = names.binary_search_by(|(hash, _)| hash.cmp(&name)).ok()?;
-        Some(names[index].1.clone())
+        self.replicas_by_hash.borrow().get(name).cloned()
     }
 
     /// Passes the total load that the other instances have at a replica to the dispatcher.
@@ -162,9 +157,8 @@
     {
         let services = self.services.borrow();
         let competitors = waiting.filter_map(|(address, service, class)| {
-            let index = services.binary_search_by(|(hash, _)| hash.cmp(&service));
             Some(Competitor {
-                service: services[index.ok()?].1.clone(),
+                service: services.get(service)?.clone(),
                 address: address.to_bits(),
                 class,
             })
@@ -248,14 +242,6 @@
     }
 }
 
-/// Adds a name to a list that is sorted by hash, if it is not in it yet.
-fn insert_name(names: &mut Vec<(NameHash, Arc<str>)>, hash: NameHash, name: &Arc<str>) {
-    let entry = (hash, Arc::clone(name));
-    if let Err(index) = names.binary_search(&entry) {
-        names.insert(index, entry);
-    }
-}
-
 /// Whether a published replica is the same process as a target, so that its connections stay
 /// usable.
 fn is_same_incarnation(target: &Target, replica: &PublishedReplica) -> bool {
