--- a/crates/decisions/src/cells.rs
+++ b/crates/decisions/src/cells.rs
@@ -9,16 +9,11 @@
 //! Members and replicas are ordered by hash and cut into parts of equal size, so each instance
 //! computes the same cells without a message. One more or less moves one member across each cut.
 
-use std::time::Duration;
-
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fanout::MAX_FULL_MESH;
 use crate::id::{InstanceAddress, UpstreamId};
 
-/// Interval at which the instances of a divided zone tell those of other cells about themselves.
-pub const NEWS_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Number of cells of a zone with this many instances.
 pub fn cell_count(instances: usize) -> usize {
     instances.div_ceil(MAX_FULL_MESH).max(1)
--- a/crates/decisions/src/digest_timing.rs
+++ b/crates/decisions/src/digest_timing.rs
@@ -6,10 +6,8 @@
 
 use std::time::Duration;
 
-use crate::cells;
-
-/// Interval of digests while nothing changes.
-pub const HEARTBEAT: Duration = cells::NEWS_INTERVAL;
+/// Interval of digests while nothing changes, and of all digests to the other cells of a zone.
+pub const HEARTBEAT: Duration = Duration::from_secs(1);
 
 /// Interval at which a relay sends digests to another zone of the region.
 pub const NEAR_ZONE: Duration = Duration::from_millis(100);
--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -490,10 +490,7 @@
     }
 
     fn index_of(&self, upstream: &UpstreamId) -> Option<usize> {
-        let index = self
-            .upstreams
-            .binary_search_by(|u| u.replica.id.cmp(upstream));
-        index.ok()
+        self.find_index(upstream).ok()
     }
 
     /// Index of the replica with this id, if it is still the same incarnation.
--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -149,7 +149,7 @@
             LazyCell::new(|| self.any_finishes_by_deadline(now, job, &prompt_cost));
         let lowest_failure_share = self.lowest_failure_share(now, &job.service);
         let samples = self.samples(job, search);
-        let mut best: Option<(usize, ChoiceDetails)> = None;
+        let mut best: Option<(usize, f64)> = None;
         let mut candidates_with_room = 0;
         for index in candidates {
             let u = &self.upstreams[index];
@@ -163,43 +163,44 @@
                 continue;
             }
             candidates_with_room += 1;
-            let mut cost_ms = u.cost_ms(now, job, &prompt_cost, lowest_failure_share);
-            if !is_connected(&u.replica.id) {
-                cost_ms += CONNECTION_COST_MS;
-            }
-            if u.is_in_other_cell() {
-                cost_ms += OTHER_CELL_COST_MS;
-            }
-            if u.limit.needs_probe(now) {
-                cost_ms = 0.0;
-            }
-            let is_best = best.is_none_or(|(chosen, least)| {
-                cost_ms < least.cost_ms
-                    || cost_ms <= least.cost_ms && self.is_preferred(job, index, chosen)
+            let cost_ms = if u.limit.needs_probe(now) {
+                0.0
+            } else {
+                u.cost_ms(now, job, &prompt_cost, lowest_failure_share)
+                    + surcharge_ms(u, is_connected(&u.replica.id))
+            };
+            let is_best = best.is_none_or(|(chosen, least_ms)| {
+                cost_ms < least_ms || cost_ms <= least_ms && self.is_preferred(job, index, chosen)
             });
             if is_best {
-                let details = ChoiceDetails {
-                    cost_ms,
-                    replicas_with_room: candidates_with_room,
-                    own_running: u.running.len() as u32,
-                    remote_running: u.remote_running,
-                    is_cold: u.is_cold(now),
-                    limit_per_s: u.limit.per_s(now),
-                };
-                best = Some((index, details));
+                best = Some((index, cost_ms));
             }
         }
-        best.map(|(index, details)| {
-            (
-                index,
-                ChoiceDetails {
-                    replicas_with_room: candidates_with_room,
-                    ..details
-                },
-            )
+        best.map(|(index, cost_ms)| {
+            let details = self.details(now, index, cost_ms, candidates_with_room);
+            (index, details)
         })
     }
 
+    /// The figures behind the choice of a replica.
+    fn details(
+        &self,
+        now: Instant,
+        index: usize,
+        cost_ms: f64,
+        replicas_with_room: u32,
+    ) -> ChoiceDetails {
+        let u = &self.upstreams[index];
+        ChoiceDetails {
+            cost_ms,
+            replicas_with_room,
+            own_running: u.running.len() as u32,
+            remote_running: u.remote_running,
+            is_cold: u.is_cold(now),
+            limit_per_s: u.limit.per_s(now),
+        }
+    }
+
     /// The group that a replica belongs to.
     fn group(&self, now: Instant, u: &Upstream) -> Group {
         if u.replica.network_round_trip >= FAR_ROUND_TRIP {
@@ -281,6 +282,22 @@
     }
 }
 
+/// Cost in milliseconds beside that of the request itself: of a new connection, and of a load that is
+/// known late.
+fn surcharge_ms(u: &Upstream, is_connected: bool) -> f64 {
+    let connection_ms = if is_connected {
+        0.0
+    } else {
+        CONNECTION_COST_MS
+    };
+    let other_cell_ms = if u.is_in_other_cell() {
+        OTHER_CELL_COST_MS
+    } else {
+        0.0
+    };
+    connection_ms + other_cell_ms
+}
+
 /// Whether the replica belongs to the request's service and to a permitted region.
 fn may_serve(u: &Upstream, job: &Job) -> bool {
     u.replica.service == job.service && job.regions.allows(&u.replica.region)
--- a/crates/decisions/src/dispatch/published.rs
+++ b/crates/decisions/src/dispatch/published.rs
@@ -82,7 +82,7 @@
     }
 
     /// Index of a replica, or the index at which to insert it.
-    fn find_index(&self, replica: &UpstreamId) -> Result<usize, usize> {
+    pub(super) fn find_index(&self, replica: &UpstreamId) -> Result<usize, usize> {
         self.upstreams
             .binary_search_by(|u| u.replica.id.cmp(replica))
     }
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -4,8 +4,8 @@
 
 use tokio::time::Instant;
 
-use crate::cells;
 use crate::cold::{ColdGate, ColdLimit};
+use crate::digest_timing;
 use crate::dispatch::{Job, JobId, latency::LatencyEstimate, size::PromptCost};
 use crate::id::{RegionId, ServiceId, UpstreamId};
 use crate::replica_limit::ReplicaLimit;
@@ -196,7 +196,7 @@
     /// Time until a change of its load is known here.
     pub(super) fn propagation_delay(&self) -> Duration {
         if self.is_in_other_cell() {
-            return self.replica.propagation_delay.max(cells::NEWS_INTERVAL);
+            return self.replica.propagation_delay.max(digest_timing::HEARTBEAT);
         }
         self.replica.propagation_delay
     }
--- a/crates/decisions/tests/cells.rs
+++ b/crates/decisions/tests/cells.rs
@@ -6,10 +6,12 @@
 use kingcupfield_decisions::dispatch::{Dispatcher, Job, Outcome, Replica};
 use kingcupfield_decisions::fanout::MAX_FULL_MESH;
 use kingcupfield_decisions::id::{InstanceAddress, UpstreamId};
-use kingcupfield_decisions::regions::Regions;
 use tokio::time::Instant;
 use yare::parameterized;
 
+#[path = "support/plain_service.rs"]
+mod plain_service;
+
 struct Zone {
     instances: u32,
     replicas: usize,
@@ -80,38 +82,22 @@
 
 fn replica(id: &UpstreamId) -> Replica {
     Replica {
-        id: id.clone(),
-        incarnation: 1,
-        service: "drafting".into(),
-        region: "north".into(),
         slots: 4,
-        weighted_round_trip: Duration::ZERO,
-        network_round_trip: Duration::ZERO,
-        propagation_delay: Duration::ZERO,
         is_engine: true,
         tokens_per_event: 7,
-        usable: true,
-        in_own_zone: true,
-        cold_until: None,
-        cold_limit: None,
+        ..plain_service::replica(id, 1)
     }
 }
 
 fn job(id: u64, now: Instant) -> Job {
     Job {
-        id,
         priority: (1, 0),
-        received_at: now,
         slo_deadline: now + Duration::from_millis(1200),
-        deadline: now + Duration::from_secs(15),
-        queue_deadline: now + Duration::from_secs(4),
-        service: "drafting".into(),
-        regions: Regions::all(),
         prompt_tokens: 2000.0,
         expected_output_tokens: 120.0,
         max_event_gap: Duration::from_millis(600),
-        tried_replicas: Vec::new(),
         salt: id.wrapping_mul(0x9E37_79B9_7F4A_7C15),
+        ..plain_service::job(id, now)
     }
 }
 
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -317,12 +317,7 @@
         for address in &to {
             node.peers.borrow_mut().record_greeting(now, *address);
         }
-        let digest = self.build_digest(node, local_state(node), StateKind::Greeting);
-        send_to(
-            node,
-            &PeerMessage::Digest(Box::new(digest), ForwardScope::Nobody),
-            &to,
-        );
+        self.send_greeting(node, &to);
     }
 
     /// Sends greetings to the configured contacts that are not live.
@@ -345,12 +340,7 @@
         if to.is_empty() {
             return;
         }
-        let digest = self.build_digest(node, local_state(node), StateKind::Greeting);
-        send_to(
-            node,
-            &PeerMessage::Digest(Box::new(digest), ForwardScope::Nobody),
-            &to,
-        );
+        self.send_greeting(node, &to);
     }
 
     /// As a relay, sends greetings to the relays of other zones: two parts of the fleet that have
@@ -366,12 +356,14 @@
             .into_iter()
             .filter_map(|(zone, _)| relay(zone));
         let to: Vec<Ipv4Addr> = relays.map(Ipv4Addr::from_bits).collect();
+        self.send_greeting(node, &to);
+    }
+
+    /// Sends the complete state to each of the receivers.
+    fn send_greeting(&mut self, node: &Node, to: &[Ipv4Addr]) {
         let digest = self.build_digest(node, local_state(node), StateKind::Greeting);
-        send_to(
-            node,
-            &PeerMessage::Digest(Box::new(digest), ForwardScope::Nobody),
-            &to,
-        );
+        let message = PeerMessage::Digest(Box::new(digest), ForwardScope::Nobody);
+        send_to(node, &message, to);
     }
 
     /// Builds the next digest of this instance.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -177,10 +177,8 @@
 
     /// The instances of a zone that are live, or became known a short time ago.
     pub fn reachable(&self, now: Instant, zone: NameHash) -> Vec<Ipv4Addr> {
-        let is_new = |p: &Peer| now.saturating_duration_since(p.added_at) < SILENCE_TIMEOUT;
         let in_zone = self.others.iter().filter(|p| p.digest.zone == zone);
-        let reachable =
-            in_zone.filter(|p| p.is_live(now) || p.last_digest_at.is_none() && is_new(p));
+        let reachable = in_zone.filter(|p| p.is_reachable(now));
         reachable.map(|p| p.address).collect()
     }
 
@@ -385,9 +383,8 @@
         &self,
         now: Instant,
     ) -> impl Iterator<Item = (Ipv4Addr, NameHash, PriorityClass)> {
-        let in_cell = self.cell.others().iter();
-        let in_cell = in_cell.filter_map(|a| Some(&self.others[self.index_of(*a).ok()?]));
-        in_cell.filter(move |p| p.is_live(now)).flat_map(|p| {
+        let live = self.in_cell().filter(move |p| p.is_live(now));
+        live.flat_map(|p| {
             let waiting = p.digest.waiting.iter();
             waiting.map(|(service, class)| (p.address, *service, *class))
         })
--- a/crates/entry/src/peers/peer.rs
+++ b/crates/entry/src/peers/peer.rs
@@ -50,6 +50,12 @@
             .is_some_and(|at| now.saturating_duration_since(at) < SILENCE_TIMEOUT)
     }
 
+    /// Whether messages to it may arrive: it is live, or became known a short time ago.
+    pub(super) fn is_reachable(&self, now: Instant) -> bool {
+        let is_new = now.saturating_duration_since(self.added_at) < SILENCE_TIMEOUT;
+        self.is_live(now) || self.last_digest_at.is_none() && is_new
+    }
+
     /// Time from the last response of the store to its last digest; `None` if it does not read the
     /// store, or its calls fail.
     pub fn store_age(&self) -> Option<Duration> {
