Send each digest to a relay once

Found on reading the change: since the cells, the relay of an instance got each digest twice, as a member of the cell and for forwarding, and the test that wanted exactly one path, a_small_zone_is_a_full_mesh, had gone with the function that it called. Nothing was wrong with what instances knew, but the relay decoded and applied everything of its dozen twice.

Change: the receivers are decided in fanout.rs again, for the cell and the relay together. The test is back with its cases, and also asks that no one is named twice, that a large zone's receivers are bounded, and who gets what isn't news.

--- a/crates/decisions/src/fanout.rs
+++ b/crates/decisions/src/fanout.rs
@@ -85,6 +85,22 @@
         self.relays_since.iter().any(|(r, _)| *r == member)
     }
 
+    /// Returns the instances that `own` sends a digest to. `cell` are the other reachable instances of
+    /// its cell; the relay is among the receivers if `is_news` for the other cells and zones.
+    pub fn receivers(
+        &self,
+        own: InstanceAddress,
+        cell: &[InstanceAddress],
+        is_news: bool,
+    ) -> Receivers {
+        let relay = self.relay_for(own).filter(|relay| is_news && *relay != own);
+        let neighbours = cell.iter().copied().filter(|m| Some(*m) != relay);
+        Receivers {
+            relay,
+            neighbours: neighbours.collect(),
+        }
+    }
+
     /// The relay that serves a member.
     pub fn relay_for(&self, member: InstanceAddress) -> Option<InstanceAddress> {
         let relays: Vec<InstanceAddress> = self.relays_since.iter().map(|(r, _)| *r).collect();
@@ -92,6 +108,16 @@
     }
 }
 
+/// Instances to which an instance sends a digest, each of them once.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Receivers {
+    /// The relay, which forwards the digest; `None` if there is nothing to forward, or if the instance is
+    /// its own relay.
+    pub relay: Option<InstanceAddress>,
+    /// The other instances of the cell.
+    pub neighbours: Vec<InstanceAddress>,
+}
+
 /// Selects the relays among the members of a zone, by rank.
 pub fn choose_relays(members: &[InstanceAddress]) -> Vec<InstanceAddress> {
     let mut ranked = members.to_vec();
--- a/crates/decisions/tests/fanout.rs
+++ b/crates/decisions/tests/fanout.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use kingcupfield_decisions::fanout::{Relays, choose_relays, relay_by_turn, relay_of};
+use kingcupfield_decisions::cells::OwnCell;
+use kingcupfield_decisions::fanout::{
+    MAX_FULL_MESH, Relays, choose_relays, relay_by_turn, relay_of,
+};
 use kingcupfield_decisions::id::InstanceAddress;
 use tokio::time::Instant;
 use yare::parameterized;
@@ -132,6 +135,48 @@
     assert!(!relays.contains(first_relay));
 }
 
+struct FullMeshCase {
+    members: u32,
+    /// Whether each instance sends to all others.
+    full_mesh: bool,
+}
+
+/// In a small zone updates must reach each instance by exactly one path. With a second hop a free
+/// slot is already taken when the update arrives, and duplicates cause duplicate work. In a large
+/// zone only the cell receives all of them, and relays those that they forward.
+#[parameterized(
+    two = { FullMeshCase { members: 2, full_mesh: true } },
+    fifteen = { FullMeshCase { members: 15, full_mesh: true } },
+    largest_small = { FullMeshCase { members: MAX_FULL_MESH as u32, full_mesh: true } },
+    fifty = { FullMeshCase { members: 50, full_mesh: false } },
+)]
+fn a_small_zone_is_a_full_mesh(case: FullMeshCase) {
+    let now = Instant::now();
+    let members: Vec<InstanceAddress> = (0..case.members).collect();
+    for own in &members {
+        let others: Vec<InstanceAddress> = members.iter().copied().filter(|m| m != own).collect();
+        let cell = OwnCell::new(*own, &members).members(&members);
+        let cell: Vec<InstanceAddress> = cell.into_iter().filter(|m| m != own).collect();
+        let mut relays = Relays::default();
+        relays.update(now, *own, &others, |_| Some(now));
+        let receivers = relays.receivers(*own, &cell, true);
+        assert_eq!(receivers.relay.is_none(), relays.contains(*own));
+        let mut receivers_of_own: Vec<InstanceAddress> = receivers
+            .neighbours
+            .into_iter()
+            .chain(receivers.relay)
+            .collect();
+        receivers_of_own.sort_unstable();
+        assert_eq!(receivers_of_own == others, case.full_mesh);
+        assert!(receivers_of_own.windows(2).all(|pair| pair[0] < pair[1]));
+        assert!(receivers_of_own.len() <= MAX_FULL_MESH);
+        let mut cell = cell;
+        cell.sort_unstable();
+        let unforwarded = relays.receivers(*own, &cell, false);
+        assert_eq!((unforwarded.relay, unforwarded.neighbours), (None, cell));
+    }
+}
+
 /// The relays of five zones send to those of a sixth. If they all chose the same two, these would
 /// forward the digests of the whole fleet and saturate their links.
 #[parameterized(
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::digest_timing::{self, FAR_ZONE, HEARTBEAT, NEAR_ZONE};
-use kingcupfield_decisions::fanout::{self, Relays};
+use kingcupfield_decisions::fanout::{self, Receivers, Relays};
 use kingcupfield_decisions::id::{InstanceAddress, NameHash, name_hash};
 use rand::RngExt as _;
 use tokio::net::UdpSocket;
@@ -209,27 +209,36 @@
         self.last_sent.clone_from(&state);
         let is_divided = node.peers.borrow().is_zone_divided();
         let is_news = !is_divided || kind != StateKind::Change || state.is_news(&self.last_news);
-        let digest = Box::new(self.build_digest(node, state, kind));
-        let cell = node.peers.borrow().reachable_in_cell(now);
-        let to_cell = PeerMessage::Digest(digest.clone(), ForwardScope::Nobody);
-        send_to(node, &to_cell, &cell);
         if is_news {
             self.last_news.clone_from(&self.last_sent);
             self.news_sent_at = Some(now);
             self.update_relays(node, now);
-            let scope = if is_divided {
-                ForwardScope::AllZones
-            } else {
-                ForwardScope::OtherZones
-            };
-            self.send_to_relay(node, digest, scope);
         }
+        let cell = node.peers.borrow().reachable_in_cell(now);
+        let cell: Vec<InstanceAddress> = cell.iter().map(|a| a.to_bits()).collect();
+        let own = self.own_address.to_bits();
+        let receivers = self.relays.receivers(own, &cell, is_news);
+        let scope = match (is_news, is_divided) {
+            (false, _) => ForwardScope::Nobody,
+            (true, true) => ForwardScope::AllZones,
+            (true, false) => ForwardScope::OtherZones,
+        };
+        let digest = self.build_digest(node, state, kind);
+        self.send_digest(node, digest, receivers, scope);
     }
 
-    /// Sends a digest of this instance to its relay, or queues it if this instance is its own relay.
-    fn send_to_relay(&self, node: &Node, digest: Box<Digest>, scope: ForwardScope) {
-        let own = self.own_address.to_bits();
-        if let Some(relay) = self.relays.relay_for(own).filter(|relay| *relay != own) {
+    /// Sends a digest of this instance to its receivers, and queues it for those that `scope` names if
+    /// this instance is its own relay.
+    fn send_digest(&self, node: &Node, digest: Digest, receivers: Receivers, scope: ForwardScope) {
+        let digest = Box::new(digest);
+        let to: Vec<Ipv4Addr> = receivers
+            .neighbours
+            .into_iter()
+            .map(Ipv4Addr::from_bits)
+            .collect();
+        let message = PeerMessage::Digest(digest.clone(), ForwardScope::Nobody);
+        send_to(node, &message, &to);
+        if let Some(relay) = receivers.relay {
             let message = PeerMessage::Digest(digest, scope);
             send_to(node, &message, &[Ipv4Addr::from_bits(relay)]);
             return;
