Wake a relay's sender only for what goes to its own zone

Found on reading the change: since Outbox::add each digest for other zones woke the sender of a relay as well, which had nothing to send until the interval of these zones.

--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -319,6 +319,7 @@
             reader.apply_entry(node, now, entry, store_failed, &mut changes);
         }
     }
+    // Set before the replicas, which are usable only outside of drained zones.
     if changes.drained_zones {
         let drained_zones = node.directory_reader.borrow().drained_zones();
         node.set_drained_zones(now, drained_zones);
--- a/crates/entry/src/receiver.rs
+++ b/crates/entry/src/receiver.rs
@@ -56,6 +56,9 @@
 fn on_direct_digest(node: &Rc<Node>, from: Ipv4Addr, digest: Digest, scope: ForwardScope) {
     if scope != ForwardScope::Nobody {
         node.outbox.borrow_mut().add(from, digest.clone(), scope);
+    }
+    // What goes to other zones alone is sent at their intervals.
+    if scope == ForwardScope::AllZones {
         node.outbox_wakeup.notify_one();
     }
     apply_digest(node, from, digest);
