End a fetch from a peer only when it makes no progress

Cause: a fetch of the latest changes had 500 ms for the whole transfer. A table of 0.7 to 1 MB takes longer over a link of 10 Mbit/s, alone or shared; nothing of an ended transfer is kept, the next one starts anew, and together they fill the link. The class: a fixed time for an exchange whose size isn't fixed.

Now only the time until the response begins is fixed. A stuck peer is given up as soon as before (a_stuck_peer_is_given_up).

--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
-use http_body_util::{BodyExt, Full, Limited};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use kingcupfield_decisions::store_view::{Entry, Revision};
@@ -13,13 +14,13 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Maximum time to get all entries from a peer: two round trips between regions and the transfer of
-/// a large table over a slow link.
-const FULL_FETCH_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Maximum time until a peer begins to send all entries: two round trips between regions, and time to
+/// prepare them on a small machine.
+const FULL_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// Maximum time to get the latest changes from a peer. They are few, so that one which takes longer
-/// is stuck, and another one is asked.
-const CHANGES_FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum time until a peer begins to send the latest changes. One that takes longer is stuck, and
+/// another one is asked.
+const CHANGES_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Maximum size of a snapshot in bytes.
 const MAX_SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
@@ -42,17 +43,22 @@
 
 /// Gets the entries from a peer that changed after the revision `after`.
 pub async fn fetch(peer: SocketAddr, after: Revision) -> std::io::Result<Snapshot> {
-    let max_time = if after == 0 {
-        FULL_FETCH_TIMEOUT
+    let max_wait = if after == 0 {
+        FULL_RESPONSE_TIMEOUT
     } else {
-        CHANGES_FETCH_TIMEOUT
+        CHANGES_RESPONSE_TIMEOUT
     };
-    timeout(max_time, fetch_without_timeout(peer, after))
+    let response = timeout(max_wait, request(peer, after))
         .await
-        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?
+        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    let body = kingcupfield_transfer::receive(response.into_body(), MAX_SNAPSHOT_BYTES)
+        .await
+        .map_err(std::io::Error::other)?;
+    rmp_serde::from_slice(&body).map_err(std::io::Error::other)
 }
 
-async fn fetch_without_timeout(peer: SocketAddr, after: Revision) -> std::io::Result<Snapshot> {
+/// Requests the entries and returns the head of the response, with the body still to be received.
+async fn request(peer: SocketAddr, after: Revision) -> std::io::Result<Response<Incoming>> {
     let stream = TcpStream::connect(peer).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
@@ -65,14 +71,8 @@
     *req.uri_mut() = format!("{SNAPSHOT_PATH}?{after}")
         .parse()
         .map_err(std::io::Error::other)?;
-    let response = sender
+    sender
         .send_request(req)
         .await
-        .map_err(std::io::Error::other)?;
-    let body = Limited::new(response.into_body(), MAX_SNAPSHOT_BYTES)
-        .collect()
-        .await
-        .map_err(std::io::Error::other)?
-        .to_bytes();
-    rmp_serde::from_slice(&body).map_err(std::io::Error::other)
+        .map_err(std::io::Error::other)
 }
