Send large directory values apart from the other changes

Cause: one response of a peer holds all changes and is applied as a whole, so that the leaving waits for a table of a megabyte that changed before it. The class: small news queued behind bulk.

Large values (from 16 KiB) now come in a second exchange, compressed by zlib and passed on as received; the other changes go on arriving meanwhile. The view keeps two revisions, up to which its small and its large entries are complete, and counts as complete only up to the lower one: that is what it reports to peers and asks the store for, so an instance that gets no large value from its peers still gets it from the store. Instances of an earlier build read the new responses, and are read: a query that they don't know gets everything.

--- a/crates/decisions/src/store_view.rs
+++ b/crates/decisions/src/store_view.rs
@@ -19,10 +19,25 @@
     pub value: Option<Vec<u8>>,
 }
 
-/// All known entries, and the revision up to which they are complete.
+impl Entry {
+    /// Whether the value is so large that instances exchange it apart from the others: its transfer
+    /// takes long, and small changes must not wait for it.
+    pub fn is_large(&self) -> bool {
+        let value = self.value.as_ref();
+        value.is_some_and(|value| value.len() >= LARGE_VALUE_BYTES)
+    }
+}
+
+/// Smallest size in bytes of a large value: at 10 Mbit/s it takes 13 ms.
+pub const LARGE_VALUE_BYTES: usize = 16 * 1024;
+
+/// All known entries, and the revisions up to which they are complete.
 #[derive(Debug, Clone, Default)]
 pub struct StoreView {
-    upto: Revision,
+    /// Revision up to which the entries that are not large are complete.
+    small_upto: Revision,
+    /// Revision up to which the large entries are complete.
+    large_upto: Revision,
     /// Sorted by key.
     entries: Vec<Entry>,
 }
@@ -35,7 +50,17 @@
 
     /// Revision up to which the view is complete; 0 before the first list.
     pub fn complete_up_to(&self) -> Revision {
-        self.upto
+        self.small_upto.min(self.large_upto)
+    }
+
+    /// Revision up to which the entries that are not large are complete.
+    pub fn small_up_to(&self) -> Revision {
+        self.small_upto
+    }
+
+    /// Revision up to which the large entries are complete.
+    pub fn large_up_to(&self) -> Revision {
+        self.large_upto
     }
 
     /// All entries, including removed ones, sorted by key.
@@ -71,13 +96,39 @@
     /// Applies changes that follow the view and are complete up to revision `upto`; returns the
     /// keys that changed.
     pub fn apply_changes(&mut self, upto: Revision, entries: Vec<Entry>) -> Vec<String> {
+        self.small_upto = self.small_upto.max(upto);
+        self.large_upto = self.large_upto.max(upto);
+        self.apply_all(entries)
+    }
+
+    /// Applies changes that are complete up to revision `upto` but for large entries, of which none up
+    /// to revision `large_upto` was left out; returns the keys that changed.
+    pub fn apply_small_changes(
+        &mut self,
+        upto: Revision,
+        large_upto: Revision,
+        entries: Vec<Entry>,
+    ) -> Vec<String> {
+        self.small_upto = self.small_upto.max(upto);
+        self.large_upto = self.large_upto.max(large_upto);
+        self.apply_all(entries)
+    }
+
+    /// Applies the changes of large entries, which are complete up to revision `upto`; returns the keys
+    /// that changed.
+    pub fn apply_large_changes(&mut self, upto: Revision, entries: Vec<Entry>) -> Vec<String> {
+        self.large_upto = self.large_upto.max(upto);
+        self.apply_all(entries)
+    }
+
+    fn apply_all(&mut self, entries: Vec<Entry>) -> Vec<String> {
         let mut changed = Vec::new();
         for entry in entries {
-            if self.apply(entry.clone()) {
-                changed.push(entry.key);
+            let key = entry.key.clone();
+            if self.apply(entry) {
+                changed.push(key);
             }
         }
-        self.upto = self.upto.max(upto);
         changed
     }
 
--- a/crates/decisions/tests/store_view.rs
+++ b/crates/decisions/tests/store_view.rs
@@ -92,3 +92,30 @@
     assert_eq!(changed.len(), 100_000);
     assert!(started.elapsed() < std::time::Duration::from_secs(10));
 }
+
+struct PartsCase {
+    /// Revisions up to which the small and the large entries of the second exchange are complete.
+    small_upto: u64,
+    large_upto: u64,
+    complete_upto: u64,
+}
+
+/// Large entries arrive apart from the others. Until both have arrived, the view must not count as
+/// complete: the store would not be asked again for what is missing, nor another instance.
+#[parameterized(
+    both = { PartsCase { small_upto: 9, large_upto: 9, complete_upto: 9 } },
+    large_missing = { PartsCase { small_upto: 9, large_upto: 6, complete_upto: 6 } },
+    none_left_out_since = { PartsCase { small_upto: 9, large_upto: 3, complete_upto: 5 } },
+    older = { PartsCase { small_upto: 4, large_upto: 4, complete_upto: 5 } },
+)]
+fn a_view_is_complete_once_small_and_large_entries_are(case: PartsCase) {
+    let mut view = StoreView::new();
+    view.apply_list(5, vec![entry("replica", 2, Some("up"))]);
+    let left = vec![entry("replica", 7, None)];
+    view.apply_small_changes(case.small_upto, case.large_upto, left);
+    assert_eq!(view.complete_up_to(), case.complete_upto);
+    assert_eq!(value(&view, "replica"), None);
+    view.apply_large_changes(9, vec![entry("table", 8, Some("new"))]);
+    assert_eq!(view.complete_up_to(), case.small_upto.max(5));
+    assert_eq!(value(&view, "table"), Some("new"));
+}
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -4,15 +4,14 @@
 //! its history. A watch without a response is therefore ended after a few seconds, and an instance
 //! whose peers have a newer revision gets the entries from them.
 
+mod peer_sync;
 mod reader;
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use kingcupfield_decisions::id::{UpstreamId, name_hash};
-use kingcupfield_decisions::store_view::{Entry, Revision};
+use kingcupfield_decisions::id::UpstreamId;
 use rand::RngExt as _;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -20,11 +19,12 @@
 use crate::log::Priority;
 use crate::node::Node;
 use crate::replica::PublishedReplica;
-use crate::snapshot;
 use crate::table::Table;
 
+use peer_sync::MIN_PEER_REQUEST_INTERVAL;
 use reader::{Changes, LAPSED_REPLICA_GRACE};
 
+pub use peer_sync::{known_up_to, schedule_peer_sync};
 pub use reader::DirectoryReader;
 
 /// Maximum duration of one watch. Each call is billed; a store that goes silent on an open
@@ -74,9 +74,6 @@
 /// Interval at which an instance checks whether it has to read the store itself.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Minimum interval of directory requests to peers.
-const MIN_PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(30);
-
 /// Most replicas that are updated one by one; more of them, as in a list, are replaced at once.
 const MAX_SINGLE_UPDATES: usize = 32;
 
@@ -238,73 +235,6 @@
     !changed.is_empty()
 }
 
-/// Starts a task that after `delay` gets newer entries from a peer, if one has a higher revision by
-/// then. At most one such task runs at a time.
-pub fn schedule_peer_sync(node: &Rc<Node>, delay: Duration) {
-    if std::mem::replace(
-        &mut node.directory_reader.borrow_mut().peer_sync_scheduled,
-        true,
-    ) {
-        return;
-    }
-    let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        sleep(delay).await;
-        sync_from_peer(&node).await;
-        sleep(MIN_PEER_REQUEST_INTERVAL).await;
-        node.directory_reader.borrow_mut().peer_sync_scheduled = false;
-    });
-}
-
-/// Gets newer entries from a peer, if one has a higher revision.
-async fn sync_from_peer(node: &Rc<Node>) {
-    let upto = node.directory.borrow().complete_up_to();
-    let cfg = node.settings();
-    let location = (name_hash(&cfg.availability_zone), name_hash(&cfg.region));
-    let salt = rand::rng().random();
-    let peer_address = node
-        .peers
-        .borrow()
-        .pick_sync_peer(Instant::now(), upto, location, salt)
-        .map(|p| p.address);
-    let Some(address) = peer_address else {
-        return;
-    };
-    let peer = SocketAddr::from((address, node.settings().peer_listen.port()));
-    match snapshot::fetch(peer, upto).await {
-        Ok(snapshot) => {
-            node.log.line(
-                Priority::High,
-                format_args!(
-                    "event=directory_from_peer peer={peer} upto={} before={upto}",
-                    snapshot.upto
-                ),
-            );
-            if snapshot.store_trouble {
-                node.directory_reader.borrow_mut().store_failed_at = Some(Instant::now());
-            }
-            apply_snapshot(node, snapshot.upto, snapshot.entries);
-        }
-        Err(e) => node.log.line(
-            Priority::High,
-            format_args!(
-                "event=peer_unreachable peer={peer} reason={:?}",
-                e.to_string()
-            ),
-        ),
-    }
-}
-
-/// Applies the entries that a peer has sent, unless they are outdated by now.
-fn apply_snapshot(node: &Rc<Node>, upto: Revision, entries: Vec<Entry>) {
-    if upto <= node.directory.borrow().complete_up_to() {
-        return;
-    }
-    let changed = node.directory.borrow_mut().apply_changes(upto, entries);
-    apply_directory(node, &changed);
-    node.state_changed.notify_one();
-}
-
 /// Parses the entries that have changed, and passes the table, the drained zones and the replicas
 /// to the node.
 fn apply_directory(node: &Rc<Node>, keys: &[String]) {
--- /dev/null
+++ b/crates/entry/src/directory/peer_sync.rs
@@ -0,0 +1,189 @@
+//! Gets newer directory entries from peers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcupfield_decisions::id::name_hash;
+use kingcupfield_decisions::store_view::{Entry, Revision};
+use rand::RngExt as _;
+use tokio::time::{Instant, sleep};
+
+use crate::large_values::CompressedEntry;
+use crate::log::Priority;
+use crate::node::Node;
+use crate::snapshot::{self, Fetched, LargeEntries, Snapshot, SnapshotQuery};
+
+use super::apply_directory;
+
+/// Minimum interval of directory requests to peers.
+pub(super) const MIN_PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(30);
+
+/// Revision above which the entries of a peer are worth asking for. While large entries are on their way,
+/// they count as known.
+pub fn known_up_to(node: &Node) -> Revision {
+    let view = node.directory.borrow();
+    if node.directory_reader.borrow().large_fetch_running {
+        view.small_up_to()
+    } else {
+        view.complete_up_to()
+    }
+}
+
+/// Starts a task that after `delay` gets newer entries from a peer, if one has a higher revision by
+/// then. At most one such task runs at a time.
+pub fn schedule_peer_sync(node: &Rc<Node>, delay: Duration) {
+    if std::mem::replace(
+        &mut node.directory_reader.borrow_mut().peer_sync_scheduled,
+        true,
+    ) {
+        return;
+    }
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        sleep(delay).await;
+        sync_from_peer(&node).await;
+        sleep(MIN_PEER_REQUEST_INTERVAL).await;
+        node.directory_reader.borrow_mut().peer_sync_scheduled = false;
+    });
+}
+
+/// Gets newer entries from a peer, if one has a higher revision.
+async fn sync_from_peer(node: &Rc<Node>) {
+    let Some(peer) = pick_peer(node, known_up_to(node)) else {
+        return;
+    };
+    let query = {
+        let view = node.directory.borrow();
+        SnapshotQuery {
+            after: view.small_up_to(),
+            large_after: Some(view.large_up_to()),
+        }
+    };
+    let started = Instant::now();
+    match snapshot::fetch(peer, query).await {
+        Ok(fetched) => {
+            log_fetched(
+                node,
+                peer,
+                "changes",
+                &fetched,
+                fetched.content.upto,
+                started,
+            );
+            apply_snapshot(node, fetched.content);
+            let is_complete = {
+                let view = node.directory.borrow();
+                view.large_up_to() >= view.small_up_to()
+            };
+            if !is_complete {
+                start_large_fetch(node, peer);
+            }
+        }
+        Err(e) => log_unreachable(node, peer, &e),
+    }
+}
+
+/// Picks a peer whose revision is above `upto`.
+fn pick_peer(node: &Node, upto: Revision) -> Option<SocketAddr> {
+    let cfg = node.settings();
+    let location = (name_hash(&cfg.availability_zone), name_hash(&cfg.region));
+    let salt = rand::rng().random();
+    let peers = node.peers.borrow();
+    let peer = peers.pick_sync_peer(Instant::now(), upto, location, salt)?;
+    Some(SocketAddr::from((peer.address, cfg.peer_listen.port())))
+}
+
+/// Starts a task that gets the large entries that are missing here. At most one such task runs at a
+/// time; the other changes go on arriving meanwhile.
+fn start_large_fetch(node: &Rc<Node>, peer: SocketAddr) {
+    if std::mem::replace(
+        &mut node.directory_reader.borrow_mut().large_fetch_running,
+        true,
+    ) {
+        return;
+    }
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        let after = node.directory.borrow().large_up_to();
+        let started = Instant::now();
+        match snapshot::fetch_large(peer, after).await {
+            Ok(fetched) => {
+                log_fetched(
+                    &node,
+                    peer,
+                    "large",
+                    &fetched,
+                    fetched.content.upto,
+                    started,
+                );
+                apply_large_entries(&node, peer, fetched.content);
+            }
+            Err(e) => log_unreachable(&node, peer, &e),
+        }
+        node.directory_reader.borrow_mut().large_fetch_running = false;
+        // More may have been changed meanwhile, or the fetch may have failed.
+        schedule_peer_sync(&node, Duration::ZERO);
+    });
+}
+
+/// Applies the entries that a peer has sent.
+fn apply_snapshot(node: &Rc<Node>, snapshot: Snapshot) {
+    if snapshot.store_trouble {
+        node.directory_reader.borrow_mut().store_failed_at = Some(Instant::now());
+    }
+    let large_upto = snapshot.large_upto.unwrap_or(snapshot.upto);
+    let changed = node.directory.borrow_mut().apply_small_changes(
+        snapshot.upto,
+        large_upto,
+        snapshot.entries,
+    );
+    apply_directory(node, &changed);
+    node.state_changed.notify_one();
+}
+
+/// Applies the large entries that a peer has sent. If one can't be read, none counts as received.
+fn apply_large_entries(node: &Rc<Node>, peer: SocketAddr, large: LargeEntries) {
+    let decompressed = large.entries.iter().map(CompressedEntry::decompress);
+    let entries = match decompressed.collect::<std::io::Result<Vec<Entry>>>() {
+        Ok(entries) => entries,
+        Err(e) => return log_unreachable(node, peer, &e),
+    };
+    let mut reader = node.directory_reader.borrow_mut();
+    for entry in large.entries {
+        reader.large_values.insert(entry);
+    }
+    drop(reader);
+    let mut view = node.directory.borrow_mut();
+    let changed = view.apply_large_changes(large.upto, entries);
+    drop(view);
+    apply_directory(node, &changed);
+    node.state_changed.notify_one();
+}
+
+fn log_fetched<T>(
+    node: &Node,
+    peer: SocketAddr,
+    part: &str,
+    fetched: &Fetched<T>,
+    upto: Revision,
+    started: Instant,
+) {
+    let before = node.directory.borrow().complete_up_to();
+    let ms = started.elapsed().as_millis();
+    let bytes = fetched.bytes;
+    node.log.line(
+        Priority::High,
+        format_args!(
+            "event=directory_from_peer peer={peer} upto={upto} before={before} part={part} bytes={bytes} ms={ms}"
+        ),
+    );
+}
+
+fn log_unreachable(node: &Node, peer: SocketAddr, e: &std::io::Error) {
+    let reason = e.to_string();
+    node.log.line(
+        Priority::High,
+        format_args!("event=peer_unreachable peer={peer} reason={reason:?}"),
+    );
+}
--- a/crates/entry/src/directory/reader.rs
+++ b/crates/entry/src/directory/reader.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::adapter::ParsedEntry;
+use crate::large_values::LargeValues;
 use crate::log::Priority;
 use crate::node::Node;
 use crate::replica::PublishedReplica;
@@ -40,6 +41,10 @@
     pub(super) store_failed_at: Option<Instant>,
     /// Whether a task that gets entries from a peer is running.
     pub(super) peer_sync_scheduled: bool,
+    /// Whether a task that gets large entries from a peer is running.
+    pub(super) large_fetch_running: bool,
+    /// Large values as they are sent to peers.
+    pub large_values: LargeValues,
 }
 
 /// What a change of the directory concerns.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod exchange;
 pub mod expiry;
 pub mod gossip;
+pub mod large_values;
 pub mod lifecycle;
 pub mod log;
 pub mod metrics;
--- a/crates/entry/src/receiver.rs
+++ b/crates/entry/src/receiver.rs
@@ -113,7 +113,7 @@
     apply_step_times(node, &steps);
     apply_unreachable(node, &unreachable);
     node.on_peer_replica_reports(from, &replicas);
-    if upto > node.directory.borrow().complete_up_to() {
+    if upto > directory::known_up_to(node) {
         directory::schedule_peer_sync(node, sync_delay(node, from));
     }
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -11,7 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use kingcupfield_decisions::store_view::Revision;
+use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
@@ -19,7 +19,9 @@
 use crate::log::Priority;
 use crate::node::{Node, ProcessState};
 use crate::request;
-use crate::snapshot::{SNAPSHOT_PATH, Snapshot};
+use crate::snapshot::{
+    self, LARGE_ENTRIES_PATH, LargeEntries, SNAPSHOT_PATH, Snapshot, SnapshotQuery,
+};
 
 /// Path of the metrics, on the address for peers and operators.
 const METRICS_PATH: &str = "/metrics";
@@ -159,24 +161,47 @@
 pub async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
     serve_with(node, listener, |node, req| match req.uri().path() {
         SNAPSHOT_PATH => snapshot_response(node, req.uri().query().unwrap_or_default()),
+        LARGE_ENTRIES_PATH => large_entries_response(node, req.uri().query().unwrap_or_default()),
         METRICS_PATH => text_response(node.metrics.render(node)),
         _ => request::empty_response(StatusCode::NOT_FOUND),
     })
     .await;
 }
 
-/// Returns the directory entries that changed after the revision `after`, the query of the request; all
-/// entries if it is not a number.
-fn snapshot_response(node: &Node, after: &str) -> Response<Full<Bytes>> {
-    let after: Revision = after.parse().unwrap_or(0);
-    let directory = node.directory.borrow();
-    let changed = directory.entries().iter().filter(|e| e.revision > after);
-    let snapshot = Snapshot {
-        upto: directory.complete_up_to(),
-        store_trouble: node.directory_reader.borrow().store_failed_recently(),
-        entries: changed.cloned().collect(),
-    };
-    match rmp_serde::to_vec(&snapshot) {
+/// Returns the directory entries that the query of the request asks for.
+fn snapshot_response(node: &Node, query: &str) -> Response<Full<Bytes>> {
+    let store_trouble = node.directory_reader.borrow().store_failed_recently();
+    let query = SnapshotQuery::parse(query);
+    packed_response(&Snapshot::new(
+        &node.directory.borrow(),
+        query,
+        store_trouble,
+    ))
+}
+
+/// Returns the large directory entries that changed after the revision `after`, the query of the request;
+/// all of them if it is not a number.
+fn large_entries_response(node: &Node, after: &str) -> Response<Full<Bytes>> {
+    let view = node.directory.borrow();
+    let mut reader = node.directory_reader.borrow_mut();
+    let entries = snapshot::large_after_revision(&view, after.parse().unwrap_or(0))
+        .map(|entry| reader.large_values.get(entry))
+        .collect::<std::io::Result<Vec<_>>>();
+    match entries {
+        Ok(entries) => packed_response(&LargeEntries {
+            upto: view.large_up_to(),
+            entries,
+        }),
+        Err(_) => request::empty_response(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+/// Returns a message as `MessagePack`.
+fn packed_response<M>(message: &M) -> Response<Full<Bytes>>
+where
+    M: Serialize,
+{
+    match rmp_serde::to_vec(message) {
         Ok(bytes) => Response::new(Full::new(bytes.into())),
         Err(_) => request::empty_response(StatusCode::INTERNAL_SERVER_ERROR),
     }
--- a/crates/entry/tests/snapshot.rs
+++ b/crates/entry/tests/snapshot.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use kingcupfield_entry::snapshot;
+use kingcupfield_decisions::store_view::{Entry, LARGE_VALUE_BYTES, StoreView};
+use kingcupfield_entry::large_values::{CompressedEntry, LargeValues};
+use kingcupfield_entry::snapshot::{self, Snapshot, SnapshotQuery};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 use yare::parameterized;
@@ -25,7 +27,11 @@
     let peer = listener.local_addr().expect("an address");
     let local = tokio::task::LocalSet::new();
     let started = Instant::now();
-    let result = local.run_until(snapshot::fetch(peer, case.after)).await;
+    let query = SnapshotQuery {
+        after: case.after,
+        large_after: Some(0),
+    };
+    let result = local.run_until(snapshot::fetch(peer, query)).await;
     assert!(result.is_err());
     assert!(
         started.elapsed() <= case.max_time,
@@ -33,3 +39,67 @@
         started.elapsed()
     );
 }
+
+fn entry(key: &str, revision: u64, bytes: usize) -> Entry {
+    Entry {
+        key: key.to_owned(),
+        revision,
+        value: Some(vec![b'x'; bytes]),
+    }
+}
+
+/// View with a replica of revision 3, a table of revision 5 and a replica of revision 8.
+fn view() -> StoreView {
+    let mut view = StoreView::new();
+    let entries = vec![
+        entry("replica-1", 3, 100),
+        entry("table", 5, LARGE_VALUE_BYTES),
+        entry("replica-2", 8, LARGE_VALUE_BYTES - 1),
+    ];
+    view.apply_list(9, entries);
+    view
+}
+
+struct QueryCase {
+    query: &'static str,
+    keys: &'static [&'static str],
+    large_upto: Option<u64>,
+}
+
+/// An instance asks for what it lacks, also one of an earlier build, which gets large entries with the
+/// others. One that is told of too much would never ask for the rest.
+#[parameterized(
+    earlier_build = { QueryCase { query: "3", keys: &["replica-2", "table"], large_upto: None } },
+    earlier_build_all = { QueryCase { query: "", keys: &["replica-1", "replica-2", "table"], large_upto: None } },
+    large_left_out = { QueryCase { query: "3&0", keys: &["replica-2"], large_upto: Some(4) } },
+    large_known = { QueryCase { query: "3&5", keys: &["replica-2"], large_upto: Some(9) } },
+    nothing_new = { QueryCase { query: "9&9", keys: &[], large_upto: Some(9) } },
+    unreadable = { QueryCase { query: "x&y", keys: &["replica-1", "replica-2"], large_upto: Some(4) } },
+)]
+fn a_snapshot_holds_what_is_asked_for(case: QueryCase) {
+    let snapshot = Snapshot::new(&view(), SnapshotQuery::parse(case.query), false);
+    let keys: Vec<&str> = snapshot.entries.iter().map(|e| &*e.key).collect();
+    assert_eq!(keys, case.keys);
+    assert_eq!(snapshot.upto, 9);
+    assert_eq!(snapshot.large_upto, case.large_upto);
+    let bytes = rmp_serde::to_vec(&snapshot).expect("a message");
+    let read: Snapshot = rmp_serde::from_slice(&bytes).expect("the same message");
+    assert_eq!(read.large_upto, case.large_upto);
+}
+
+/// A value passes through several instances. Each must have it unchanged, and none may take the value
+/// of an earlier revision for it.
+#[test]
+fn a_large_value_is_passed_on_unchanged() {
+    let first = entry("table", 5, 100_000);
+    let mut values = LargeValues::default();
+    let compressed = values.get(&first).expect("a compressed value");
+    assert!(compressed.value.len() < 1000);
+    assert_eq!(compressed.decompress().expect("a value"), first);
+    let second = entry("table", 6, 200_000);
+    let compressed = values.get(&second).expect("a compressed value");
+    assert_eq!(compressed.decompress().expect("a value"), second);
+    let mut damaged: CompressedEntry = compressed;
+    damaged.value = damaged.value.slice(..damaged.value.len() / 2);
+    assert!(damaged.decompress().is_err());
+}
