Let large values pass slow links in the own interface too

An answer to kingcupd's client had a fixed time for the whole body, and a contact's answer to a starting instance 1.5 s: behind a link of 2 Mbit/s an instance that the platform refuses would never get a table of a megabyte, and never be ready.

Connector::fetch now follows kingcupfield-transfer once the answer has begun. A contact's answer may take as long as the slowest transfer of the largest message; the contacts are asked beside each other, so that one of them holds up no other.

Not changed: a delivery of messages between running instances has 1.5 s as before.

--- a/src/connector.rs
+++ b/src/connector.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -72,24 +72,22 @@
         })
     }
 
-    /// Sends `req` and reads the whole answer, of at most `limit` bytes, within `timeout`.
+    /// Sends `req` and reads the whole answer, of at most `limit` bytes. It has to begin within `timeout`
+    /// and then takes as long as its transfer makes progress.
     pub async fn fetch(
         &self,
         req: Request<SendBody>,
         limit: usize,
         timeout: Duration,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        let exchange = async {
-            let (head, body) = self.send(req).await?.into_parts();
-            let body = Limited::new(body, limit)
-                .collect()
-                .await
-                .map_err(|e| ExchangeError::Broke(e.to_string()))?;
-            Ok(Response::from_parts(head, body.to_bytes()))
-        };
-        tokio::time::timeout(timeout, exchange)
+        let (head, body) = tokio::time::timeout(timeout, self.send(req))
             .await
-            .unwrap_or(Err(ExchangeError::Timeout))
+            .map_err(|_| ExchangeError::Timeout)??
+            .into_parts();
+        let body = kingcupfield_transfer::receive(body, limit)
+            .await
+            .map_err(|e| ExchangeError::Broke(e.to_string()))?;
+        Ok(Response::from_parts(head, body))
     }
 }
 
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures::future::join_all;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -190,25 +191,34 @@
 
 /// Asks the contacts of the settings for values, until this instance is ready.
 ///
-/// The platform may be down or old at the start; then the peers know better.
+/// The platform may be down or old at the start; then the peers know better. Each contact is asked on its
+/// own, so that one that takes long or never answers does not hold up the others.
 async fn greet(contacts: Vec<SocketAddr>, fleet: Fleet, peers: Peers) {
-    let me = contacts.len();
-    for turn in 0.. {
-        if me == 0 || fleet.is_ready() {
-            return;
+    let turn = GREET_EVERY * u32::try_from(contacts.len()).unwrap_or(u32::MAX);
+    let asks = contacts.into_iter().zip(0..).map(|(contact, n)| {
+        let (fleet, peers) = (&fleet, &peers);
+        async move {
+            sleep(GREET_EVERY * n).await;
+            while !fleet.is_ready() {
+                ask(contact, fleet, peers).await;
+                sleep(turn).await;
+            }
         }
-        let contact = contacts[turn % me];
-        match peers.ask_values(contact, fleet.announcement()).await {
-            Ok(values) => {
-                for value in &values {
-                    fleet.on_peer(value);
-                }
+    });
+    join_all(asks).await;
+}
+
+/// Asks one contact for values.
+async fn ask(contact: SocketAddr, fleet: &Fleet, peers: &Peers) {
+    match peers.ask_values(contact, fleet.announcement()).await {
+        Ok(values) => {
+            for value in &values {
+                fleet.on_peer(value);
             }
-            Err(e) => log::debug!(
-                "event=contact_failed contact={contact} reason={}",
-                quote_value(e)
-            ),
         }
-        sleep(GREET_EVERY).await;
+        Err(e) => log::debug!(
+            "event=contact_failed contact={contact} reason={}",
+            quote_value(e)
+        ),
     }
 }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -16,6 +16,7 @@
 use jsonrpsee::ws_client::{HeaderMap, HeaderValue, WsClient, WsClientBuilder};
 use kingcupfield_decisions::configuration::ConfigurationMessage;
 use kingcupfield_decisions::id::{Incarnation, InstanceId};
+use kingcupfield_transfer::min_rate_time;
 use rand::RngExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -148,13 +149,15 @@
         counter.with_label_values(&[direction, kind]).inc();
     }
 
-    /// Asks the contact at `address` for the values that this instance lacks.
+    /// Asks the contact at `address` for the values that this instance lacks; the answer may take as long
+    /// as the slowest transfer of the largest one.
     pub async fn ask_values(
         &self,
         address: SocketAddr,
         announce: ConfigurationMessage,
     ) -> Result<Vec<ConfigurationMessage>> {
-        let client = connect(&self.inner.token, &address.to_string(), DELIVERY_TIMEOUT).await?;
+        let max_time = DELIVERY_TIMEOUT + min_rate_time(MESSAGE_LIMIT as usize);
+        let client = connect(&self.inner.token, &address.to_string(), max_time).await?;
         request(
             &client,
             VALUES,
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -16,7 +16,11 @@
     /// Passes everything on.
     Open,
     /// Passes everything on after this time.
+    #[allow(dead_code, reason = "not every program of tests delays")]
     Delayed(Duration),
+    /// Passes on so many bytes a second in each direction of a connection.
+    #[allow(dead_code, reason = "not every program of tests has slow links")]
+    Slow(u32),
     /// Accepts connections and passes nothing on, as a network partition does.
     Dropping,
     /// Passes on what comes in and nothing that goes back: requests arrive, answers are lost.
@@ -111,8 +115,15 @@
         };
         rx.wait_for(|link| passes(*link)).await.ok();
         let link = *rx.borrow();
-        if let Link::Delayed(delay) = link {
-            sleep(delay).await;
+        match link {
+            Link::Delayed(delay) => sleep(delay).await,
+            Link::Slow(bytes_per_s) => {
+                sleep(Duration::from_secs_f64(
+                    count as f64 / f64::from(bytes_per_s),
+                ))
+                .await;
+            }
+            Link::Open | Link::Dropping | Link::OneWay | Link::Refusing => {}
         }
         if count == 0 {
             to.shutdown().await.ok();
