Order the store's revisions by its era

Cause: a store that comes back from a copy gives out revisions again, and they were compared with those from before. Changes with a lower revision than a known one were ignored in lists, watches and copies from peers; a watch could even go on behind the gap if the store had passed the old revision. The class: an order that only holds within one life of its source.

Store-Era is read from all answers and is the upper part of a revision, so each change of a later era is greater, wherever revisions are compared: lists, watches, copies from peers, what peers tell, and the view. Nothing returns to an earlier state with the copy: a table keeps its version and a replica its word that it leaves, a removed replica stays out of use for 5 s or until it writes its entry again, and what the copy lacks, replicas and drained zones, stays in force for 2.3 s.

--- a/crates/decisions/src/store_view.rs
+++ b/crates/decisions/src/store_view.rs
@@ -4,10 +4,38 @@
 //! answers late. Without a merge by revision, an instance that receives an update from a peer and
 //! then a slow answer from the store would return to an older configuration, or send requests to a
 //! replica that has left.
+//!
+//! A store that is restored from a copy begins a new era, in which it gives out revisions again. The
+//! entries of the new era replace those of the eras before, except that nothing returns to an earlier
+//! state: what is missing in the copy is about to be written again.
 
-/// Revision of the store; increases with each change.
+/// Position of a change in the history of the store: the era in the upper bits and the number of the
+/// change in the lower ones, so that every change of a later era is greater.
 pub type Revision = u64;
 
+/// Number of times that the store has been restored from a copy.
+pub type Era = u32;
+
+/// Number of lower bits of a [`Revision`] for the number of the change. At a million changes a second they
+/// last for half a year, at the rate of today's stores for centuries.
+const NUMBER_BITS: u32 = 44;
+
+/// Creates the revision of a change by its number within an era; `None` if one of them is too large.
+pub fn revision_in_era(era: Era, number: u64) -> Option<Revision> {
+    let fits = u64::from(era) < 1 << (u64::BITS - NUMBER_BITS) && number < 1 << NUMBER_BITS;
+    fits.then(|| u64::from(era) << NUMBER_BITS | number)
+}
+
+/// Era of a revision.
+pub fn era_of(revision: Revision) -> Era {
+    (revision >> NUMBER_BITS) as Era
+}
+
+/// Number of a change within its era.
+pub fn number_of(revision: Revision) -> u64 {
+    revision & ((1 << NUMBER_BITS) - 1)
+}
+
 /// A key of the store with its last change.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Entry {
@@ -74,6 +102,28 @@
         Some(&self.entries[index])
     }
 
+    /// Replaces the values of `entries` that would return an entry of an earlier era to an earlier state by
+    /// the known ones; returns how many. `is_earlier` says so of a key, its value and the known value.
+    pub fn keep_later_states<F>(&self, entries: &mut [Entry], is_earlier: F) -> usize
+    where
+        F: Fn(&str, &[u8], &[u8]) -> bool,
+    {
+        let mut kept = 0;
+        for entry in entries {
+            let known = self
+                .entry(&entry.key)
+                .filter(|known| era_of(known.revision) < era_of(entry.revision));
+            let known_value = known.and_then(|known| known.value.as_ref());
+            if let (Some(value), Some(known_value)) = (&entry.value, known_value)
+                && is_earlier(&entry.key, value, known_value)
+            {
+                entry.value = Some(known_value.clone());
+                kept += 1;
+            }
+        }
+        kept
+    }
+
     /// Applies a list that is complete up to revision `upto`; returns the keys that changed.
     ///
     /// An entry that is not in the list was removed by then, unless a later change of it is known.
@@ -109,9 +159,33 @@
         large_upto: Revision,
         entries: Vec<Entry>,
     ) -> Vec<String> {
+        let mut changed = Vec::new();
+        if era_of(upto) > era_of(self.small_upto) {
+            changed = self.remove_unlisted(era_of(upto), &entries);
+        }
         self.small_upto = self.small_upto.max(upto);
         self.large_upto = self.large_upto.max(large_upto);
-        self.apply_all(entries)
+        changed.extend(self.apply_all(entries));
+        changed
+    }
+
+    /// Removes the entries of earlier eras that are neither large nor in `entries`, which are all of this
+    /// era that are not large; returns their keys. The removal precedes all changes of the era.
+    fn remove_unlisted(&mut self, era: Era, entries: &[Entry]) -> Vec<String> {
+        let mut listed: Vec<&str> = entries.iter().map(|e| &*e.key).collect();
+        listed.sort_unstable();
+        let era_start = u64::from(era) << NUMBER_BITS;
+        let mut removed = Vec::new();
+        for entry in &mut self.entries {
+            let is_listed = listed.binary_search(&&*entry.key).is_ok();
+            if !is_listed && !entry.is_large() && entry.revision < era_start {
+                if entry.value.take().is_some() {
+                    removed.push(entry.key.clone());
+                }
+                entry.revision = era_start;
+            }
+        }
+        removed
     }
 
     /// Applies the changes of large entries, which are complete up to revision `upto`; returns the keys
--- a/crates/decisions/tests/store_view.rs
+++ b/crates/decisions/tests/store_view.rs
@@ -1,6 +1,8 @@
 //! View of the published entries, merged from the store and from peers.
 
-use kingcupfield_decisions::store_view::{Entry, StoreView};
+use kingcupfield_decisions::store_view::{
+    Entry, LARGE_VALUE_BYTES, StoreView, era_of, number_of, revision_in_era,
+};
 use yare::parameterized;
 
 fn entry(key: &str, revision: u64, value: Option<&str>) -> Entry {
@@ -95,27 +97,115 @@
 
 struct PartsCase {
     /// Revisions up to which the small and the large entries of the second exchange are complete.
-    small_upto: u64,
-    large_upto: u64,
-    complete_upto: u64,
+    small: u64,
+    large: u64,
+    /// Revision up to which the view is complete then.
+    complete: u64,
 }
 
 /// Large entries arrive apart from the others. Until both have arrived, the view must not count as
 /// complete: the store would not be asked again for what is missing, nor another instance.
 #[parameterized(
-    both = { PartsCase { small_upto: 9, large_upto: 9, complete_upto: 9 } },
-    large_missing = { PartsCase { small_upto: 9, large_upto: 6, complete_upto: 6 } },
-    none_left_out_since = { PartsCase { small_upto: 9, large_upto: 3, complete_upto: 5 } },
-    older = { PartsCase { small_upto: 4, large_upto: 4, complete_upto: 5 } },
+    both = { PartsCase { small: 9, large: 9, complete: 9 } },
+    large_missing = { PartsCase { small: 9, large: 6, complete: 6 } },
+    none_left_out_since = { PartsCase { small: 9, large: 3, complete: 5 } },
+    older = { PartsCase { small: 4, large: 4, complete: 5 } },
 )]
 fn a_view_is_complete_once_small_and_large_entries_are(case: PartsCase) {
     let mut view = StoreView::new();
     view.apply_list(5, vec![entry("replica", 2, Some("up"))]);
     let left = vec![entry("replica", 7, None)];
-    view.apply_small_changes(case.small_upto, case.large_upto, left);
-    assert_eq!(view.complete_up_to(), case.complete_upto);
+    view.apply_small_changes(case.small, case.large, left);
+    assert_eq!(view.complete_up_to(), case.complete);
     assert_eq!(value(&view, "replica"), None);
     view.apply_large_changes(9, vec![entry("table", 8, Some("new"))]);
-    assert_eq!(view.complete_up_to(), case.small_upto.max(5));
+    assert_eq!(view.complete_up_to(), case.small.max(5));
     assert_eq!(value(&view, "table"), Some("new"));
 }
+
+struct RevisionCase {
+    era: u32,
+    number: u64,
+    is_valid: bool,
+}
+
+#[parameterized(
+    without_era = { RevisionCase { era: 0, number: 41, is_valid: true } },
+    restored = { RevisionCase { era: 7, number: 41, is_valid: true } },
+    largest = { RevisionCase { era: (1 << 20) - 1, number: (1 << 44) - 1, is_valid: true } },
+    era_too_large = { RevisionCase { era: 1 << 20, number: 0, is_valid: false } },
+    number_too_large = { RevisionCase { era: 0, number: 1 << 44, is_valid: false } },
+)]
+fn a_revision_holds_its_era_and_number(case: RevisionCase) {
+    let revision = revision_in_era(case.era, case.number);
+    assert_eq!(revision.is_some(), case.is_valid);
+    if let Some(revision) = revision {
+        assert_eq!(
+            (era_of(revision), number_of(revision)),
+            (case.era, case.number)
+        );
+    }
+}
+
+/// Revision of a change after the store was restored once.
+fn restored(number: u64) -> u64 {
+    revision_in_era(1, number).expect("a valid revision")
+}
+
+struct RestoreCase {
+    /// What arrives after the restore, complete up to the fourth change of the new era.
+    entries: Vec<Entry>,
+    table: Option<&'static str>,
+    replica: Option<&'static str>,
+}
+
+/// The store is restored from a copy. What was written since counts, although its revisions were given out
+/// before, and what is missing was removed.
+#[parameterized(
+    changed = { RestoreCase { entries: vec![entry("replica", restored(3), Some("left")), entry("table", restored(4), Some("newer"))], table: Some("newer"), replica: Some("left") } },
+    unchanged = { RestoreCase { entries: vec![entry("replica", restored(1), Some("up")), entry("table", restored(2), Some("new"))], table: Some("new"), replica: Some("up") } },
+    missing = { RestoreCase { entries: vec![entry("table", restored(2), Some("new"))], table: Some("new"), replica: None } },
+    earlier_state = { RestoreCase { entries: vec![entry("replica", restored(1), Some("up")), entry("table", restored(2), Some("earlier"))], table: Some("new"), replica: Some("up") } },
+)]
+fn changes_of_a_new_era_replace_those_before(case: RestoreCase) {
+    let mut view = StoreView::new();
+    let known = vec![
+        entry("replica", 30, Some("up")),
+        entry("table", 39, Some("new")),
+    ];
+    view.apply_list(40, known);
+    for list in [true, false] {
+        let mut view = view.clone();
+        let mut entries = case.entries.clone();
+        view.keep_later_states(&mut entries, |_, value, _| value == b"earlier");
+        if list {
+            view.apply_list(restored(4), entries);
+        } else {
+            // As a peer sends them.
+            view.apply_small_changes(restored(4), restored(4), entries);
+        }
+        assert_eq!(value(&view, "table"), case.table);
+        assert_eq!(value(&view, "replica"), case.replica);
+        assert_eq!(view.complete_up_to(), restored(4));
+        // An answer from before the restore arrives late.
+        view.apply_list(41, vec![entry("replica", 41, Some("late"))]);
+        assert_eq!(value(&view, "replica"), case.replica);
+    }
+}
+
+/// The store is restored, and a peer sends the large table apart. It must not be taken for removed meanwhile,
+/// whether it was large before or not.
+#[parameterized(
+    large_before = { LARGE_VALUE_BYTES },
+    small_before = { 10 },
+)]
+fn a_large_entry_of_a_new_era_is_not_lost(bytes_before: usize) {
+    let large = "x".repeat(LARGE_VALUE_BYTES);
+    let mut view = StoreView::new();
+    view.apply_list(40, vec![entry("table", 39, Some(&large[..bytes_before]))]);
+    view.apply_small_changes(restored(9), restored(4), vec![]);
+    assert_eq!(view.complete_up_to(), restored(4));
+    view.apply_large_changes(restored(9), vec![entry("table", restored(5), Some(&large))]);
+    assert_eq!(value(&view, "table"), Some(&*large));
+    assert_eq!(view.complete_up_to(), restored(9));
+}
--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -183,4 +183,8 @@
 
     /// Parses an entry by its key and value.
     fn parse_entry(&self, key: &str, value: &[u8]) -> ParsedEntry;
+
+    /// Whether `value` describes an earlier state of an entry than `than`: an older version of the table, or
+    /// the same start of a replica, which leaves according to `than`.
+    fn is_earlier_state(&self, key: &str, value: &[u8], than: &[u8]) -> bool;
 }
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::id::UpstreamId;
+use kingcupfield_decisions::store_view::{Entry, Revision, era_of, number_of};
 use rand::RngExt as _;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -22,7 +23,7 @@
 use crate::table::Table;
 
 use peer_sync::MIN_PEER_REQUEST_INTERVAL;
-use reader::{Changes, LAPSED_REPLICA_GRACE};
+use reader::Changes;
 
 pub use peer_sync::{known_up_to, schedule_peer_sync};
 pub use reader::DirectoryReader;
@@ -77,6 +78,15 @@
 /// Most replicas that are updated one by one; more of them, as in a list, are replaced at once.
 const MAX_SINGLE_UPDATES: usize = 32;
 
+/// Revision up to which something is complete, as logged.
+struct Upto(Revision);
+
+impl std::fmt::Display for Upto {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "upto={} era={}", number_of(self.0), era_of(self.0))
+    }
+}
+
 /// Follows the directory until the process ends.
 pub async fn run(node: Rc<Node>) {
     let mut failures = 0;
@@ -205,8 +215,9 @@
 }
 
 /// Applies a full listing of the directory.
-fn apply_list(node: &Rc<Node>, listing: Listing) {
+fn apply_list(node: &Rc<Node>, mut listing: Listing) {
     let entries = listing.entries.len();
+    prepare_era(node, listing.revision, &mut listing.entries);
     let changed = node
         .directory
         .borrow_mut()
@@ -214,12 +225,14 @@
     node.log.line(
         Priority::High,
         format_args!(
-            "event=directory_list upto={} entries={entries} changed={}",
-            listing.revision,
+            "event=directory_list {} entries={entries} changed={}",
+            Upto(listing.revision),
             changed.len()
         ),
     );
     apply_directory(node, &changed);
+    // Also if nothing has changed: the revision may have, and with it what peers ask for.
+    node.state_changed.notify_one();
 }
 
 /// Applies a listing of changes; returns whether anything changed.
@@ -235,6 +248,29 @@
     !changed.is_empty()
 }
 
+/// Prepares entries that are complete up to `upto` for the view. If the store has been restored since,
+/// none of them returns an entry to an earlier state, and what is missing may be about to be written
+/// again.
+fn prepare_era(node: &Node, upto: Revision, entries: &mut [Entry]) {
+    let view = node.directory.borrow();
+    let known_era = era_of(view.small_up_to());
+    if view.small_up_to() == 0 || era_of(upto) <= known_era {
+        return;
+    }
+    node.directory_reader.borrow_mut().store_failed_at = Some(Instant::now());
+    node.log.line(
+        Priority::High,
+        format_args!(
+            "event=store_restored era={} before={known_era}",
+            era_of(upto)
+        ),
+    );
+    let client = &node.directory_client;
+    view.keep_later_states(entries, |key, value, than| {
+        client.is_earlier_state(key, value, than)
+    });
+}
+
 /// Parses the entries that have changed, and passes the table, the drained zones and the replicas
 /// to the node.
 fn apply_directory(node: &Rc<Node>, keys: &[String]) {
@@ -249,26 +285,36 @@
             reader.apply_entry(node, now, entry, store_failed, &mut changes);
         }
     }
+    let has_other_services = has_other_services(old_table, node.table());
+    for grace in std::mem::take(&mut changes.graces) {
+        schedule_grace_end(node, grace);
+    }
+    publish_changes(node, changes, has_other_services);
+}
+
+/// Passes what has changed to the node.
+fn publish_changes(node: &Node, changes: Changes, has_other_services: bool) {
     // Set before the replicas, which are usable only outside of drained zones.
     if changes.drained_zones {
         let drained_zones = node.directory_reader.borrow().drained_zones();
-        node.set_drained_zones(now, drained_zones);
+        node.set_drained_zones(Instant::now(), drained_zones);
     }
     update_replicas(node, changes.replicas);
     // What a replica may get depends on its service in the table and on the drained zones.
-    if changes.drained_zones || has_other_services(old_table, node.table()) {
+    if changes.drained_zones || has_other_services {
         node.refresh_replicas();
     }
     node.assign_slots();
-    if changes.any_lapsed {
-        let node = Rc::clone(node);
-        tokio::task::spawn_local(async move {
-            sleep(LAPSED_REPLICA_GRACE).await;
-            let ended = node.directory_reader.borrow_mut().end_grace(Instant::now());
-            update_replicas(&node, ended);
-            node.assign_slots();
-        });
-    }
+}
+
+/// Starts a task that after `grace` applies the ends of grace times.
+fn schedule_grace_end(node: &Rc<Node>, grace: Duration) {
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        sleep(grace).await;
+        let ended = node.directory_reader.borrow_mut().end_grace(Instant::now());
+        publish_changes(&node, ended, false);
+    });
 }
 
 /// Whether two tables, if there are any, describe different services.
--- a/crates/entry/src/directory/peer_sync.rs
+++ b/crates/entry/src/directory/peer_sync.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::id::name_hash;
-use kingcupfield_decisions::store_view::{Entry, Revision};
+use kingcupfield_decisions::store_view::{Entry, Revision, number_of};
 use rand::RngExt as _;
 use tokio::time::{Instant, sleep};
 
@@ -14,7 +14,7 @@
 use crate::node::Node;
 use crate::snapshot::{self, Fetched, LargeEntries, Snapshot, SnapshotQuery};
 
-use super::apply_directory;
+use super::{Upto, apply_directory, prepare_era};
 
 /// Minimum interval of directory requests to peers.
 pub(super) const MIN_PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(30);
@@ -128,7 +128,8 @@
 }
 
 /// Applies the entries that a peer has sent.
-fn apply_snapshot(node: &Rc<Node>, snapshot: Snapshot) {
+fn apply_snapshot(node: &Rc<Node>, mut snapshot: Snapshot) {
+    prepare_era(node, snapshot.upto, &mut snapshot.entries);
     if snapshot.store_trouble {
         node.directory_reader.borrow_mut().store_failed_at = Some(Instant::now());
     }
@@ -145,18 +146,23 @@
 /// Applies the large entries that a peer has sent. If one can't be read, none counts as received.
 fn apply_large_entries(node: &Rc<Node>, peer: SocketAddr, large: LargeEntries) {
     let decompressed = large.entries.iter().map(CompressedEntry::decompress);
-    let entries = match decompressed.collect::<std::io::Result<Vec<Entry>>>() {
+    let mut entries = match decompressed.collect::<std::io::Result<Vec<Entry>>>() {
         Ok(entries) => entries,
         Err(e) => return log_unreachable(node, peer, &e),
     };
-    let mut reader = node.directory_reader.borrow_mut();
-    for entry in large.entries {
-        reader.large_values.insert(entry);
-    }
-    drop(reader);
+    let client = &node.directory_client;
     let mut view = node.directory.borrow_mut();
+    let is_earlier =
+        |key: &str, value: &[u8], than: &[u8]| client.is_earlier_state(key, value, than);
+    let is_unchanged = view.keep_later_states(&mut entries, is_earlier) == 0;
     let changed = view.apply_large_changes(large.upto, entries);
     drop(view);
+    if is_unchanged {
+        let mut reader = node.directory_reader.borrow_mut();
+        for entry in large.entries {
+            reader.large_values.insert(entry);
+        }
+    }
     apply_directory(node, &changed);
     node.state_changed.notify_one();
 }
@@ -169,13 +175,14 @@
     upto: Revision,
     started: Instant,
 ) {
-    let before = node.directory.borrow().complete_up_to();
+    let before = number_of(node.directory.borrow().complete_up_to());
+    let upto = Upto(upto);
     let ms = started.elapsed().as_millis();
     let bytes = fetched.bytes;
     node.log.line(
         Priority::High,
         format_args!(
-            "event=directory_from_peer peer={peer} upto={upto} before={before} part={part} bytes={bytes} ms={ms}"
+            "event=directory_from_peer peer={peer} {upto} before={before} part={part} bytes={bytes} ms={ms}"
         ),
     );
 }
--- a/crates/entry/src/directory/reader.rs
+++ b/crates/entry/src/directory/reader.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::id::{UpstreamId, ZoneId};
-use kingcupfield_decisions::store_view::{Entry, Revision};
+use kingcupfield_decisions::store_view::{Entry, Revision, era_of};
 use tokio::time::Instant;
 
 use crate::adapter::ParsedEntry;
@@ -12,24 +12,32 @@
 use crate::node::Node;
 use crate::replica::PublishedReplica;
 
-/// Time for which a replica stays in use after its entry lapsed while the store had failed: a live
-/// replica writes its entry again within two seconds of the store's return.
-pub(super) const LAPSED_REPLICA_GRACE: Duration = Duration::from_millis(2300);
+/// Time for which a replica stays in use, or a zone drained, after its entry lapsed while the store had failed: a
+/// live replica writes its entry again within two seconds of the store's return.
+const LAPSED_REPLICA_GRACE: Duration = Duration::from_millis(2300);
+
+/// Time for which a replica that was removed stays out of use if its entry comes back with a restored store: the
+/// entry of one that is gone has lapsed by then.
+const RESTORED_REPLICA_DOUBT: Duration = Duration::from_secs(5);
 
 /// Time after a failed call in which an entry may have lapsed because of the store, while its
 /// replica is alive.
 const STORE_FAILURE_WINDOW: Duration = Duration::from_secs(4);
 
 /// Result of the last parse of a directory entry; only a replica or a drained zone sets its field.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct ReadEntry {
     key: String,
     revision: Revision,
     replica: Option<PublishedReplica>,
     /// The zone that the entry drains.
     drained_zone: Option<ZoneId>,
-    /// Time until which a lapsed replica stays in use.
-    in_use_until: Option<Instant>,
+    /// Time until which what a lapsed entry described stays in force.
+    in_force_until: Option<Instant>,
+    /// Start time of the replica that the entry described when it was removed, in Unix milliseconds.
+    removed_start: Option<u64>,
+    /// Time until which the replica stays out of use.
+    in_doubt_until: Option<Instant>,
 }
 
 /// The parsed directory entries, and the state of reading them.
@@ -54,8 +62,16 @@
     pub(super) replicas: Vec<UpstreamId>,
     /// Whether the entry of a drained zone has changed.
     pub(super) drained_zones: bool,
-    /// Whether a replica's entry lapsed while the store had failed.
-    pub(super) any_lapsed: bool,
+    /// Grace times that have begun, each one once.
+    pub(super) graces: Vec<Duration>,
+}
+
+impl Changes {
+    fn add_grace(&mut self, grace: Duration) {
+        if !self.graces.contains(&grace) {
+            self.graces.push(grace);
+        }
+    }
 }
 
 impl DirectoryReader {
@@ -79,30 +95,28 @@
         if found.is_ok_and(|index| self.entries[index].revision >= entry.revision) {
             return;
         }
-        let previous = found
-            .ok()
-            .and_then(|index| self.entries[index].replica.take());
-        let was_drained = found.is_ok_and(|i| self.entries[i].drained_zone.is_some());
-        let previous_id = previous.as_ref().map(|p| p.id.clone());
-        let mut updated = ReadEntry {
-            key: entry.key.clone(),
-            revision: entry.revision,
-            replica: None,
-            drained_zone: None,
-            in_use_until: None,
+        let mut previous = match found {
+            Ok(index) => std::mem::replace(&mut self.entries[index], ReadEntry::new(entry)),
+            Err(index) => {
+                self.entries.insert(index, ReadEntry::new(entry));
+                ReadEntry::default()
+            }
         };
+        changes.drained_zones |= previous.drained_zone.is_some();
+        changes.replicas.extend(previous.replica_id());
+        let (Ok(index) | Err(index)) = found;
+        let updated = &mut self.entries[index];
         match &entry.value {
-            Some(value) => updated.apply_value(node, value, previous.as_ref()),
-            None => apply_lapse(node, now, previous, store_failed, &mut updated),
+            Some(value) => updated.apply_value(node, now, value, &previous),
+            None => updated.apply_lapse(node, now, &mut previous, store_failed),
+        }
+        changes.drained_zones |= updated.drained_zone.is_some();
+        changes.replicas.extend(updated.replica_id());
+        if updated.in_force_until.is_some() {
+            changes.add_grace(LAPSED_REPLICA_GRACE);
         }
-        let updated_id = updated.replica.as_ref().map(|r| r.id.clone());
-        changes.replicas.extend(previous_id);
-        changes.replicas.extend(updated_id);
-        changes.drained_zones |= was_drained || updated.drained_zone.is_some();
-        changes.any_lapsed |= updated.in_use_until.is_some();
-        match found {
-            Ok(index) => self.entries[index] = updated,
-            Err(index) => self.entries.insert(index, updated),
+        if updated.in_doubt_until.is_some() {
+            changes.add_grace(RESTORED_REPLICA_DOUBT);
         }
     }
 
@@ -116,58 +130,57 @@
 
     /// The replicas in use, including lapsed ones within their grace time.
     pub(super) fn replicas(&self) -> impl Iterator<Item = &PublishedReplica> {
-        self.entries.iter().filter_map(|r| r.replica.as_ref())
+        let in_use = self.entries.iter().filter(|r| r.in_doubt_until.is_none());
+        in_use.filter_map(|r| r.replica.as_ref())
     }
 
-    /// Removes the lapsed replicas whose grace time is over, and returns their ids.
-    pub(super) fn end_grace(&mut self, now: Instant) -> Vec<UpstreamId> {
-        let mut ended = Vec::new();
+    /// Ends the grace times that are over, and returns what has changed.
+    pub(super) fn end_grace(&mut self, now: Instant) -> Changes {
+        let mut ended = Changes::default();
         for entry in &mut self.entries {
-            if entry.in_use_until.is_some_and(|deadline| now >= deadline) {
-                entry.in_use_until = None;
-                ended.extend(entry.replica.take().map(|r| r.id));
+            if entry.in_force_until.is_some_and(|until| now >= until) {
+                entry.in_force_until = None;
+                ended.drained_zones |= entry.drained_zone.take().is_some();
+                ended.replicas.extend(entry.replica.take().map(|r| r.id));
+            }
+            if entry.in_doubt_until.is_some_and(|until| now >= until) {
+                entry.in_doubt_until = None;
+                ended.replicas.extend(entry.replica_id());
             }
         }
         ended
     }
 }
 
-/// Applies the removal of an entry; its replica stays in use for a while if the store has failed.
-fn apply_lapse(
-    node: &Node,
-    now: Instant,
-    previous: Option<PublishedReplica>,
-    store_failed: bool,
-    entry: &mut ReadEntry,
-) {
-    let Some(replica) = previous else {
-        return;
-    };
-    let id: &UpstreamId = &replica.id;
-    if !replica.leaving {
-        node.metrics.count_expired_replica();
+impl ReadEntry {
+    /// Creates the result for an entry that has not been parsed.
+    fn new(entry: &Entry) -> Self {
+        Self {
+            key: entry.key.clone(),
+            revision: entry.revision,
+            ..Self::default()
+        }
     }
-    node.log.line(
-        Priority::High,
-        format_args!("event=replica_gone replica={id} store_trouble={store_failed}"),
-    );
-    if store_failed && !replica.leaving {
-        entry.replica = Some(replica);
-        entry.in_use_until = Some(now + LAPSED_REPLICA_GRACE);
+
+    fn replica_id(&self) -> Option<UpstreamId> {
+        self.replica.as_ref().map(|r| r.id.clone())
     }
-}
 
-impl ReadEntry {
     /// Parses the value of the entry and applies it.
-    fn apply_value(&mut self, node: &Node, value: &[u8], previous: Option<&PublishedReplica>) {
+    fn apply_value(&mut self, node: &Node, now: Instant, value: &[u8], previous: &Self) {
         let key = &self.key;
         match node.directory_client.parse_entry(key, value) {
             ParsedEntry::Table(table) => node.set_table(table),
             ParsedEntry::Replica(replica) => {
                 // A cold replica publishes its remaining cold time periodically.
-                if previous.is_none_or(|p| !p.differs_only_in_cold_until(&replica)) {
+                let known = previous.replica.as_ref();
+                if known.is_none_or(|p| !p.differs_only_in_cold_until(&replica)) {
                     log_replica(node, &replica);
                 }
+                let is_restored = era_of(self.revision) > era_of(previous.revision);
+                if is_restored && previous.removed_start == Some(replica.start_unix_ms) {
+                    self.in_doubt_until = Some(now + RESTORED_REPLICA_DOUBT);
+                }
                 self.replica = Some(replica);
             }
             ParsedEntry::DrainedZone(zone) => self.drained_zone = Some(zone),
@@ -182,6 +195,33 @@
             ParsedEntry::Other => {}
         }
     }
+
+    /// Applies the removal of the entry. If the store has failed, its replica stays in use for a while, and its
+    /// zone drained.
+    fn apply_lapse(&mut self, node: &Node, now: Instant, previous: &mut Self, store_failed: bool) {
+        self.removed_start = previous.removed_start;
+        let grace_end = store_failed.then(|| now + LAPSED_REPLICA_GRACE);
+        if let Some(replica) = previous.replica.take() {
+            let id = &replica.id;
+            if !replica.leaving {
+                node.metrics.count_expired_replica();
+            }
+            node.log.line(
+                Priority::High,
+                format_args!("event=replica_gone replica={id} store_trouble={store_failed}"),
+            );
+            self.removed_start = Some(replica.start_unix_ms);
+            if store_failed && !replica.leaving {
+                self.replica = Some(replica);
+                self.in_force_until = grace_end;
+            }
+        }
+        let is_restored = era_of(self.revision) > era_of(previous.revision);
+        if is_restored && previous.drained_zone.is_some() {
+            self.drained_zone = previous.drained_zone.take();
+            self.in_force_until = grace_end;
+        }
+    }
 }
 
 /// Logs a new or changed replica.
