Forget a peer's revision when it restarts

A digest of another incarnation now replaces the revision; within one incarnation the highest counts, as before. a_restarted_peer_counts_as_behind_until_it_says_otherwise fails without the change and passes with it.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -287,7 +287,9 @@
             };
         }
         let is_new = !same_incarnation || !peer.is_live(now);
-        digest.upto = digest.upto.max(peer.digest.upto);
+        if same_incarnation {
+            digest.upto = digest.upto.max(peer.digest.upto);
+        }
         peer.count_load(&mut self.remote_load, &digest.loads);
         peer.digest = digest;
         peer.last_digest_at = Some(now);
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -356,3 +356,23 @@
     assert!(effects.silent.contains(&address(1)), "{:?}", effects.silent);
     assert_eq!(peers.drop_silent(later), Vec::<Ipv4Addr>::new());
 }
+
+/// Guards against instances that ask a restarted peer for entries again and again: its revision from before
+/// the restart counted, although it has none of the entries yet.
+#[test]
+fn a_restarted_peer_counts_as_behind_until_it_says_otherwise() {
+    let now = Instant::now();
+    let mut peers = Peers::new(now, OWN, true).with_zones([(1, Distance::SameZone)]);
+    let with_upto = |incarnation, seq, upto| Digest {
+        seq,
+        upto,
+        ..digest(incarnation)
+    };
+    let is_ahead = |peers: &Peers| peers.pick_sync_peer(now, 30, (1, 1), 0).is_some();
+    peers.on_digest(now, address(1), with_upto(1, 1, 40));
+    assert!(is_ahead(&peers));
+    peers.on_digest(now, address(1), with_upto(2, 1, 0));
+    assert!(!is_ahead(&peers));
+    peers.on_digest(now, address(1), with_upto(2, 2, 41));
+    assert!(is_ahead(&peers));
+}
