--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -97,6 +97,8 @@
 
 #[derive(Debug)]
 struct Store {
+    /// Number of times that it was restored from a copy.
+    era: u32,
     /// Sorted by name.
     histories: Vec<History>,
     calls: PlatformCalls,
@@ -107,6 +109,7 @@
 impl Store {
     fn new() -> Self {
         Self {
+            era: 0,
             histories: Vec::new(),
             calls: PlatformCalls::default(),
             second: Instant::now(),
@@ -138,6 +141,15 @@
         }
     }
 
+    /// Loses the latest versions of each value, but for its first one.
+    fn restore(&mut self, lost: usize) {
+        self.era += 1;
+        for history in &mut self.histories {
+            let kept = history.versions.len().saturating_sub(lost).max(1);
+            history.versions.truncate(kept);
+        }
+    }
+
     /// The version that a reader sees now.
     fn seen(&self, name: &str, faults: &PlatformFaults) -> Option<Published> {
         let versions = &self.histories[self.position(name).ok()?].versions;
@@ -217,6 +229,11 @@
         self.shared.store().publish(name, version, value);
     }
 
+    /// Comes back from a copy that lacks so many of the latest versions of each value.
+    pub fn restore(&self, lost: usize) {
+        self.shared.store().restore(lost);
+    }
+
     /// Counts of calls.
     pub fn calls(&self) -> PlatformCalls {
         self.shared.store().calls
@@ -233,6 +250,9 @@
 struct Watch {
     #[serde(default)]
     version: Option<u64>,
+    /// Era of that version, if the reader knows of eras.
+    #[serde(default)]
+    era: Option<u32>,
     #[serde(default)]
     wait_ms: u64,
 }
@@ -253,13 +273,18 @@
         if faults.down {
             return (StatusCode::SERVICE_UNAVAILABLE, "down").into_response();
         }
-        let seen = shared.store().seen(&name, &faults);
+        let (seen, era) = {
+            let store = shared.store();
+            (store.seen(&name, &faults), store.era)
+        };
         let waited = Instant::now() >= end;
+        let is_restored = watch.era.is_some_and(|known| era > known);
+        let is_news = |seen: &Published| {
+            is_restored || watch.version.is_none_or(|version| seen.version > version)
+        };
         match seen {
-            Some(seen) if watch.version.is_none_or(|version| seen.version > version) => {
-                return value(&seen);
-            }
-            Some(seen) if waited => return no_news(&seen, watch.version),
+            Some(seen) if is_news(&seen) => return value(&seen, era),
+            Some(seen) if waited => return no_news(&seen, era, watch.version),
             None if waited => return (StatusCode::NOT_FOUND, "no such value").into_response(),
             _ => tokio::time::sleep(WATCH_POLL).await,
         }
@@ -268,15 +293,15 @@
 
 /// The answer to a watch that ends without anything newer: a platform that lies behind hands out
 /// its older value.
-fn no_news(seen: &Published, version: Option<u64>) -> Response {
+fn no_news(seen: &Published, era: u32, version: Option<u64>) -> Response {
     if Some(seen.version) == version {
         return StatusCode::NOT_MODIFIED.into_response();
     }
-    value(seen)
+    value(seen, era)
 }
 
-fn value(seen: &Published) -> Response {
-    Json(json!({"version": seen.version, "value": *seen.value})).into_response()
+fn value(seen: &Published, era: u32) -> Response {
+    Json(json!({"version": seen.version, "era": era, "value": *seen.value})).into_response()
 }
 
 /// Version under which a value is published.
