Follow the platform's list of instances across a restore

An answer of the platform may name its era, an older one has 0. A reader says which era it knows and is answered at once by a later one. The list of instances is the platform's own: its era is the upper part of its version, also between peers. Table and services are the operator's and never go back, as before. The first list of an era ends no report that an upstream leaves.

--- a/crates/decisions/src/membership/upstreams.rs
+++ b/crates/decisions/src/membership/upstreams.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::id::{UpstreamId, Version};
+use crate::store_view::era_of;
 use crate::values::{Instances, Role, State};
 
 use super::message::LeavingUpstream;
@@ -74,6 +75,8 @@
         version: Version,
         list: &Instances,
     ) -> Vec<LeavingUpstream> {
+        // A list from a copy may be older than the report.
+        let is_restored = era_of(version) > era_of(self.version);
         self.version = version;
         let listed = |state| {
             let mut ids = list
@@ -91,7 +94,9 @@
             .collect();
         let live = listed(State::Live);
         for upstream in &mut self.records {
-            if live.binary_search(&&upstream.id).is_err() {
+            if is_restored {
+                upstream.confirmed = false;
+            } else if live.binary_search(&&upstream.id).is_err() {
                 upstream.confirmed = true;
             } else if upstream.leaving && upstream.confirmed {
                 upstream.clear_leaving(version);
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -13,6 +13,7 @@
 use http_body_util::Full;
 use kingcupfield_decisions::configuration::ValueName;
 use kingcupfield_decisions::id::Version;
+use kingcupfield_decisions::store_view::{Era, era_of, number_of, revision_in_era};
 use rand::RngExt;
 use serde::Deserialize;
 use serde_json::Value;
@@ -52,6 +53,9 @@
 #[derive(Deserialize)]
 struct Published {
     version: Version,
+    /// Number of times that the platform was restored from a copy.
+    #[serde(default)]
+    era: Era,
     value: Value,
 }
 
@@ -97,21 +101,34 @@
     pub async fn run(self) {
         let mut pause = FIRST_PAUSE;
         let mut turn = 0;
+        let mut era = 0;
         // A refused version is not asked for again, or it would be answered at once for ever.
         let mut seen = 0;
         let mut view = self.members.watch();
         loop {
             let address = self.addresses[turn % self.addresses.len()];
             let held = self.fleet.version(self.name).unwrap_or(0);
+            if era_of(held) > era {
+                era = era_of(held);
+                seen = 0;
+            }
+            let asked = number_of(held).max(seen);
             let reader = view.borrow_and_update().reads_platform;
             let wait = if reader { POLL_WAIT } else { Duration::ZERO };
-            let polled = self.poll(address, held.max(seen), wait).await;
+            let polled = self.poll(address, era, asked, wait).await;
             self.count(&polled);
             match polled {
                 Polled::News(published) => {
                     seen = published.version;
-                    self.fleet
-                        .offer(self.name, published.version, &published.value);
+                    if published.era > era {
+                        log::warn!(
+                            "event=platform_restored name={} era={} before={era}",
+                            self.name.as_str(),
+                            published.era
+                        );
+                    }
+                    era = published.era.max(era);
+                    self.offer(&published);
                     self.fleet.heard_platform(self.name);
                     pause = FIRST_PAUSE;
                     self.rest(&mut view).await;
@@ -130,6 +147,25 @@
         }
     }
 
+    /// Offers an answer to the fleet. The list of instances is the platform's own, so one of a later era counts
+    /// whatever its version. The other values are the operator's, whose versions never go back.
+    fn offer(&self, published: &Published) {
+        let version = match self.name {
+            ValueName::Instances => revision_in_era(published.era, published.version),
+            ValueName::Table | ValueName::Services => Some(published.version),
+        };
+        let Some(version) = version else {
+            log::error!(
+                "event=value_refused name={} reason=version_out_of_range era={} version={}",
+                self.name.as_str(),
+                published.era,
+                published.version
+            );
+            return;
+        };
+        self.fleet.offer(self.name, version, &published.value);
+    }
+
     /// Rests between two answered polls, long unless this instance reads for its zone.
     async fn rest(&self, view: &mut watch::Receiver<Arc<View>>) {
         sleep(SHORTEST_TURN).await;
@@ -140,9 +176,15 @@
         }
     }
 
-    async fn poll(&self, address: SocketAddr, version: Version, wait: Duration) -> Polled {
+    async fn poll(
+        &self,
+        address: SocketAddr,
+        era: Era,
+        version: Version,
+        wait: Duration,
+    ) -> Polled {
         let uri = format!(
-            "http://{address}/v1/values/{}?version={version}&wait_ms={}",
+            "http://{address}/v1/values/{}?version={version}&era={era}&wait_ms={}",
             self.name.as_str(),
             wait.as_millis()
         );
