Name what newcomers would stumble over in the copies from peers

Names, a shorter signature and a question of the view in place of a comparison; no change of behaviour.

--- a/crates/decisions/src/store_view.rs
+++ b/crates/decisions/src/store_view.rs
@@ -91,6 +91,11 @@
         self.large_upto
     }
 
+    /// Whether large entries are missing that belong to the known ones.
+    pub fn lacks_large_entries(&self) -> bool {
+        self.large_upto < self.small_upto
+    }
+
     /// All entries, including removed ones, sorted by key.
     pub fn entries(&self) -> &[Entry] {
         &self.entries
--- a/crates/entry/src/directory/peer_sync.rs
+++ b/crates/entry/src/directory/peer_sync.rs
@@ -12,7 +12,7 @@
 use crate::large_values::CompressedEntry;
 use crate::log::Priority;
 use crate::node::Node;
-use crate::snapshot::{self, Fetched, LargeEntries, Snapshot, SnapshotQuery};
+use crate::snapshot::{self, LargeEntries, Snapshot, SnapshotQuery};
 
 use super::{Upto, apply_directory, prepare_era};
 
@@ -63,20 +63,11 @@
     let started = Instant::now();
     match snapshot::fetch(peer, query).await {
         Ok(fetched) => {
-            log_fetched(
-                node,
-                peer,
-                "changes",
-                &fetched,
-                fetched.content.upto,
-                started,
-            );
+            let upto = fetched.content.upto;
+            log_fetched(node, peer, "changes", upto, fetched.bytes, started);
             apply_snapshot(node, fetched.content);
-            let is_complete = {
-                let view = node.directory.borrow();
-                view.large_up_to() >= view.small_up_to()
-            };
-            if !is_complete {
+            let lacks_large_entries = node.directory.borrow().lacks_large_entries();
+            if lacks_large_entries {
                 start_large_fetch(node, peer);
             }
         }
@@ -109,14 +100,8 @@
         let started = Instant::now();
         match snapshot::fetch_large(peer, after).await {
             Ok(fetched) => {
-                log_fetched(
-                    &node,
-                    peer,
-                    "large",
-                    &fetched,
-                    fetched.content.upto,
-                    started,
-                );
+                let upto = fetched.content.upto;
+                log_fetched(&node, peer, "large", upto, fetched.bytes, started);
                 apply_large_entries(&node, peer, fetched.content);
             }
             Err(e) => log_unreachable(&node, peer, &e),
@@ -167,18 +152,18 @@
     node.state_changed.notify_one();
 }
 
-fn log_fetched<T>(
+/// Logs what a peer has sent.
+fn log_fetched(
     node: &Node,
     peer: SocketAddr,
     part: &str,
-    fetched: &Fetched<T>,
     upto: Revision,
+    bytes: usize,
     started: Instant,
 ) {
     let before = number_of(node.directory.borrow().complete_up_to());
     let upto = Upto(upto);
     let ms = started.elapsed().as_millis();
-    let bytes = fetched.bytes;
     node.log.line(
         Priority::High,
         format_args!(
@@ -187,6 +172,7 @@
     );
 }
 
+/// Logs that a peer did not send what it was asked for.
 fn log_unreachable(node: &Node, peer: SocketAddr, e: &std::io::Error) {
     let reason = e.to_string();
     node.log.line(
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -184,7 +184,7 @@
 fn large_entries_response(node: &Node, after: &str) -> Response<Full<Bytes>> {
     let view = node.directory.borrow();
     let mut reader = node.directory_reader.borrow_mut();
-    let entries = snapshot::large_after_revision(&view, after.parse().unwrap_or(0))
+    let entries = snapshot::large_entries_after(&view, after.parse().unwrap_or(0))
         .map(|entry| reader.large_values.get(entry))
         .collect::<std::io::Result<Vec<_>>>();
     match entries {
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -109,7 +109,7 @@
             };
         };
         let small = view.entries().iter().filter(|e| !e.is_large());
-        let left_out = large_after_revision(view, large_after);
+        let left_out = large_entries_after(view, large_after);
         let first_left_out = left_out.map(|e| e.revision).min();
         Self {
             upto: view.small_up_to(),
@@ -121,7 +121,7 @@
 }
 
 /// The large entries of a view that changed after a revision.
-pub fn large_after_revision(view: &StoreView, after: Revision) -> impl Iterator<Item = &Entry> {
+pub fn large_entries_after(view: &StoreView, after: Revision) -> impl Iterator<Item = &Entry> {
     let large = view.entries().iter().filter(|e| e.is_large());
     large.filter(move |e| e.revision > after)
 }
