Say once what the view removes, and which states it keeps

Found by a last read of the change; behaviour stays as it is.

- StoreView removed unlisted entries in two loops, one for a list and one for a new era: now one, with what may be removed as a condition.
- The rule that nothing returns to an earlier state was asked for in the same way in two files: now keep_later_states of the directory.

--- a/crates/decisions/src/store_view.rs
+++ b/crates/decisions/src/store_view.rs
@@ -133,17 +133,8 @@
     ///
     /// An entry that is not in the list was removed by then, unless a later change of it is known.
     pub fn apply_list(&mut self, upto: Revision, list: Vec<Entry>) -> Vec<String> {
-        let mut changed = Vec::new();
-        let mut listed: Vec<&str> = list.iter().map(|e| &*e.key).collect();
-        listed.sort_unstable();
-        for entry in &mut self.entries {
-            let is_listed = listed.binary_search(&&*entry.key).is_ok();
-            if !is_listed && entry.value.is_some() && entry.revision <= upto {
-                entry.value = None;
-                entry.revision = upto;
-                changed.push(entry.key.clone());
-            }
-        }
+        let was_removed = |e: &Entry| e.value.is_some() && e.revision <= upto;
+        let mut changed = self.remove_unlisted(upto, &list, was_removed);
         changed.extend(self.apply_changes(upto, list));
         changed
     }
@@ -166,7 +157,10 @@
     ) -> Vec<String> {
         let mut changed = Vec::new();
         if era_of(upto) > era_of(self.small_upto) {
-            changed = self.remove_unlisted(era_of(upto), &entries);
+            // The removal precedes all changes of the era.
+            let era_start = u64::from(era_of(upto)) << NUMBER_BITS;
+            let was_removed = |e: &Entry| !e.is_large() && e.revision < era_start;
+            changed = self.remove_unlisted(era_start, &entries, was_removed);
         }
         self.small_upto = self.small_upto.max(upto);
         self.large_upto = self.large_upto.max(large_upto);
@@ -174,20 +168,23 @@
         changed
     }
 
-    /// Removes the entries of earlier eras that are neither large nor in `entries`, which are all of this
-    /// era that are not large; returns their keys. The removal precedes all changes of the era.
-    fn remove_unlisted(&mut self, era: Era, entries: &[Entry]) -> Vec<String> {
-        let mut listed: Vec<&str> = entries.iter().map(|e| &*e.key).collect();
+    /// Removes, as of revision `at`, the entries that are not in `listed` and fulfil `was_removed`; returns
+    /// the keys of those that had a value.
+    fn remove_unlisted<F>(&mut self, at: Revision, listed: &[Entry], was_removed: F) -> Vec<String>
+    where
+        F: Fn(&Entry) -> bool,
+    {
+        let mut listed: Vec<&str> = listed.iter().map(|e| &*e.key).collect();
         listed.sort_unstable();
-        let era_start = u64::from(era) << NUMBER_BITS;
         let mut removed = Vec::new();
         for entry in &mut self.entries {
             let is_listed = listed.binary_search(&&*entry.key).is_ok();
-            if !is_listed && !entry.is_large() && entry.revision < era_start {
-                if entry.value.take().is_some() {
-                    removed.push(entry.key.clone());
-                }
-                entry.revision = era_start;
+            if is_listed || !was_removed(entry) {
+                continue;
+            }
+            entry.revision = at;
+            if entry.value.take().is_some() {
+                removed.push(entry.key.clone());
             }
         }
         removed
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::id::UpstreamId;
-use kingcupfield_decisions::store_view::{Entry, Revision, era_of, number_of};
+use kingcupfield_decisions::store_view::{Entry, Revision, StoreView, era_of, number_of};
 use rand::RngExt as _;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -265,10 +265,16 @@
             era_of(upto)
         ),
     );
+    keep_later_states(node, &view, entries);
+}
+
+/// Keeps the known values of entries that the copy of a restored store would return to an earlier state;
+/// returns how many.
+fn keep_later_states(node: &Node, view: &StoreView, entries: &mut [Entry]) -> usize {
     let client = &node.directory_client;
     view.keep_later_states(entries, |key, value, than| {
         client.is_earlier_state(key, value, than)
-    });
+    })
 }
 
 /// Parses the entries that have changed, and passes the table, the drained zones and the replicas
--- a/crates/entry/src/directory/peer_sync.rs
+++ b/crates/entry/src/directory/peer_sync.rs
@@ -14,7 +14,7 @@
 use crate::node::Node;
 use crate::snapshot::{self, LargeEntries, Snapshot, SnapshotQuery};
 
-use super::{Upto, apply_directory, prepare_era};
+use super::{Upto, apply_directory, keep_later_states, prepare_era};
 
 /// Minimum interval of directory requests to peers.
 pub(super) const MIN_PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(30);
@@ -135,11 +135,8 @@
         Ok(entries) => entries,
         Err(e) => return log_unreachable(node, peer, &e),
     };
-    let client = &node.directory_client;
     let mut view = node.directory.borrow_mut();
-    let is_earlier =
-        |key: &str, value: &[u8], than: &[u8]| client.is_earlier_state(key, value, than);
-    let is_unchanged = view.keep_later_states(&mut entries, is_earlier) == 0;
+    let is_unchanged = keep_later_states(node, &view, &mut entries) == 0;
     let changed = view.apply_large_changes(large.upto, entries);
     drop(view);
     if is_unchanged {
