Start the instances of three tests in one place, and fetch without a case that nobody asks for

Found by a last read of the change; behaviour stays as it is.

- tests/peers.rs, tests/slow_links.rs and tests/platform_restored.rs each wrote settings and a secret and started an instance: now tests/support/instance.rs, with the fields that differ.

No assertion changed.

--- a/crates/entry/src/directory/peer_sync.rs
+++ b/crates/entry/src/directory/peer_sync.rs
@@ -12,7 +12,7 @@
 use crate::large_values::CompressedEntry;
 use crate::log::Priority;
 use crate::node::Node;
-use crate::snapshot::{self, LargeEntries, Snapshot, SnapshotQuery};
+use crate::snapshot::{self, LargeEntries, Snapshot};
 
 use super::{Upto, apply_directory, keep_later_states, prepare_era};
 
@@ -53,15 +53,12 @@
     let Some(peer) = pick_peer(node, known_up_to(node)) else {
         return;
     };
-    let query = {
+    let (after, large_after) = {
         let view = node.directory.borrow();
-        SnapshotQuery {
-            after: view.small_up_to(),
-            large_after: Some(view.large_up_to()),
-        }
+        (view.small_up_to(), view.large_up_to())
     };
     let started = Instant::now();
-    match snapshot::fetch(peer, query).await {
+    match snapshot::fetch(peer, after, large_after).await {
         Ok(fetched) => {
             let upto = fetched.content.upto;
             log_fetched(node, peer, "changes", upto, fetched.bytes, started);
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -78,7 +78,8 @@
 pub struct SnapshotQuery {
     /// Revision up to which the caller has all entries that are not large.
     pub after: Revision,
-    /// Revision up to which it has the large ones; `None` to get them with the others.
+    /// Revision up to which it has the large ones; `None` if it gets them with the others, as instances of an
+    /// earlier build do.
     pub large_after: Option<Revision>,
 }
 
@@ -126,18 +127,19 @@
     large.filter(move |e| e.revision > after)
 }
 
-/// Gets the entries from a peer that `query` asks for.
-pub async fn fetch(peer: SocketAddr, query: SnapshotQuery) -> std::io::Result<Fetched<Snapshot>> {
-    let max_wait = if query.after == 0 {
+/// Gets the entries from a peer that changed after the revision `after`, but for the large ones after
+/// `large_after`.
+pub async fn fetch(
+    peer: SocketAddr,
+    after: Revision,
+    large_after: Revision,
+) -> std::io::Result<Fetched<Snapshot>> {
+    let max_wait = if after == 0 {
         FULL_RESPONSE_TIMEOUT
     } else {
         CHANGES_RESPONSE_TIMEOUT
     };
-    let after = query.after;
-    let uri = match query.large_after {
-        Some(large_after) => format!("{SNAPSHOT_PATH}?{after}&{large_after}"),
-        None => format!("{SNAPSHOT_PATH}?{after}"),
-    };
+    let uri = format!("{SNAPSHOT_PATH}?{after}&{large_after}");
     get(peer, &uri, max_wait).await
 }
 
--- a/crates/entry/tests/snapshot.rs
+++ b/crates/entry/tests/snapshot.rs
@@ -27,11 +27,7 @@
     let peer = listener.local_addr().expect("an address");
     let local = tokio::task::LocalSet::new();
     let started = Instant::now();
-    let query = SnapshotQuery {
-        after: case.after,
-        large_after: Some(0),
-    };
-    let result = local.run_until(snapshot::fetch(peer, query)).await;
+    let result = local.run_until(snapshot::fetch(peer, case.after, 0)).await;
     assert!(result.is_err());
     assert!(
         started.elapsed() <= case.max_time,
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -1,7 +1,5 @@
 //! What an instance takes from other instances: nothing from strangers, nothing malformed.
 
-use std::fs;
-use std::path::PathBuf;
 use std::time::Duration;
 
 use jsonrpsee::core::client::{ClientT, Error};
@@ -12,30 +10,20 @@
 use kingcupfield::issue::hand_over;
 use kingcupfield::message::{DELIVER, Envelope, PROTOCOL, PeerMessage};
 use kingcupfield::peers::{PeerToken, connect};
-use kingcupfield::settings::Settings;
 use kingcupfield_decisions::idempotency::DispatchRights;
 use kingcupfield_decisions::membership::{Claim, Health, MembershipMessage};
 use kingcupfield_decisions::slots::ToOwner;
 use serde_json::{Value, json};
 use yare::parameterized;
 
-const SECRET: &str = "a secret of tests, long enough to sign keys";
+use instance::SECRET;
+
+#[path = "support/instance.rs"]
+mod instance;
 
 /// An instance in this process, before a platform that is down.
-async fn start(name: &str) -> Instance {
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
-        .join(format!("peers-{name}-{}", std::process::id()));
-    fs::create_dir_all(&dir).expect("a folder");
-    fs::write(dir.join("secret.key"), SECRET).expect("the secret");
-    let settings = json!({
-        "instance": "a", "availability_zone": "z", "region": "r", "listen": "127.0.0.1:0",
-        "admin_listen": "127.0.0.1:0", "rpc_listen": "127.0.0.1:0", "platform": ["127.0.0.1:9"],
-        "key_secret_file": "secret.key",
-    });
-    let path = dir.join("settings.json");
-    fs::write(&path, settings.to_string()).expect("the settings");
-    let cfg = Settings::read(&path).expect("valid settings");
-    Instance::start(&cfg).await.expect("an instance")
+async fn start(test: &str) -> Instance {
+    instance::start(&format!("peers-{test}"), json!({})).await
 }
 
 async fn peer(instance: &Instance) -> WsClient {
--- a/tests/platform_restored.rs
+++ b/tests/platform_restored.rs
@@ -1,17 +1,19 @@
 //! A platform that comes back from a copy: versions of its list are given out again.
 
-use std::fs;
-use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use kingcupfield::fleet::Snapshot;
 use kingcupfield::instance::Instance;
-use kingcupfield::settings::Settings;
+use kingcupfield::members::View;
 use kingcupfield_decisions::configuration::ValueName;
 use kingcupfield_standins::platform::{Platform, PlatformConfig};
 use serde_json::{Value, json};
 use tokio::time::timeout;
 
+#[path = "support/instance.rs"]
+mod instance;
+
 /// Longest time until a change is in force that operators accept.
 const MAX_CHANGE_TIME: Duration = Duration::from_secs(3);
 
@@ -34,27 +36,10 @@
             "key_sha256": [format!("{:064x}", 1)], "requests_per_s": requests_per_s}]})
 }
 
-async fn start(platform: &Platform) -> Instance {
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
-        .join(format!("platform-restored-{}", std::process::id()));
-    fs::create_dir_all(&dir).expect("a folder");
-    let secret = "a secret of tests, long enough to sign keys";
-    fs::write(dir.join("secret.key"), secret).expect("the secret");
-    let settings = json!({
-        "instance": "a", "availability_zone": "z", "region": "r", "listen": "127.0.0.1:0",
-        "admin_listen": "127.0.0.1:0", "rpc_listen": "127.0.0.1:0", "platform": [platform.addr()],
-        "key_secret_file": "secret.key",
-    });
-    let path = dir.join("settings.json");
-    fs::write(&path, settings.to_string()).expect("the settings");
-    let cfg = Settings::read(&path).expect("valid settings");
-    Instance::start(&cfg).await.expect("an instance")
-}
-
 /// Whether a snapshot that meets the condition comes into force in time.
 async fn comes_into_force<F>(instance: &Instance, condition: F) -> bool
 where
-    F: FnMut(&std::sync::Arc<Snapshot>) -> bool,
+    F: FnMut(&Arc<Snapshot>) -> bool,
 {
     let mut snapshots = instance.shared().fleet.watch();
     timeout(MAX_CHANGE_TIME, snapshots.wait_for(condition))
@@ -80,11 +65,11 @@
     platform.publish("instances", 1, list(&[("u-1", "live")]));
     platform.publish("instances", 2, list(&[("u-1", "leaving")]));
     platform.publish("instances", 3, list(&[("u-1", "leaving"), ("u-3", "live")]));
-    let instance = start(&platform).await;
+    let instance =
+        instance::start("platform-restored", json!({"platform": [platform.addr()]})).await;
     assert!(comes_into_force(&instance, |s| s.instances.instance("u-3").is_some()).await);
     let mut view = instance.shared().members.watch();
-    let leaves =
-        |view: &std::sync::Arc<kingcupfield::members::View>| view.is_leaving(&"u-1".into());
+    let leaves = |view: &Arc<View>| view.is_leaving(&"u-1".into());
     assert!(
         timeout(MAX_CHANGE_TIME, view.wait_for(leaves))
             .await
--- a/tests/slow_links.rs
+++ b/tests/slow_links.rs
@@ -1,13 +1,10 @@
 //! Published values that pass between instances and from the platform over slow links.
 
-use std::fs;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
 use std::time::Duration;
 
 use kingcupfield::connector::Connector;
 use kingcupfield::instance::Instance;
-use kingcupfield::settings::Settings;
 use kingcupfield_decisions::configuration::ValueName;
 use kingcupfield_standins::platform::{Platform, PlatformConfig};
 use serde_json::{Value, json};
@@ -15,6 +12,8 @@
 
 use relay::{Link, Relay};
 
+#[path = "support/instance.rs"]
+mod instance;
 #[path = "support/relay.rs"]
 mod relay;
 
@@ -47,31 +46,6 @@
         "address": "127.0.0.1:9", "rpc_address": rpc.to_string(), "state": "live"}]})
 }
 
-async fn start(
-    name: &str,
-    rpc: SocketAddr,
-    platform: SocketAddr,
-    contacts: &[SocketAddr],
-) -> Instance {
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
-        .join(format!("slow-links-{name}-{}", std::process::id()));
-    fs::create_dir_all(&dir).expect("a folder");
-    fs::write(
-        dir.join("secret.key"),
-        "a secret of tests, long enough to sign keys",
-    )
-    .expect("the secret");
-    let settings = json!({
-        "instance": name, "availability_zone": "z", "region": "r", "listen": "127.0.0.1:0",
-        "admin_listen": "127.0.0.1:0", "rpc_listen": rpc, "platform": [platform],
-        "peers": contacts, "key_secret_file": "secret.key",
-    });
-    let path = dir.join("settings.json");
-    fs::write(&path, settings.to_string()).expect("the settings");
-    let cfg = Settings::read(&path).expect("valid settings");
-    Instance::start(&cfg).await.expect("an instance")
-}
-
 /// Guards against a starting instance that never gets a large table from a contact: the answer had a fixed
 /// time, however large it was.
 #[tokio::test]
@@ -85,11 +59,11 @@
     platform.publish("table", 1, table(ROWS));
     platform.publish("services", 1, json!({"services": []}));
     platform.publish("instances", 1, instances(to_reader.addr()));
-    let reader = start("a", reader_rpc, platform.addr(), &[]).await;
+    let differences = json!({"rpc_listen": reader_rpc, "platform": [platform.addr()]});
+    let reader = instance::start("slow-links", differences).await;
     assert!(has_table(&reader).await, "the first one reads it");
-    let no_platform = SocketAddr::from(([127, 0, 0, 1], 9));
-    let contacts = [to_reader.addr()];
-    let starting = start("b", free_address(), no_platform, &contacts).await;
+    let differences = json!({"instance": "b", "peers": [to_reader.addr()]});
+    let starting = instance::start("slow-links", differences).await;
     assert!(has_table(&starting).await);
 }
 
