Log the software version of replicas and which stream a request resumes

The logs of the ORDER incident could not tell its hypotheses apart: neither the version of a replica nor a caller's resumption was in them. replica, sent and stream_ended lines have the version, sent lines the attempt that began the stream and the last event. No decision is changed.

--- a/crates/decisions/src/id.rs
+++ b/crates/decisions/src/id.rs
@@ -24,7 +24,10 @@
 /// Identifier of a request: receiving instance, its incarnation and a counter.
 pub type RequestId = Arc<str>;
 
-/// Hash of the name of a replica, service, organisation or zone, used in messages between
+/// Version of a replica's software, as it publishes it. Versions have no order.
+pub type SoftwareVersion = Arc<str>;
+
+/// Hash of the name of a replica, service, organisation, zone or software version, used in messages between
 /// instances.
 pub type NameHash = u32;
 
--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -31,6 +31,8 @@
     pub expected_output_tokens: Option<u32>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<String>,
+    /// Id of the caller's attempt that brought the first event of the stream that it resumes.
+    pub resumed_attempt_id: Option<String>,
 }
 
 impl RequestMeta {
--- a/crates/entry/src/directory/reader.rs
+++ b/crates/entry/src/directory/reader.rs
@@ -250,9 +250,10 @@
     node.log.line(
         Priority::High,
         format_args!(
-            "event=replica replica={} service={} address={} zone={} born={} leaving={} cold_ms={cold_ms}",
+            "event=replica replica={} service={} version={} address={} zone={} born={} leaving={} cold_ms={cold_ms}",
             replica.id,
             replica.service,
+            replica.software_version,
             replica.address,
             replica.zone,
             replica.start_unix_ms,
--- a/crates/entry/src/replica.rs
+++ b/crates/entry/src/replica.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use kingcupfield_decisions::id::{ServiceId, UpstreamId, ZoneId};
+use kingcupfield_decisions::id::{ServiceId, SoftwareVersion, UpstreamId, ZoneId};
 use tokio::time::Instant;
 
 /// The directory entry of a replica.
@@ -15,6 +15,8 @@
     pub start_unix_ms: u64,
     /// Service that it provides.
     pub service: ServiceId,
+    /// Version of its software. A stream can't go on at another version than the one that began it.
+    pub software_version: SoftwareVersion,
     /// Address at which it accepts requests.
     pub address: SocketAddr,
     /// Availability zone in which it runs.
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -225,7 +225,7 @@
             let Some(target) = self.target(node, &slot) else {
                 continue;
             };
-            request_log::log_sent(node, self, &slot);
+            request_log::log_sent(node, self, &target, &slot);
             unanswered.replica = Some(slot.upstream.clone());
             match self.send(node, &target, slot, &mut active).await {
                 NextStep::Respond(response) => return Ok(*response),
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -14,21 +14,24 @@
 use crate::exchange::SendFailure;
 use crate::log::Priority;
 use crate::metrics::Phase;
-use crate::node::{Node, ProcessState, SlotGuard};
+use crate::node::{Node, ProcessState, SlotGuard, Target};
 use crate::refusal::Refusal;
 use crate::request::RequestContext;
 
 /// Logs that a request was assigned a slot and is sent to a replica.
-pub fn log_sent(node: &Node, ctx: &RequestContext, slot: &SlotGuard) {
+pub fn log_sent(node: &Node, ctx: &RequestContext, target: &Target, slot: &SlotGuard) {
     let selection = slot.selection;
     let organisation = ctx.organisation.as_ref().map_or("-", |o| &*o.name);
     node.log.line(
         Priority::Low,
         format_args!(
-            "event=sent id={} replica={} service={} route={} organisation={organisation} table={} wait_ms={} try={} cost_ms={:.0} with_room={} own={} elsewhere={} elsewhere_age_ms={} cold={} limit={} credit_ms={} keeper={}",
+            "event=sent id={} replica={} service={} version={} resumes={} last_event={:?} route={} organisation={organisation} table={} wait_ms={} try={} cost_ms={:.0} with_room={} own={} elsewhere={} elsewhere_age_ms={} cold={} limit={} credit_ms={} keeper={}",
             ctx.meta.attempt_id,
             slot.upstream,
             ctx.service,
+            target.published.software_version,
+            ctx.meta.resumed_attempt_id.as_deref().unwrap_or("-"),
+            ctx.meta.last_event_id,
             ctx.route.name,
             node.table_version(),
             ctx.waited.as_millis(),
@@ -133,10 +136,12 @@
     last_event_id: Option<&str>,
 ) {
     node.metrics.count_outcome(outcome);
+    let target = node.target(&replica.into());
+    let version = target.map_or_else(|| "-".into(), |t| t.published.software_version.clone());
     node.log.line(
         Priority::High,
         format_args!(
-            "event=stream_ended id={} how={outcome} replica={replica} after_ms={} runs={} last_event={last_event_id:?}",
+            "event=stream_ended id={} how={outcome} replica={replica} version={version} after_ms={} runs={} last_event={last_event_id:?}",
             ctx.meta.attempt_id,
             ctx.received.elapsed().as_millis(),
             ctx.runs,
