Keep a stream at the software version that began it

Cause: the version of a replica was no part of the choice of a replica. It was not read from the directory, a caller's resumption was an ordinary request at an instance that had not seen the stream, and the relay asked for the rest at any replica. Class: what a stream depends on was known to the instance that began it at most.

Change: a request that goes on with a stream is bound to the version that began it. - Within a response the relay binds the request to the version of the first event that it has sent. - For a caller's resumption the instance looks for its own or another instance's record of the stream, named by Resumes. While one version served alone for as long as a stream lasts, nothing is recorded elsewhere: the instance asks the store whether that still holds, and that one version began the stream. Otherwise a few instances, chosen by a hash of the stream, are told at the first event, and again every 2 s, and are asked. - What is not known is refused as not run, and never guessed: after a start, a listing that may hide replicas that came and went, or a route that moved to another service, the history of the versions is incomplete until another instance completes it. - The service of a split route is part of what is recorded.

Why it works: a record is written by the instance that chose the replica and never changes, so old or partitioned instances can only lack one. That a version is alone is concluded only from a gapless history up to an answer of the store that was asked for after the caller came, and an instance can have learned of a version from the store alone.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -25,7 +25,7 @@
 use tokio::time::Instant;
 
 use crate::cells::OwnCell;
-use crate::id::{InstanceAddress, ServiceId, UpstreamId};
+use crate::id::{InstanceAddress, NameHash, ServiceId, UpstreamId};
 use crate::regions::Regions;
 use crate::replica_limit::FleetMembers;
 
@@ -311,6 +311,12 @@
         can_finish.is_empty() || can_finish.contains(&true)
     }
 
+    /// Whether a usable replica of a service has this software version.
+    pub fn serves_version(&self, service: &ServiceId, version: NameHash) -> bool {
+        let mut usable = self.upstreams.iter().filter(|u| u.is_usable());
+        usable.any(|u| u.replica.service == *service && u.replica.software_version == version)
+    }
+
     /// Counts the replicas of a service by why they can't accept a request restricted to `regions`
     /// now.
     pub fn availability(
--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -298,9 +298,13 @@
     connection_ms + other_cell_ms
 }
 
-/// Whether the replica belongs to the request's service and to a permitted region.
+/// Whether the replica belongs to the request's service and to a permitted region, and has the software version
+/// that the request needs.
 fn may_serve(u: &Upstream, job: &Job) -> bool {
-    u.replica.service == job.service && job.regions.allows(&u.replica.region)
+    let has_version = |v| u.replica.software_version == v;
+    u.replica.service == job.service
+        && job.regions.allows(&u.replica.region)
+        && job.software_version.is_none_or(has_version)
 }
 
 /// Whether the replica may serve the request and has not been tried for it yet.
--- a/crates/decisions/src/dispatch/job.rs
+++ b/crates/decisions/src/dispatch/job.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use super::JobId;
-use crate::id::{ServiceId, UpstreamId};
+use crate::id::{NameHash, ServiceId, UpstreamId};
 use crate::regions::Regions;
 
 /// A request that waits for a replica, with the properties that scheduling depends on.
@@ -25,6 +25,8 @@
     pub queue_deadline: Instant,
     /// Service that must process it.
     pub service: ServiceId,
+    /// Name hash of the only software version that may process it: the one that began its stream.
+    pub software_version: Option<NameHash>,
     /// Regions in which it may be processed.
     pub regions: Regions,
     /// Tokens in the prompt.
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -7,7 +7,7 @@
 use crate::cold::{ColdGate, ColdLimit};
 use crate::digest_timing;
 use crate::dispatch::{Job, JobId, latency::LatencyEstimate, size::PromptCost};
-use crate::id::{RegionId, ServiceId, UpstreamId};
+use crate::id::{NameHash, RegionId, ServiceId, UpstreamId};
 use crate::replica_limit::ReplicaLimit;
 use crate::rest::Rest;
 
@@ -85,6 +85,8 @@
     pub incarnation: u64,
     /// Service that the replica belongs to.
     pub service: ServiceId,
+    /// Name hash of the version of its software.
+    pub software_version: NameHash,
     /// Region of its availability zone.
     pub region: RegionId,
     /// Requests that the replica processes concurrently.
--- a/crates/decisions/src/id.rs
+++ b/crates/decisions/src/id.rs
@@ -36,6 +36,9 @@
     xxh3_64(name.as_bytes()) as NameHash
 }
 
+/// Hash of the attempt id of the caller's attempt that brought the first event of a stream.
+pub type StreamKey = u64;
+
 /// Rank of a tier; 0 has the highest priority.
 pub type Rank = u8;
 /// Distinguishes an instance from its predecessor before a restart; a later one has a larger
--- a/crates/decisions/tests/dispatch.rs
+++ b/crates/decisions/tests/dispatch.rs
@@ -15,6 +15,7 @@
         id: id.into(),
         incarnation: 1,
         service: "drafting".into(),
+        software_version: 1,
         region: "north".into(),
         slots: SLOTS,
         weighted_round_trip: Duration::from_millis(round_trip),
@@ -38,6 +39,7 @@
         deadline: now + Duration::from_secs(15),
         queue_deadline: now + Duration::from_secs(4),
         service: "drafting".into(),
+        software_version: None,
         regions: Regions::all(),
         prompt_tokens: 2000.0,
         expected_output_tokens: 120.0,
@@ -540,6 +542,7 @@
 fn two_regions() -> Dispatcher {
     let mut dispatcher = Dispatcher::new();
     let away = Replica {
+        software_version: 1,
         region: "south".into(),
         ..replica("away", 60)
     };
@@ -707,3 +710,30 @@
     );
     assert_eq!(dispatcher.assign(now + Duration::from_secs(3)).len(), 1);
 }
+
+/// The rest of a stream was sent to a replica of another software version than the one that began it.
+#[parameterized(
+    same = { Some(2), true },
+    other = { Some(3), false },
+    any = { None, true },
+)]
+fn a_request_gets_only_replicas_of_the_version_that_it_needs(
+    needed: Option<u32>,
+    is_assigned: bool,
+) {
+    let now = Instant::now();
+    let mut dispatcher = Dispatcher::new();
+    let replica = Replica {
+        software_version: 2,
+        ..replica("a", 0)
+    };
+    dispatcher.update_replicas(now, &[replica]);
+    dispatcher.enqueue(Job {
+        software_version: needed,
+        ..job(1, 0, now)
+    });
+    assert_eq!(dispatcher.assign(now).len(), usize::from(is_assigned));
+    let service = "drafting".into();
+    assert!(dispatcher.serves_version(&service, 2));
+    assert!(!dispatcher.serves_version(&service, 3));
+}
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use kingcupfield_decisions::credit::{Charge, Verdict};
 use kingcupfield_decisions::id::{ServiceId, name_hash};
+use kingcupfield_decisions::software_versions::StreamOrigin;
 use rand::RngExt as _;
 use tokio::time::Instant;
 
@@ -113,7 +114,11 @@
 }
 
 /// Picks one of the services of a route at random, in proportion to their weights.
-pub fn pick_service(route: &Route) -> Option<ServiceId> {
+pub fn pick_service(route: &Route, origin: Option<StreamOrigin>) -> Option<ServiceId> {
+    if let Some(origin) = origin {
+        let mut services = route.targets.iter().map(|(service, _)| service);
+        return services.find(|s| name_hash(s) == origin.service).cloned();
+    }
     let total: u32 = route.targets.iter().map(|(_, weight)| weight).sum();
     if total == 0 {
         return route.targets.first().map(|(service, _)| service.clone());
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -4,6 +4,7 @@
 //! its history. A watch without a response is therefore ended after a few seconds, and an instance
 //! whose peers have a newer revision gets the entries from them.
 
+mod confirmation;
 mod peer_sync;
 mod reader;
 
@@ -25,6 +26,7 @@
 use peer_sync::MIN_PEER_REQUEST_INTERVAL;
 use reader::Changes;
 
+pub use confirmation::{Confirmations, catch_up};
 pub use peer_sync::{known_up_to, schedule_peer_sync};
 pub use reader::DirectoryReader;
 
@@ -217,11 +219,16 @@
 /// Applies a full listing of the directory.
 fn apply_list(node: &Rc<Node>, mut listing: Listing) {
     let entries = listing.entries.len();
+    let is_first = node.directory.borrow().complete_up_to() == 0;
     prepare_era(node, listing.revision, &mut listing.entries);
     let changed = node
         .directory
         .borrow_mut()
         .apply_list(listing.revision, listing.entries);
+    // Replicas that came and went since the last response are not in the list.
+    if !is_first || !node.settings().first_start {
+        node.record_missed_changes();
+    }
     node.log.line(
         Priority::High,
         format_args!(
@@ -291,6 +298,9 @@
             reader.apply_entry(node, now, entry, store_failed, &mut changes);
         }
     }
+    if changes.unseen_removed {
+        node.record_missed_changes();
+    }
     let has_other_services = has_other_services(old_table, node.table());
     for grace in std::mem::take(&mut changes.graces) {
         schedule_grace_end(node, grace);
@@ -318,7 +328,11 @@
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
         sleep(grace).await;
-        let ended = node.directory_reader.borrow_mut().end_grace(Instant::now());
+        let ended = {
+            let mut versions = node.versions.borrow_mut();
+            let mut reader = node.directory_reader.borrow_mut();
+            reader.end_grace(Instant::now(), &mut versions)
+        };
         publish_changes(&node, ended, false);
     });
 }
--- /dev/null
+++ b/crates/entry/src/directory/confirmation.rs
@@ -0,0 +1,85 @@
+//! Reads from the store what has changed until now, for decisions that must not rest on an old view.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+use super::apply_changes;
+use crate::adapter::DirectoryError;
+use crate::node::Node;
+
+/// Longest wait of the store for a change: none, in the smallest unit of the store's protocol.
+const NO_WAIT: Duration = Duration::from_millis(1);
+
+/// Timeout of the call. Callers whose streams broke wait for the result.
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Pause between two calls, in which requests collect that share the next one.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Those that wait for the store's confirmation.
+#[derive(Debug, Default)]
+pub struct Confirmations {
+    waiting: Vec<oneshot::Sender<bool>>,
+    /// Whether a task that calls the store is running.
+    running: bool,
+}
+
+impl Confirmations {
+    /// Adds one that waits; returns whether the task has to be started.
+    fn add(&mut self, tx: oneshot::Sender<bool>) -> bool {
+        self.waiting.push(tx);
+        !std::mem::replace(&mut self.running, true)
+    }
+}
+
+/// Reads all changes up to now from the store; returns whether it has responded. Those that call this at
+/// the same time share a call, which begins after the last of them has called.
+pub async fn catch_up(node: &Rc<Node>) -> bool {
+    let (tx, rx) = oneshot::channel();
+    let starts = node.confirmations.borrow_mut().add(tx);
+    if starts {
+        tokio::task::spawn_local(confirm_all(Rc::clone(node)));
+    }
+    rx.await.unwrap_or(false)
+}
+
+/// Calls the store until nobody waits.
+async fn confirm_all(node: Rc<Node>) {
+    loop {
+        let waiting = std::mem::take(&mut node.confirmations.borrow_mut().waiting);
+        if waiting.is_empty() {
+            node.confirmations.borrow_mut().running = false;
+            return;
+        }
+        let is_confirmed = read_changes(&node).await;
+        for tx in waiting {
+            // A caller that has left needs no result.
+            let _ = tx.send(is_confirmed);
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// Reads the changes since the revision that is known; returns whether the store has sent them.
+async fn read_changes(node: &Rc<Node>) -> bool {
+    let after = node.directory.borrow().complete_up_to();
+    if after == 0 {
+        return false;
+    }
+    let changes = node.directory_client.watch(after, NO_WAIT);
+    match timeout(CALL_TIMEOUT, changes).await {
+        Ok(Ok(listing)) => {
+            apply_changes(node, listing);
+            true
+        }
+        Ok(Err(DirectoryError::HistoryCompacted)) => {
+            node.needs_full_list.set(true);
+            node.resync_wakeup.notify_one();
+            false
+        }
+        Ok(Err(_)) | Err(_) => false,
+    }
+}
--- a/crates/entry/src/directory/peer_sync.rs
+++ b/crates/entry/src/directory/peer_sync.rs
@@ -116,11 +116,15 @@
         node.directory_reader.borrow_mut().store_failed_at = Some(Instant::now());
     }
     let large_upto = snapshot.large_upto.unwrap_or(snapshot.upto);
+    let is_first = node.directory.borrow().complete_up_to() == 0;
     let changed = node.directory.borrow_mut().apply_small_changes(
         snapshot.upto,
         large_upto,
         snapshot.entries,
     );
+    if is_first && !node.settings().first_start {
+        node.record_missed_changes();
+    }
     apply_directory(node, &changed);
     node.state_changed.notify_one();
 }
--- a/crates/entry/src/directory/reader.rs
+++ b/crates/entry/src/directory/reader.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::id::{UpstreamId, ZoneId};
+use kingcupfield_decisions::software_versions::{StreamOrigin, VersionHistory};
 use kingcupfield_decisions::store_view::{Entry, Revision, era_of, number_of};
 use tokio::time::Instant;
 
@@ -11,6 +12,7 @@
 use crate::log::Priority;
 use crate::node::Node;
 use crate::replica::PublishedReplica;
+use crate::stream_origin;
 
 /// Time for which a replica stays in use after its entry lapsed while the store had failed: a live
 /// replica writes its entry again within two seconds of the store's return.
@@ -81,6 +83,8 @@
     pub(super) replicas: Vec<UpstreamId>,
     /// Whether the entry of a drained zone has changed.
     pub(super) drained_zones: bool,
+    /// Whether an entry was removed that was never seen here: it may have described a replica.
+    pub(super) unseen_removed: bool,
     /// Grace times that have begun, each one once.
     pub(super) graces: Vec<Duration>,
 }
@@ -123,6 +127,8 @@
         };
         changes.drained_zones |= previous.drained_zone.is_some();
         changes.replicas.extend(previous.replica_id());
+        let origin_before = previous.origin();
+        let is_unseen = previous.revision == 0 && entry.value.is_none();
         let (Ok(index) | Err(index)) = found;
         let updated = &mut self.entries[index];
         match &entry.value {
@@ -131,6 +137,11 @@
         }
         changes.drained_zones |= updated.drained_zone.is_some();
         changes.replicas.extend(updated.replica_id());
+        changes.unseen_removed |= is_unseen;
+        let origin = updated.origin();
+        let mut versions = node.versions.borrow_mut();
+        versions.on_replica(now, origin_before, origin);
+        drop(versions);
         let graces = [updated.in_force_until, updated.in_doubt_until];
         for until in graces.into_iter().flatten() {
             changes.add_grace(until - now);
@@ -152,12 +163,14 @@
     }
 
     /// Ends the grace times that are over, and returns what has changed.
-    pub(super) fn end_grace(&mut self, now: Instant) -> Changes {
+    pub(super) fn end_grace(&mut self, now: Instant, versions: &mut VersionHistory) -> Changes {
         let mut ended = Changes::default();
         for entry in &mut self.entries {
             if entry.in_force_until.is_some_and(|until| now >= until) {
                 entry.in_force_until = None;
                 ended.drained_zones |= entry.drained_zone.take().is_some();
+                let origin = entry.origin();
+                versions.on_replica(now, origin, None);
                 ended.replicas.extend(entry.replica.take().map(|r| r.id));
             }
             if entry.in_doubt_until.is_some_and(|until| now >= until) {
@@ -179,6 +192,11 @@
         }
     }
 
+    /// Where streams of the entry's replica begin.
+    fn origin(&self) -> Option<StreamOrigin> {
+        self.replica.as_ref().map(stream_origin::origin_of)
+    }
+
     fn replica_id(&self) -> Option<UpstreamId> {
         self.replica.as_ref().map(|r| r.id.clone())
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -34,4 +34,5 @@
 pub mod settings;
 pub mod shutdown;
 pub mod snapshot;
+pub mod stream_origin;
 pub mod table;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -56,6 +56,8 @@
     dropped_lines: IntCounter,
     /// Replicas whose directory entry expired although they had not announced their departure.
     expired_replicas: IntCounter,
+    /// Streams that callers took up, by how it was known where they began.
+    resumptions: IntCounterVec,
     /// What replicas stated about themselves, by kind of statement, and the invalid ones.
     statements: IntCounterVec,
     /// Limit in force of each replica that named one, in requests per second.
@@ -102,6 +104,12 @@
                 "replica",
             ),
             durations: durations(&registry),
+            resumptions: counters(
+                &registry,
+                "kingcup_stream_resumptions_total",
+                "Streams that callers took up, by how their software version was known",
+                "evidence",
+            ),
             dropped_lines: counter(
                 &registry,
                 "kingcup_log_lines_dropped_total",
@@ -153,6 +161,11 @@
         self.statements.with_label_values(&[kind]).inc();
     }
 
+    /// Counts a stream that a caller took up, by how it was known where it began.
+    pub fn count_resumption(&self, evidence: &'static str) {
+        self.resumptions.with_label_values(&[evidence]).inc();
+    }
+
     /// Counts dropped log lines.
     pub fn count_dropped_lines(&self, lines: u64) {
         self.dropped_lines.inc_by(lines);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -13,7 +13,9 @@
 use kingcupfield_decisions::dispatch::{Dispatcher, JobId};
 use kingcupfield_decisions::drained_zones::DrainedZones;
 use kingcupfield_decisions::id::name_hash;
-use kingcupfield_decisions::store_view::StoreView;
+use kingcupfield_decisions::software_versions::VersionHistory;
+use kingcupfield_decisions::store_view::{Revision, StoreView};
+use kingcupfield_decisions::stream_records::StreamRecords;
 use kingcupfield_decisions::upstream_retries::UpstreamRetryBudget;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
@@ -21,7 +23,7 @@
 use crate::adapter::{DirectoryClient, ProtocolAdapter};
 use crate::clock::SuspendDetector;
 use crate::credit;
-use crate::directory::DirectoryReader;
+use crate::directory::{Confirmations, DirectoryReader};
 use crate::log::{Log, Priority};
 use crate::metrics::Metrics;
 use crate::name_index::NameIndex;
@@ -29,6 +31,7 @@
 use crate::peers::Peers;
 use crate::send_queue::SendQueue;
 use crate::settings::Settings;
+use crate::stream_origin::Queries;
 use crate::table::Table;
 
 pub use replicas::Target;
@@ -37,7 +40,7 @@
 
 /// Maximum age of the last store response of an instance that counts as a reader of the store.
 /// A watch waits for four seconds at most, so a healthy reader stays below this.
-const STORE_RESPONSE_MAX_AGE: Duration = Duration::from_millis(5500);
+pub const STORE_RESPONSE_MAX_AGE: Duration = Duration::from_millis(5500);
 
 /// Lifecycle state of a process, in the order in which it passes through them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -102,6 +105,16 @@
     pub needs_full_list: Cell<bool>,
     /// Parsed directory entries, and when the store last failed.
     pub directory_reader: RefCell<DirectoryReader>,
+    /// Requests that wait until the store has confirmed what is known of it.
+    pub confirmations: RefCell<Confirmations>,
+    /// Software versions that may have begun streams.
+    pub versions: RefCell<VersionHistory>,
+    /// Directory revision up to which changes may have been missed in `versions`.
+    pub history_missed_up_to: Cell<Revision>,
+    /// Where streams began, of this instance and of others that told it.
+    pub streams: RefCell<StreamRecords>,
+    /// Questions to other instances about where streams began.
+    pub stream_queries: RefCell<Queries>,
     /// Lifecycle state of the process.
     pub process_state: watch::Sender<ProcessState>,
     /// Version of the table in force, for tasks that wait for a change.
@@ -150,6 +163,12 @@
         directory_client: Rc<dyn DirectoryClient>,
     ) -> Rc<Self> {
         let now = Instant::now();
+        let versions = VersionHistory::new(now);
+        let versions = if cfg.first_start {
+            versions.with_first_start()
+        } else {
+            versions
+        };
         let mut ledger = Ledger::new(cfg.address().to_bits(), rand::random());
         ledger.set_bounds(cfg.limit_window(), cfg.credit_tolerance());
         Rc::new(Self {
@@ -180,6 +199,11 @@
             last_store_response: Cell::new(None),
             store_failing: Cell::new(false),
             directory_reader: RefCell::new(DirectoryReader::default()),
+            confirmations: RefCell::default(),
+            versions: RefCell::new(versions),
+            history_missed_up_to: Cell::new(0),
+            streams: RefCell::new(StreamRecords::new()),
+            stream_queries: RefCell::default(),
             process_state: watch::Sender::new(ProcessState::Serving),
             version_tx: watch::Sender::new(0),
             response_deadline: Cell::new(None),
@@ -290,6 +314,7 @@
             return;
         }
         let version = table.version;
+        self.record_moved_routes(&table);
         self.log.line(
             Priority::High,
             format_args!("event=table version={version} before={current}"),
@@ -298,6 +323,38 @@
         self.version_tx.send_replace(version);
     }
 
+    /// Records which routes of resumable streams lead to other services in a newer table, and how long
+    /// their streams last.
+    fn record_moved_routes(&self, newer: &Table) {
+        let now = Instant::now();
+        let mut versions = self.versions.borrow_mut();
+        let timeouts = newer.resumable_routes().map(|r| r.timeout);
+        versions.set_longest_timeout(timeouts.max().unwrap_or_default());
+        let Some(older) = self.table() else {
+            return;
+        };
+        for route in newer.resumable_routes() {
+            let before = older.route(&route.host, &route.prefix);
+            if before.is_none_or(|before| before.has_same_services(route)) {
+                continue;
+            }
+            for (service, _) in &route.targets {
+                versions.on_moved_route(now, name_hash(service));
+            }
+        }
+    }
+
+    /// Records that changes of the directory up to now may have been missed.
+    pub fn record_missed_changes(&self) {
+        self.versions.borrow_mut().on_missed_changes(Instant::now());
+        let upto = self.directory.borrow().small_up_to();
+        self.history_missed_up_to.set(upto);
+        self.log.line(
+            Priority::High,
+            format_args!("event=version_history_missed upto={upto}"),
+        );
+    }
+
     /// Returns a number for a new request, unique in this process.
     pub fn next_job_id(&self) -> JobId {
         let id = self.next_job_id.get();
--- a/crates/entry/src/node/replicas.rs
+++ b/crates/entry/src/node/replicas.rs
@@ -190,6 +190,7 @@
             id: published.id.clone(),
             incarnation: published.start_unix_ms,
             service: published.service.clone(),
+            software_version: name_hash(&published.software_version),
             region: self.region_of(&published.zone),
             slots: published.slots,
             weighted_round_trip: self.weighted_rtt(&published.zone),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -15,14 +15,17 @@
 
 use kingcupfield_decisions::credit::Distance;
 use kingcupfield_decisions::dispatch::PriorityClass;
-use kingcupfield_decisions::id::{InstanceAddress, NameHash};
+use kingcupfield_decisions::id::{InstanceAddress, NameHash, StreamKey};
 use kingcupfield_decisions::remote_load::{RemoteLoad, TotalLoad};
 use kingcupfield_decisions::store_view::Revision;
+use kingcupfield_decisions::stream_records::{self, ASKED, HOLDERS};
 use tokio::time::Instant;
 
 use cell::Cell;
 
-pub use digest::{Digest, ForwardScope, PeerMessage, ReplicaLimitReport, ReplicaReports};
+pub use digest::{
+    Digest, ForwardScope, PeerMessage, ReplicaLimitReport, ReplicaReports, StreamMessage,
+};
 pub use peer::{Nearness, Peer};
 
 /// Time without a digest after which an instance may be partitioned: its load is no longer counted,
@@ -453,6 +456,34 @@
             .then(|| others.chain([self.own.to_bits()]).collect())
     }
 
+    /// The instances that record a stream which this instance relays.
+    pub fn stream_holders(&self, now: Instant, key: StreamKey) -> Vec<Ipv4Addr> {
+        let reachable = self.others.iter().filter(|p| p.is_reachable(now));
+        let reachable = reachable.map(|p| p.address.to_bits());
+        let holders = stream_records::choose_holders(key, reachable, HOLDERS);
+        holders.into_iter().map(Ipv4Addr::from_bits).collect()
+    }
+
+    /// The instances that are asked for a stream. Silent ones are among them: another instance may have
+    /// chosen them before they fell silent, and only this one may not hear them.
+    pub fn asked_for_stream(&self, key: StreamKey) -> Vec<Ipv4Addr> {
+        let all = self.others.iter().map(|p| p.address.to_bits());
+        let asked = stream_records::choose_holders(key, all, ASKED);
+        asked.into_iter().map(Ipv4Addr::from_bits).collect()
+    }
+
+    /// A random live instance, chosen by `salt`.
+    pub fn random_live(&self, now: Instant, salt: u64) -> Option<Ipv4Addr> {
+        let live: Vec<&Peer> = self.others.iter().filter(|p| p.is_live(now)).collect();
+        let index = (salt as usize).checked_rem(live.len())?;
+        Some(live[index].address)
+    }
+
+    /// Latest response of the store to another instance that is known here.
+    pub fn store_responded_at(&self) -> Option<Instant> {
+        self.store_responded_at
+    }
+
     /// Time since the start of this instance.
     pub fn uptime(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.started)
--- a/crates/entry/src/peers/digest.rs
+++ b/crates/entry/src/peers/digest.rs
@@ -5,9 +5,10 @@
 
 use kingcupfield_decisions::credit;
 use kingcupfield_decisions::dispatch::PriorityClass;
-use kingcupfield_decisions::id::NameHash;
+use kingcupfield_decisions::id::{NameHash, StreamKey};
 use kingcupfield_decisions::remote_load::ReplicaLoad;
 use kingcupfield_decisions::replica_limit::LimitReport;
+use kingcupfield_decisions::software_versions::StreamOrigin;
 use kingcupfield_decisions::store_view::Revision;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -21,6 +22,31 @@
     Relayed(Vec<(Ipv4Addr, Digest)>),
     /// A message about credit of organisations' limits.
     Credit(credit::Message),
+    /// A message about the software version at which streams began.
+    Stream(StreamMessage),
+}
+
+/// A message about the software version at which streams began.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum StreamMessage {
+    /// Streams that the sender relays, or relayed until they broke.
+    Begun(Vec<(StreamKey, StreamOrigin)>),
+    /// Asks where a stream began, whose route leads to this service now.
+    Ask {
+        /// Number of the question at the sender.
+        number: u32,
+        /// The stream.
+        key: StreamKey,
+        /// Name hash of the service.
+        service: NameHash,
+    },
+    /// Answers a question.
+    Answer {
+        /// Number of the question.
+        number: u32,
+        /// Where the stream began; `None` if the sender does not know.
+        origin: Option<StreamOrigin>,
+    },
 }
 
 /// To whom the receiver of a digest forwards it.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -17,6 +17,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use kingcupfield_decisions::dispatch::Outcome;
+use kingcupfield_decisions::id::StreamKey;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -28,6 +29,7 @@
 use crate::pool::Connection;
 use crate::request::{ActiveGuard, RequestContext};
 use crate::request_log;
+use crate::stream_origin;
 
 /// Number of chunks that are buffered for a slow caller before reading from the replica stops.
 const CHANNEL_CHUNKS: usize = 8;
@@ -139,6 +141,8 @@
     };
     let relay = Relay {
         node,
+        key: stream_origin::key_of(&ctx.meta),
+        is_recorded: false,
         ctx,
         tx,
         complete,
@@ -186,6 +190,10 @@
     /// Shared with [`RelayedStream`]; set once the stream is complete.
     complete: Rc<Cell<bool>>,
     scanner: EventScanner,
+    /// Key of the stream.
+    key: StreamKey,
+    /// Whether it is recorded where the stream began.
+    is_recorded: bool,
     /// Start of an event whose end has not arrived yet, if the stream is resumable.
     partial_event: BytesMut,
     /// When the last event arrived, or the current attempt was sent if that was later.
@@ -206,6 +214,12 @@
         if !self.end_logged {
             self.log("cut", "-");
         }
+        let mut streams = self.node.streams.borrow_mut();
+        if self.complete.get() {
+            streams.on_complete(self.key);
+        } else {
+            streams.on_broken(Instant::now(), self.key);
+        }
     }
 }
 
@@ -312,6 +326,7 @@
         let found = self.scanner.read(&chunk);
         let now = Instant::now();
         if found.events > 0 {
+            self.record_origin(attempt);
             if self.first_pending {
                 attempt.slot.on_first_event();
                 if self.time_to_first_event.is_zero() {
@@ -345,6 +360,17 @@
         Some(out)
     }
 
+    /// Records where a resumable stream began, with its first event.
+    fn record_origin(&mut self, attempt: &Attempt) {
+        if self.is_recorded || !self.ctx.route.kind.is_retryable() {
+            return;
+        }
+        self.is_recorded = true;
+        let origin = stream_origin::origin_of(&attempt.target.published);
+        self.ctx.origin = Some(origin);
+        stream_origin::on_first_event(&self.node, self.key, origin);
+    }
+
     /// Completes when a resumable stream has had no event for too long.
     async fn stalled(&self) {
         if !self.ctx.route.kind.is_retryable() || self.ctx.runs >= self.ctx.route.max_attempts {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use kingcupfield_decisions::id::{ServiceId, UpstreamId};
+use kingcupfield_decisions::software_versions::StreamOrigin;
 use tokio::time::Instant;
 
 use crate::adapter::RequestMeta;
@@ -25,10 +26,11 @@
 use crate::refusal::{Refusal, RefusalKind};
 use crate::relay::ResponseBody;
 use crate::request_log::{self, UnansweredGuard};
+use crate::stream_origin;
 use crate::table::{Organisation, Route, Table};
 
 use attempt::NextStep;
-use refusals::{check_regions, check_time_to_shutdown, unavailable};
+use refusals::{check_regions, check_time_to_shutdown, check_version_served, unavailable};
 
 /// Longest time a request waits for the first table after a start. The table is read within two
 /// tenths of a second if the store or a peer responds.
@@ -57,6 +59,8 @@
     pub organisation: Option<Rc<Organisation>>,
     /// Service that the request is dispatched to.
     pub service: ServiceId,
+    /// Where the stream began that the request takes up, or whose first event was sent to the caller.
+    pub origin: Option<StreamOrigin>,
     /// Replicas that the request was sent to, in order.
     pub tried: Vec<UpstreamId>,
     /// Number of replicas that may have run the request.
@@ -120,8 +124,10 @@
             Refusal::new(RefusalKind::BadRequest).with_message("the request has no attempt id")
         );
     }
-    let service = pick_service(&route)
+    let origin = find_origin(node, &meta, &route).await?;
+    let service = pick_service(&route, origin)
         .ok_or_else(|| unavailable(&format!("route {} has no service", route.name)))?;
+    check_version_served(node, &service, origin)?;
     check_time_to_shutdown(node, &service, &meta)?;
     check_regions(&route, organisation.as_deref())?;
     let charge = charge(node, organisation.as_deref(), &route, &service, &meta).await?;
@@ -137,6 +143,7 @@
         route,
         organisation,
         service,
+        origin,
         tried: Vec::new(),
         runs: 0,
         waited: Duration::ZERO,
@@ -145,6 +152,23 @@
     ctx.run(Rc::clone(node), active).await
 }
 
+/// Finds out where the stream began that a request takes up; `None` if it takes up none.
+async fn find_origin(
+    node: &Rc<Node>,
+    meta: &RequestMeta,
+    route: &Route,
+) -> Result<Option<StreamOrigin>, Refusal> {
+    if !route.kind.is_stream() || meta.last_event_id.is_none() {
+        return Ok(None);
+    }
+    match stream_origin::find_out(node, meta, route).await {
+        Some(origin) => Ok(Some(origin)),
+        None => Err(unavailable(
+            "the software version that began the stream is not known",
+        )),
+    }
+}
+
 /// Returns the table in force, or waits for the first one while the instance starts.
 async fn wait_for_table(node: &Node, meta: &RequestMeta) -> Result<Rc<Table>, Refusal> {
     let mut version = node.version_tx.subscribe();
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -219,6 +219,7 @@
             route: Rc::clone(&self.route),
             organisation: self.organisation.clone(),
             service: self.service.clone(),
+            origin: self.origin,
             tried: std::mem::take(&mut self.tried),
             runs: self.runs,
             waited: self.waited,
--- a/crates/entry/src/request/refusals.rs
+++ b/crates/entry/src/request/refusals.rs
@@ -4,6 +4,7 @@
 
 use kingcupfield_decisions::id::ServiceId;
 use kingcupfield_decisions::regions::Regions;
+use kingcupfield_decisions::software_versions::StreamOrigin;
 use rand::RngExt as _;
 use tokio::time::Instant;
 
@@ -59,6 +60,26 @@
     ))
 }
 
+/// Refuses to take up a stream whose software version no replica serves any more.
+pub(super) fn check_version_served(
+    node: &Node,
+    service: &ServiceId,
+    origin: Option<StreamOrigin>,
+) -> Result<(), Refusal> {
+    let Some(origin) = origin else {
+        return Ok(());
+    };
+    if node
+        .dispatch
+        .borrow()
+        .serves_version(service, origin.version)
+    {
+        return Ok(());
+    }
+    let reason = format!("no replica of {service} has the software version that began the stream");
+    Err(Refusal::new(RefusalKind::Unavailable).with_message(reason))
+}
+
 /// Builds a refusal for a request that the caller should retry shortly: another instance, or later
 /// this one, can serve it.
 pub(super) fn unavailable(reason: &str) -> Refusal {
--- a/crates/entry/src/request/slot_request.rs
+++ b/crates/entry/src/request/slot_request.rs
@@ -13,6 +13,7 @@
 use crate::admission::resolve;
 use crate::node::{Node, SlotGuard, Target};
 use crate::refusal::Refusal;
+use crate::stream_origin;
 use crate::table::allowed_regions;
 
 /// Shortest time after which callers abandon a stream that sends nothing, also before its first
@@ -47,6 +48,10 @@
             return None;
         }
         drop(dispatch);
+        let origin = stream_origin::origin_of(&target.published);
+        if self.origin.is_some_and(|needed| needed != origin) {
+            return None;
+        }
         let region = node.region_of(&target.published.zone);
         self.regions().allows(&region).then_some(target)
     }
@@ -104,6 +109,7 @@
             deadline: self.response_deadline(node),
             queue_deadline: self.received + patience.mul_f64(MAX_QUEUE_WAIT_FRACTION),
             service: self.service.clone(),
+            software_version: self.origin.map(|origin| origin.version),
             regions: self.regions(),
             prompt_tokens: f64::from(self.meta.prompt_tokens.unwrap_or(0)),
             expected_output_tokens: self.meta.estimated_output_tokens(),
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -22,6 +22,7 @@
 use crate::snapshot::{
     self, LARGE_ENTRIES_PATH, LargeEntries, SNAPSHOT_PATH, Snapshot, SnapshotQuery,
 };
+use crate::stream_origin::{HISTORY_PATH, History};
 
 /// Path of the metrics, on the address for peers and operators.
 const METRICS_PATH: &str = "/metrics";
@@ -162,6 +163,7 @@
     serve_with(node, listener, |node, req| match req.uri().path() {
         SNAPSHOT_PATH => snapshot_response(node, req.uri().query().unwrap_or_default()),
         LARGE_ENTRIES_PATH => large_entries_response(node, req.uri().query().unwrap_or_default()),
+        HISTORY_PATH => packed_response(&History::new(node)),
         METRICS_PATH => text_response(node.metrics.render(node)),
         _ => request::empty_response(StatusCode::NOT_FOUND),
     })
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -152,6 +152,15 @@
     get(peer, &uri, FULL_RESPONSE_TIMEOUT).await
 }
 
+/// Gets a short message from a peer.
+pub async fn fetch_message<T>(peer: SocketAddr, path: &str) -> std::io::Result<T>
+where
+    T: DeserializeOwned,
+{
+    let fetched = get(peer, path, CHANGES_RESPONSE_TIMEOUT).await?;
+    Ok(fetched.content)
+}
+
 /// Sends a request, whose response must begin within `max_wait`, and receives the response.
 async fn get<T>(peer: SocketAddr, uri: &str, max_wait: Duration) -> std::io::Result<Fetched<T>>
 where
--- a/crates/entry/src/table.rs
+++ b/crates/entry/src/table.rs
@@ -62,6 +62,18 @@
     pub regions: Regions,
 }
 
+impl Route {
+    /// Whether another route leads to the same services, in whatever shares.
+    pub fn has_same_services(&self, other: &Self) -> bool {
+        self.leads_to_all_of(other) && other.leads_to_all_of(self)
+    }
+
+    fn leads_to_all_of(&self, other: &Self) -> bool {
+        let leads_to = |service: &ServiceId| self.targets.iter().any(|(s, _)| s == service);
+        other.targets.iter().all(|(service, _)| leads_to(service))
+    }
+}
+
 /// A service, which a group of replicas provides.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -192,6 +204,12 @@
             .max_by_key(|r| r.prefix.len())
     }
 
+    /// The routes whose streams can be resumed.
+    pub fn resumable_routes(&self) -> impl Iterator<Item = &Rc<Route>> {
+        let is_resumable = |r: &&Rc<Route>| r.kind.is_stream() && r.kind.is_retryable();
+        self.routes.iter().filter(is_resumable)
+    }
+
     /// The organisation that holds the key.
     pub fn organisation(&self, key: &str) -> Option<&Rc<Organisation>> {
         let index = self
