Ask the store for its last revision before a version counts as the only one

Callers would have got a mixed stream from an instance that hears no other one while the store's watches are silent: the confirmation of 'one version serves alone' was a watch, and a watch may hear nothing though there are changes. A range read is linearizable: its revision has to be known here before the confirmation counts. With nothing changed it is one call instead of one watch.

--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -183,6 +183,9 @@
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<Listing, DirectoryError>>;
 
+    /// Reads the revision of the last change, as of now.
+    fn current_revision(&self) -> LocalBoxFuture<'_, Result<Revision, DirectoryError>>;
+
     /// Parses an entry by its key and value.
     fn parse_entry(&self, key: &str, value: &[u8]) -> ParsedEntry;
 
--- a/crates/entry/src/directory/confirmation.rs
+++ b/crates/entry/src/directory/confirmation.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use kingcupfield_decisions::store_view::era_of;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
@@ -13,7 +14,7 @@
 /// Longest wait of the store for a change: none, in the smallest unit of the store's protocol.
 const NO_WAIT: Duration = Duration::from_millis(1);
 
-/// Timeout of the call. Callers whose streams broke wait for the result.
+/// Timeout of each call. Callers whose streams broke wait for the result.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Pause between two calls, in which requests collect that share the next one.
@@ -63,17 +64,24 @@
     }
 }
 
-/// Reads the changes since the revision that is known; returns whether the store has sent them.
+/// Reads the changes since the revision that is known, if there are any; returns whether all are known then.
 async fn read_changes(node: &Rc<Node>) -> bool {
-    let after = node.directory.borrow().complete_up_to();
-    if after == 0 {
+    let current = node.directory_client.current_revision();
+    let Ok(Ok(current)) = timeout(CALL_TIMEOUT, current).await else {
         return false;
+    };
+    let known = node.directory.borrow().complete_up_to();
+    if known == 0 || era_of(known) != era_of(current) {
+        return false;
+    }
+    if known >= current {
+        return true;
     }
-    let changes = node.directory_client.watch(after, NO_WAIT);
+    let changes = node.directory_client.watch(known, NO_WAIT);
     match timeout(CALL_TIMEOUT, changes).await {
         Ok(Ok(listing)) => {
             apply_changes(node, listing);
-            true
+            node.directory.borrow().complete_up_to() >= current
         }
         Ok(Err(DirectoryError::HistoryCompacted)) => {
             node.needs_full_list.set(true);
