--- a/crates/decisions/src/stream_records.rs
+++ b/crates/decisions/src/stream_records.rs
@@ -11,8 +11,8 @@
 use crate::id::{InstanceAddress, StreamKey};
 use crate::software_versions::StreamOrigin;
 
-/// Instances besides the relaying one that record a stream: if any six of ten instances are killed at once, a
-/// record is lost for one stream in six.
+/// Instances besides the relaying one that record a stream: if six of ten instances are killed at once, the
+/// records of one stream in five are lost.
 pub const HOLDERS: usize = 3;
 
 /// Instances that are asked for a stream: twice the holders, as two instances may know different members.
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -125,8 +125,7 @@
         );
     }
     let origin = find_origin(node, &meta, &route).await?;
-    let service = pick_service(&route, origin)
-        .ok_or_else(|| unavailable(&format!("route {} has no service", route.name)))?;
+    let service = pick_service(&route, origin).ok_or_else(|| no_service(&route, origin))?;
     check_version_served(node, &service, origin)?;
     check_time_to_shutdown(node, &service, &meta)?;
     check_regions(&route, organisation.as_deref())?;
@@ -169,6 +168,15 @@
     }
 }
 
+/// Refuses a request for which its route has no service.
+fn no_service(route: &Route, origin: Option<StreamOrigin>) -> Refusal {
+    let name = &route.name;
+    unavailable(&match origin {
+        Some(_) => format!("route {name} no longer leads to the service that began the stream"),
+        None => format!("route {name} has no service"),
+    })
+}
+
 /// Returns the table in force, or waits for the first one while the instance starts.
 async fn wait_for_table(node: &Node, meta: &RequestMeta) -> Result<Rc<Table>, Refusal> {
     let mut version = node.version_tx.subscribe();
--- a/crates/entry/src/stream_origin/announcer.rs
+++ b/crates/entry/src/stream_origin/announcer.rs
@@ -13,7 +13,7 @@
 use crate::peers::{PeerMessage, StreamMessage};
 
 /// Interval at which it is checked whether the streams of a service have to be announced.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Interval at which streams in progress are announced again: holders may have stopped or fallen silent, and
 /// datagrams may be lost.
--- a/crates/entry/src/stream_origin/history.rs
+++ b/crates/entry/src/stream_origin/history.rs
@@ -18,7 +18,7 @@
 pub const HISTORY_PATH: &str = "/versions";
 
 /// Interval at which an instance checks whether its history is complete.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Longest pause between two questions: after a kill of all instances nobody knows more.
 const MAX_PAUSE: Duration = Duration::from_secs(8);
