--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -24,6 +24,7 @@
 use crate::outbox::{self, DigestBatch};
 use crate::peers::{Digest, ForwardScope, Peer, PeerMessage};
 use crate::receiver;
+use crate::stream_origin::Upkeep;
 
 use local_state::{LocalState, live_members, local_state, local_step_times, unreachable_replicas};
 
@@ -50,6 +51,7 @@
     tokio::task::spawn_local(receiver::receive(Rc::clone(&node), Rc::clone(&socket)));
     tokio::task::spawn_local(send_queued(Rc::clone(&node), socket));
     let mut sender = Sender::new(&node, incarnation);
+    let mut upkeep = Upkeep::new(Instant::now());
     let mut ticks = interval(digest_timing::CHECK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -64,6 +66,7 @@
                 node.dispatch.borrow_mut().update_room(Instant::now());
                 node.assign_slots();
                 sender.tick(&node);
+                upkeep.check(&node);
             }
             () = node.greeting_wakeup.notified() => sender.greet(&node),
             () = node.state_changed.notified() => {
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -14,7 +14,7 @@
 use crate::node::{Node, ProcessState};
 use crate::settings::Settings;
 use crate::shutdown::Shutdown;
-use crate::{directory, gossip, reload, server, stream_origin};
+use crate::{directory, gossip, reload, server};
 
 /// Interval at which queued requests are checked for expiry and free slots are assigned to them.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -95,7 +95,6 @@
         incarnation(),
     )));
     spawn(Box::pin(directory::run(Rc::clone(&node))));
-    spawn(Box::pin(stream_origin::run(Rc::clone(&node))));
     spawn(Box::pin(check_queue(Rc::clone(&node))));
     spawn(Box::pin(run_housekeeping(Rc::clone(&node))));
     spawn(Box::pin(flush_log(Rc::clone(&node))));
--- a/crates/entry/src/stream_origin.rs
+++ b/crates/entry/src/stream_origin.rs
@@ -13,6 +13,7 @@
 
 use std::fmt;
 use std::rc::Rc;
+use std::time::Duration;
 
 use kingcupfield_decisions::id::{NameHash, StreamKey, name_hash};
 use kingcupfield_decisions::software_versions::StreamOrigin;
@@ -26,7 +27,8 @@
 use crate::replica::PublishedReplica;
 use crate::table::Route;
 
-use announcer::announce_one;
+use announcer::{Announcer, announce_one};
+use history::HistorySync;
 
 pub use history::{HISTORY_PATH, History};
 pub use query::{Queries, on_message};
@@ -75,10 +77,37 @@
     )
 }
 
-/// Announces streams, and gets the history of the versions from another instance, until the process ends.
-pub async fn run(node: Rc<Node>) {
-    tokio::task::spawn_local(history::run(Rc::clone(&node)));
-    announcer::run(node).await;
+/// Interval at which it is checked what has to be announced, and whether the history is complete.
+const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+
+/// What an instance does about streams and versions beside requests.
+#[derive(Debug)]
+pub struct Upkeep {
+    checked_at: Instant,
+    announcer: Announcer,
+    history_sync: HistorySync,
+}
+
+impl Upkeep {
+    /// Creates the state of an instance that starts.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            checked_at: now,
+            announcer: Announcer::new(now),
+            history_sync: HistorySync::new(now),
+        }
+    }
+
+    /// Announces streams and completes the history of the versions, as far as that is due.
+    pub fn check(&mut self, node: &Rc<Node>) {
+        let now = Instant::now();
+        if now.saturating_duration_since(self.checked_at) < CHECK_INTERVAL {
+            return;
+        }
+        self.checked_at = now;
+        self.announcer.check(node, now);
+        self.history_sync.check(node, now);
+    }
 }
 
 /// Records that the first event of a stream is about to be sent to the caller.
--- a/crates/entry/src/stream_origin/announcer.rs
+++ b/crates/entry/src/stream_origin/announcer.rs
@@ -1,20 +1,16 @@
 //! Tells a few instances where the streams of this one began.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::rc::Rc;
 use std::time::Duration;
 
 use kingcupfield_decisions::id::{NameHash, StreamKey};
 use kingcupfield_decisions::software_versions::StreamOrigin;
-use tokio::time::{Instant, interval};
+use tokio::time::Instant;
 
 use super::must_announce;
 use crate::node::Node;
 use crate::peers::{PeerMessage, StreamMessage};
 
-/// Interval at which it is checked whether the streams of a service have to be announced.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Interval at which streams in progress are announced again: holders may have stopped or fallen silent, and
 /// datagrams may be lost.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(2);
@@ -25,35 +21,47 @@
 /// A stream and where it began.
 type Stream = (StreamKey, StreamOrigin);
 
-/// Announces streams until the process ends.
-pub(super) async fn run(node: Rc<Node>) {
-    let mut announced = Vec::new();
-    let mut refreshed_at = Instant::now();
-    let mut ticks = interval(CHECK_INTERVAL);
-    loop {
-        ticks.tick().await;
-        let now = Instant::now();
+/// Announces the streams of one instance while that is necessary.
+#[derive(Debug)]
+pub(super) struct Announcer {
+    /// Services whose streams are announced.
+    announced: Vec<NameHash>,
+    refreshed_at: Instant,
+}
+
+impl Announcer {
+    /// Creates an announcer that has announced nothing.
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            announced: Vec::new(),
+            refreshed_at: now,
+        }
+    }
+
+    /// Announces what is due, and forgets the streams that nobody takes up any more.
+    pub(super) fn check(&mut self, node: &Node, now: Instant) {
         let lifetime = node.versions.borrow().stream_lifetime();
         if let Some(oldest) = now.checked_sub(lifetime) {
             node.streams.borrow_mut().remove_older(oldest);
         }
-        let before = std::mem::replace(&mut announced, announced_services(&node));
-        let is_due = now.saturating_duration_since(refreshed_at) >= REFRESH_INTERVAL;
+        let before = std::mem::replace(&mut self.announced, announced_services(node));
+        let is_due = now.saturating_duration_since(self.refreshed_at) >= REFRESH_INTERVAL;
         if is_due {
-            refreshed_at = now;
+            self.refreshed_at = now;
         }
+        let is_announced = |service: &NameHash| self.announced.contains(service);
         let is_new = |service: &NameHash| !before.contains(service);
         let streams = node.streams.borrow();
         // Streams that broke before are told once, as soon as the service needs it.
-        let broken = streams
+        let first_told = streams
             .own(true)
-            .filter(|(_, o)| announced.contains(&o.service) && is_new(&o.service));
-        let relayed = streams
+            .filter(|(_, o)| is_announced(&o.service) && is_new(&o.service));
+        let refreshed = streams
             .own(false)
-            .filter(|(_, o)| is_due && announced.contains(&o.service) && !is_new(&o.service));
-        let all: Vec<Stream> = broken.chain(relayed).collect();
+            .filter(|(_, o)| is_due && is_announced(&o.service) && !is_new(&o.service));
+        let all: Vec<Stream> = first_told.chain(refreshed).collect();
         drop(streams);
-        announce(&node, &all);
+        announce(node, &all);
     }
 }
 
--- a/crates/entry/src/stream_origin/history.rs
+++ b/crates/entry/src/stream_origin/history.rs
@@ -8,7 +8,7 @@
 use kingcupfield_decisions::software_versions::HistoryReport;
 use kingcupfield_decisions::store_view::Revision;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
 use crate::log::Priority;
 use crate::node::Node;
@@ -17,8 +17,8 @@
 /// HTTP path at which an instance serves its history.
 pub const HISTORY_PATH: &str = "/versions";
 
-/// Interval at which an instance checks whether its history is complete.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause after the first question for the history; it doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
 
 /// Longest pause between two questions: after a kill of all instances nobody knows more.
 const MAX_PAUSE: Duration = Duration::from_secs(8);
@@ -41,19 +41,37 @@
     }
 }
 
-/// Completes the history whenever it is incomplete, until the process ends.
-pub(super) async fn run(node: Rc<Node>) {
-    let mut pause = CHECK_INTERVAL;
-    loop {
-        sleep(pause).await;
-        let is_complete = node.versions.borrow().is_complete(Instant::now());
+/// When an instance whose history is incomplete asks another one for it.
+#[derive(Debug)]
+pub(super) struct HistorySync {
+    next_at: Instant,
+    pause: Duration,
+}
+
+impl HistorySync {
+    /// Creates the state of an instance that has asked nobody.
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            next_at: now,
+            pause: FIRST_PAUSE,
+        }
+    }
+
+    /// Starts a task that gets the history of another instance, if it is due.
+    pub(super) fn check(&mut self, node: &Rc<Node>, now: Instant) {
+        let is_complete = node.versions.borrow().is_complete(now);
         let is_empty = node.directory.borrow().complete_up_to() == 0;
         if is_complete || is_empty {
-            pause = CHECK_INTERVAL;
-            continue;
+            self.pause = FIRST_PAUSE;
+            return;
+        }
+        if now < self.next_at {
+            return;
         }
-        pause = (pause * 2).min(MAX_PAUSE);
-        fetch(&node).await;
+        self.next_at = now + self.pause;
+        self.pause = (self.pause * 2).min(MAX_PAUSE);
+        let node = Rc::clone(node);
+        tokio::task::spawn_local(async move { fetch(&node).await });
     }
 }
 
