End a stream at once if no other replica has its version

A caller whose stream could not go on waited 1.6 s for a place at a replica that there was not, and a retry of the budget was spent. A search for the origin of a stream also ends when the instance has to send its last responses: its caller would have been cut off.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -311,10 +311,19 @@
         can_finish.is_empty() || can_finish.contains(&true)
     }
 
-    /// Whether a usable replica of a service has this software version.
-    pub fn serves_version(&self, service: &ServiceId, version: NameHash) -> bool {
+    /// Whether a usable replica of a service, other than those that were tried, has this software version.
+    pub fn serves_version(
+        &self,
+        service: &ServiceId,
+        version: NameHash,
+        tried: &[UpstreamId],
+    ) -> bool {
         let mut usable = self.upstreams.iter().filter(|u| u.is_usable());
-        usable.any(|u| u.replica.service == *service && u.replica.software_version == version)
+        usable.any(|u| {
+            u.replica.service == *service
+                && u.replica.software_version == version
+                && !tried.contains(&u.replica.id)
+        })
     }
 
     /// Counts the replicas of a service by why they can't accept a request restricted to `regions`
--- a/crates/decisions/tests/dispatch.rs
+++ b/crates/decisions/tests/dispatch.rs
@@ -734,6 +734,7 @@
     });
     assert_eq!(dispatcher.assign(now).len(), usize::from(is_assigned));
     let service = "drafting".into();
-    assert!(dispatcher.serves_version(&service, 2));
-    assert!(!dispatcher.serves_version(&service, 3));
+    assert!(dispatcher.serves_version(&service, 2, &[]));
+    assert!(!dispatcher.serves_version(&service, 2, &["a".into()]));
+    assert!(!dispatcher.serves_version(&service, 3, &[]));
 }
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -113,7 +113,8 @@
     Ok((Rc::clone(route), organisation.cloned()))
 }
 
-/// Picks one of the services of a route at random, in proportion to their weights.
+/// Picks one of the services of a route: the one that began the stream which the request takes up, or else a
+/// random one in proportion to their weights.
 pub fn pick_service(route: &Route, origin: Option<StreamOrigin>) -> Option<ServiceId> {
     if let Some(origin) = origin {
         let mut services = route.targets.iter().map(|(service, _)| service);
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -385,7 +385,10 @@
         self.partial_event.clear();
         self.scanner.discard_partial_event();
         loop {
-            if self.tx.is_closed() || !self.ctx.try_consume_retry(&self.node) {
+            if self.tx.is_closed()
+                || !self.ctx.is_version_served(&self.node)
+                || !self.ctx.try_consume_retry(&self.node)
+            {
                 return None;
             }
             let (slot, target) = self.ctx.acquire_slot_for_resume(&self.node).await?;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -160,12 +160,14 @@
     if !route.kind.is_stream() || meta.last_event_id.is_none() {
         return Ok(None);
     }
-    match stream_origin::find_out(node, meta, route).await {
-        Some(origin) => Ok(Some(origin)),
-        None => Err(unavailable(
-            "the software version that began the stream is not known",
-        )),
-    }
+    let reason = tokio::select! {
+        origin = stream_origin::find_out(node, meta, route) => match origin {
+            Some(origin) => return Ok(Some(origin)),
+            None => "the software version that began the stream is not known",
+        },
+        () = node.response_deadline_reached() => "this instance shuts down before it is known where the stream began",
+    };
+    Err(unavailable(reason))
 }
 
 /// Refuses a request for which its route has no service.
--- a/crates/entry/src/request/refusals.rs
+++ b/crates/entry/src/request/refusals.rs
@@ -66,14 +66,8 @@
     service: &ServiceId,
     origin: Option<StreamOrigin>,
 ) -> Result<(), Refusal> {
-    let Some(origin) = origin else {
-        return Ok(());
-    };
-    if node
-        .dispatch
-        .borrow()
-        .serves_version(service, origin.version)
-    {
+    let dispatch = node.dispatch.borrow();
+    if origin.is_none_or(|o| dispatch.serves_version(service, o.version, &[])) {
         return Ok(());
     }
     let reason = format!("no replica of {service} has the software version that began the stream");
--- a/crates/entry/src/request/slot_request.rs
+++ b/crates/entry/src/request/slot_request.rs
@@ -157,6 +157,13 @@
         Ok(())
     }
 
+    /// Whether a replica that was not tried has the software version that the request needs.
+    pub fn is_version_served(&self, node: &Node) -> bool {
+        let dispatch = node.dispatch.borrow();
+        self.origin
+            .is_none_or(|o| dispatch.serves_version(&self.service, o.version, &self.tried))
+    }
+
     /// Waits for a slot for the rest of a stream that broke off, under the table in force and with the
     /// highest priority. Returns `None` if none is assigned in time or its replica can't be used.
     pub async fn acquire_slot_for_resume(
