Check in a model that no stream changes its software version

The first version of the model found one way that is left: an instance with a view that is older than the memory of versions begins a stream at a replica whose entry is gone as long. What the minute covers is now said by name: 15 s of a caller, and 45 s in which replicas serve on and instances learn late.

--- a/crates/decisions/src/software_versions.rs
+++ b/crates/decisions/src/software_versions.rs
@@ -17,12 +17,13 @@
 
 use crate::id::NameHash;
 
-/// Shortest time for which the versions of a service are remembered. Callers take a stream up within their
-/// timeout, which is 15 s at most.
-const MIN_STREAM_LIFETIME: Duration = Duration::from_mins(1);
+/// Shortest time for which a version that is gone is remembered. Callers take a stream up within their timeout,
+/// which is 15 s at most; the rest is for replicas that serve on after their entries were removed, and for
+/// instances that learn of it late.
+const MIN_MEMORY: Duration = Duration::from_mins(1);
 
-/// Longest lifetime of a stream in terms of its route's timeout, which bounds a single attempt.
-const TIMEOUTS_PER_LIFETIME: u32 = 4;
+/// The same in terms of the longest timeout of a route, which bounds a single attempt.
+const TIMEOUTS_PER_MEMORY: u32 = 4;
 
 /// The service of a replica and the version of its software.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -54,14 +55,14 @@
 }
 
 /// The versions of all services that one instance has seen.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct VersionHistory {
     /// Sorted by service and source.
     seen: Vec<SeenSource>,
     /// Time before which changes may have been missed; `None` if no stream is older than this history.
     missed_until: Option<Instant>,
-    /// Longest time from the first event of a stream until a caller takes it up for the last time.
-    stream_lifetime: Duration,
+    /// Time for which a version that is gone is remembered.
+    memory: Duration,
 }
 
 /// The history of an instance, as it is sent to another one.
@@ -79,7 +80,7 @@
         Self {
             seen: Vec::new(),
             missed_until: Some(now),
-            stream_lifetime: MIN_STREAM_LIFETIME,
+            memory: MIN_MEMORY,
         }
     }
 
@@ -91,13 +92,12 @@
 
     /// Sets the longest timeout of the routes whose streams can be resumed.
     pub fn set_longest_timeout(&mut self, timeout: Duration) {
-        let lifetime = timeout.saturating_mul(TIMEOUTS_PER_LIFETIME);
-        self.stream_lifetime = lifetime.max(MIN_STREAM_LIFETIME);
+        self.memory = timeout.saturating_mul(TIMEOUTS_PER_MEMORY).max(MIN_MEMORY);
     }
 
-    /// Longest time from the first event of a stream until a caller takes it up for the last time.
-    pub fn stream_lifetime(&self) -> Duration {
-        self.stream_lifetime
+    /// Time after which no caller takes up a stream that broke, or whose version is gone.
+    pub fn memory(&self) -> Duration {
+        self.memory
     }
 
     /// Records that a replica was published, was removed, or has changed.
@@ -133,7 +133,7 @@
         self.missed_until = Some(now);
     }
 
-    /// Whether nothing was missed within the lifetime of a stream.
+    /// Whether nothing was missed that a stream which still lasts may depend on.
     pub fn is_complete(&self, now: Instant) -> bool {
         self.missed_until.is_none_or(|at| self.is_old(now, at))
     }
@@ -190,9 +190,9 @@
         true
     }
 
-    /// Whether a time is longer ago than any stream lasts.
+    /// Whether a time is so long ago that no stream depends on it.
     fn is_old(&self, now: Instant, at: Instant) -> bool {
-        now.saturating_duration_since(at) >= self.stream_lifetime
+        now.saturating_duration_since(at) >= self.memory
     }
 
     /// The entry of a source, created if absent.
@@ -213,10 +213,10 @@
         &mut self.seen[index]
     }
 
-    /// Removes the sources that have not been in use for longer than any stream lasts.
+    /// Removes the sources that have not been in use for so long that no stream depends on them.
     fn forget_old(&mut self, now: Instant) {
-        let lifetime = self.stream_lifetime;
-        let is_recent = |s: &SeenSource| now.saturating_duration_since(s.last_seen) < lifetime;
+        let memory = self.memory;
+        let is_recent = |s: &SeenSource| now.saturating_duration_since(s.last_seen) < memory;
         self.seen.retain(|s| s.present > 0 || is_recent(s));
     }
 }
--- a/crates/decisions/src/stream_records.rs
+++ b/crates/decisions/src/stream_records.rs
@@ -64,7 +64,7 @@
 }
 
 /// The streams of which one instance knows where they began.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct StreamRecords {
     /// Sorted by key.
     records: Vec<Record>,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -323,8 +323,8 @@
         self.version_tx.send_replace(version);
     }
 
-    /// Records which routes of resumable streams lead to other services in a newer table, and how long
-    /// their streams last.
+    /// Records which routes of resumable streams lead to other services in a newer table, and the longest of
+    /// their timeouts.
     fn record_moved_routes(&self, newer: &Table) {
         let now = Instant::now();
         let mut versions = self.versions.borrow_mut();
--- a/crates/entry/src/stream_origin/announcer.rs
+++ b/crates/entry/src/stream_origin/announcer.rs
@@ -40,8 +40,8 @@
 
     /// Announces what is due, and forgets the streams that nobody takes up any more.
     pub(super) fn check(&mut self, node: &Node, now: Instant) {
-        let lifetime = node.versions.borrow().stream_lifetime();
-        if let Some(oldest) = now.checked_sub(lifetime) {
+        let memory = node.versions.borrow().memory();
+        if let Some(oldest) = now.checked_sub(memory) {
             node.streams.borrow_mut().remove_older(oldest);
         }
         let before = std::mem::replace(&mut self.announced, announced_services(node));
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod idempotency;
 pub mod shedding;
 pub mod slots;
+pub mod software_versions;
 
 pub use explore::{Broken, Explored, Model, explore};
