--- a/crates/entry/src/stream_origin.rs
+++ b/crates/entry/src/stream_origin.rs
@@ -185,7 +185,11 @@
 fn must_announce(node: &Node, service: NameHash) -> bool {
     let now = Instant::now();
     let sole_version = node.versions.borrow().sole_version(now, service);
+    let shares_route = node
+        .table()
+        .is_some_and(|table| table.shares_resumable_route(service));
     sole_version.is_none()
+        || shares_route
         || node.process_state() != ProcessState::Serving
         || !hears_store(node, now)
 }
--- a/crates/entry/src/table.rs
+++ b/crates/entry/src/table.rs
@@ -68,6 +68,11 @@
         self.leads_to_all_of(other) && other.leads_to_all_of(self)
     }
 
+    /// Whether its streams can be resumed.
+    fn is_resumable(&self) -> bool {
+        self.kind.is_stream() && self.kind.is_retryable()
+    }
+
     fn leads_to_all_of(&self, other: &Self) -> bool {
         let leads_to = |service: &ServiceId| self.targets.iter().any(|(s, _)| s == service);
         other.targets.iter().all(|(service, _)| leads_to(service))
@@ -148,6 +153,8 @@
     keys: Vec<(String, Rc<Organisation>)>,
     /// Sorted by name hash.
     organisations_by_hash: Vec<(NameHash, Rc<Organisation>)>,
+    /// Name hashes of the services that share a route of resumable streams with others, sorted.
+    sharing_services: Vec<NameHash>,
     /// Whether requests need a key, except on public routes.
     requires_key: bool,
 }
@@ -183,6 +190,7 @@
         }
         keys.sort_by(|a, b| a.0.cmp(&b.0));
         organisations_by_hash.sort_by_key(|(hash, _)| *hash);
+        let sharing_services = sharing_services(&routes);
         Self {
             version,
             limits,
@@ -190,10 +198,17 @@
             services,
             keys,
             organisations_by_hash,
+            sharing_services,
             requires_key,
         }
     }
 
+    /// Whether the service with this name hash shares a route of resumable streams with others, so that the route
+    /// alone doesn't tell which of them began a stream.
+    pub fn shares_resumable_route(&self, service: NameHash) -> bool {
+        self.sharing_services.binary_search(&service).is_ok()
+    }
+
     /// The route of the host with the longest prefix of the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
         let first = self.routes.partition_point(|r| r.host.as_str() < host);
@@ -206,8 +221,7 @@
 
     /// The routes whose streams can be resumed.
     pub fn resumable_routes(&self) -> impl Iterator<Item = &Rc<Route>> {
-        let is_resumable = |r: &&Rc<Route>| r.kind.is_stream() && r.kind.is_retryable();
-        self.routes.iter().filter(is_resumable)
+        self.routes.iter().filter(|r| r.is_resumable())
     }
 
     /// The organisation that holds the key.
@@ -242,3 +256,15 @@
         Some(&self.services[index])
     }
 }
+
+/// Name hashes of the services that share a route of resumable streams with others, sorted.
+fn sharing_services(routes: &[Rc<Route>]) -> Vec<NameHash> {
+    let shared = routes
+        .iter()
+        .filter(|r| r.is_resumable() && r.targets.len() > 1);
+    let services = shared.flat_map(|r| &r.targets);
+    let mut services: Vec<NameHash> = services.map(|(name, _)| name_hash(name)).collect();
+    services.sort_unstable();
+    services.dedup();
+    services
+}
