Compare the routes of two tables without a look at all others

A table of 1,400 routes of one host was compared with the one before in 2 million steps at each change. Also: what requests and tables mean for the origin of streams stands in files of its own. Behaviour is the same.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -3,6 +3,7 @@
 mod replicas;
 mod slots;
 mod statements;
+mod versions;
 
 use std::cell::{Cell, RefCell};
 use std::net::Ipv4Addr;
@@ -323,38 +324,6 @@
         self.version_tx.send_replace(version);
     }
 
-    /// Records which routes of resumable streams lead to other services in a newer table, and the longest of
-    /// their timeouts.
-    fn record_moved_routes(&self, newer: &Table) {
-        let now = Instant::now();
-        let mut versions = self.versions.borrow_mut();
-        let timeouts = newer.resumable_routes().map(|r| r.timeout);
-        versions.set_longest_timeout(timeouts.max().unwrap_or_default());
-        let Some(older) = self.table() else {
-            return;
-        };
-        for route in newer.resumable_routes() {
-            let before = older.route(&route.host, &route.prefix);
-            if before.is_none_or(|before| before.has_same_services(route)) {
-                continue;
-            }
-            for (service, _) in &route.targets {
-                versions.on_moved_route(now, name_hash(service));
-            }
-        }
-    }
-
-    /// Records that changes of the directory up to now may have been missed.
-    pub fn record_missed_changes(&self) {
-        self.versions.borrow_mut().on_missed_changes(Instant::now());
-        let upto = self.directory.borrow().small_up_to();
-        self.history_missed_up_to.set(upto);
-        self.log.line(
-            Priority::High,
-            format_args!("event=version_history_missed upto={upto}"),
-        );
-    }
-
     /// Returns a number for a new request, unique in this process.
     pub fn next_job_id(&self) -> JobId {
         let id = self.next_job_id.get();
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -2,6 +2,7 @@
 //! to.
 
 mod attempt;
+mod origin;
 mod refusals;
 mod slot_request;
 
@@ -26,11 +27,11 @@
 use crate::refusal::{Refusal, RefusalKind};
 use crate::relay::ResponseBody;
 use crate::request_log::{self, UnansweredGuard};
-use crate::stream_origin;
 use crate::table::{Organisation, Route, Table};
 
 use attempt::NextStep;
-use refusals::{check_regions, check_time_to_shutdown, check_version_served, unavailable};
+use origin::{check_version_served, find_origin, no_service};
+use refusals::{check_regions, check_time_to_shutdown, unavailable};
 
 /// Longest time a request waits for the first table after a start. The table is read within two
 /// tenths of a second if the store or a peer responds.
@@ -151,34 +152,6 @@
     ctx.run(Rc::clone(node), active).await
 }
 
-/// Finds out where the stream began that a request takes up; `None` if it takes up none.
-async fn find_origin(
-    node: &Rc<Node>,
-    meta: &RequestMeta,
-    route: &Route,
-) -> Result<Option<StreamOrigin>, Refusal> {
-    if !route.kind.is_stream() || meta.last_event_id.is_none() {
-        return Ok(None);
-    }
-    let reason = tokio::select! {
-        origin = stream_origin::find_out(node, meta, route) => match origin {
-            Some(origin) => return Ok(Some(origin)),
-            None => "the software version that began the stream is not known",
-        },
-        () = node.response_deadline_reached() => "this instance shuts down before it is known where the stream began",
-    };
-    Err(unavailable(reason))
-}
-
-/// Refuses a request for which its route has no service.
-fn no_service(route: &Route, origin: Option<StreamOrigin>) -> Refusal {
-    let name = &route.name;
-    unavailable(&match origin {
-        Some(_) => format!("route {name} no longer leads to the service that began the stream"),
-        None => format!("route {name} has no service"),
-    })
-}
-
 /// Returns the table in force, or waits for the first one while the instance starts.
 async fn wait_for_table(node: &Node, meta: &RequestMeta) -> Result<Rc<Table>, Refusal> {
     let mut version = node.version_tx.subscribe();
--- a/crates/entry/src/request/refusals.rs
+++ b/crates/entry/src/request/refusals.rs
@@ -4,7 +4,6 @@
 
 use kingcupfield_decisions::id::ServiceId;
 use kingcupfield_decisions::regions::Regions;
-use kingcupfield_decisions::software_versions::StreamOrigin;
 use rand::RngExt as _;
 use tokio::time::Instant;
 
@@ -60,20 +59,6 @@
     ))
 }
 
-/// Refuses to take up a stream whose software version no replica serves any more.
-pub(super) fn check_version_served(
-    node: &Node,
-    service: &ServiceId,
-    origin: Option<StreamOrigin>,
-) -> Result<(), Refusal> {
-    let dispatch = node.dispatch.borrow();
-    if origin.is_none_or(|o| dispatch.serves_version(service, o.version, &[])) {
-        return Ok(());
-    }
-    let reason = format!("no replica of {service} has the software version that began the stream");
-    Err(Refusal::new(RefusalKind::Unavailable).with_message(reason))
-}
-
 /// Builds a refusal for a request that the caller should retry shortly: another instance, or later
 /// this one, can serve it.
 pub(super) fn unavailable(reason: &str) -> Refusal {
--- a/crates/entry/src/stream_origin.rs
+++ b/crates/entry/src/stream_origin.rs
@@ -33,6 +33,9 @@
 pub use history::{HISTORY_PATH, History};
 pub use query::{Queries, on_message};
 
+/// Interval at which it is checked what has to be announced, and whether the history is complete.
+const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+
 /// How it is known where a stream began.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Evidence {
@@ -77,9 +80,6 @@
     )
 }
 
-/// Interval at which it is checked what has to be announced, and whether the history is complete.
-const CHECK_INTERVAL: Duration = Duration::from_millis(400);
-
 /// What an instance does about streams and versions beside requests.
 #[derive(Debug)]
 pub struct Upkeep {
--- a/crates/entry/src/table.rs
+++ b/crates/entry/src/table.rs
@@ -219,6 +219,21 @@
             .max_by_key(|r| r.prefix.len())
     }
 
+    /// The route that served the requests of a newer table's route.
+    ///
+    /// Most routes of a large table are the same in both, and are found without a look at all others of their
+    /// host.
+    pub fn route_before(&self, newer: &Route) -> Option<&Rc<Route>> {
+        let of_newer = (&newer.host, &newer.prefix);
+        let same = self
+            .routes
+            .binary_search_by(|r| (&r.host, &r.prefix).cmp(&of_newer));
+        match same {
+            Ok(index) => Some(&self.routes[index]),
+            Err(_) => self.route(&newer.host, &newer.prefix),
+        }
+    }
+
     /// The routes whose streams can be resumed.
     pub fn resumable_routes(&self) -> impl Iterator<Item = &Rc<Route>> {
         self.routes.iter().filter(|r| r.is_resumable())
--- a/crates/entry/tests/route_services.rs
+++ b/crates/entry/tests/route_services.rs
@@ -6,7 +6,7 @@
 use kingcupfield_decisions::regions::Regions;
 use kingcupfield_decisions::software_versions::StreamOrigin;
 use kingcupfield_entry::admission::pick_service;
-use kingcupfield_entry::table::{Route, RouteKind};
+use kingcupfield_entry::table::{CallerLimits, Route, RouteKind, Table};
 use yare::parameterized;
 
 /// Picks of each case: a random choice would show.
@@ -69,3 +69,29 @@
 ) {
     assert_eq!(route(before).has_same_services(&route(after)), is_same);
 }
+
+/// The streams of a route that was carved out of another one would have gone on at its own service.
+#[parameterized(
+    same = { "/draft/", Some("a") },
+    carved_out = { "/draft/long/", Some("a") },
+    new = { "/notes/", None },
+)]
+fn a_route_follows_the_one_that_served_its_requests(prefix: &str, expected: Option<&str>) {
+    let limits = CallerLimits {
+        head_bytes: 16_384,
+        body_bytes: 100_000,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let other = Route {
+        prefix: "/a-first/".to_owned(),
+        ..route(&[("c", 1)])
+    };
+    let older = Table::new(1, limits, vec![other, route(&[("a", 1)])], Vec::new(), None);
+    let newer = Route {
+        prefix: prefix.to_owned(),
+        ..route(&[("b", 1)])
+    };
+    let before = older.route_before(&newer);
+    assert_eq!(before.map(|r| &*r.targets[0].0), expected);
+}
