Log which requests a crashed replica ran, and what they have in common

After requests break off at a replica, one connection to it is opened: refused means that it crashed. A connection that opens is kept for the next request, so that single breaks cost nothing more. No decision depends on it yet.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod drained_zones;
 pub mod fairness;
 pub mod fanout;
+pub mod fingerprint;
 pub mod health;
 pub mod holder;
 pub mod id;
--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -115,6 +115,10 @@
     /// Parses the head of a caller's request.
     fn parse_request(&self, head: &RequestParts) -> RequestMeta;
 
+    /// Returns the header values that determine the work of a request, the same in each of a caller's
+    /// attempts.
+    fn work_headers<'a>(&self, head: &'a RequestParts) -> Vec<&'a [u8]>;
+
     /// Builds the headers with which a request is forwarded to a replica.
     fn forward_headers(&self, head: &RequestParts, info: &ForwardInfo<'_>) -> HeaderMap;
 
--- /dev/null
+++ b/crates/entry/src/crash_watch.rs
@@ -0,0 +1,189 @@
+//! Tells the crash of a replica from a connection that broke.
+//!
+//! A replica that crashes ends all its connections, and new ones to it are refused. One connection is
+//! therefore opened after requests broke off. If it opens, the replica is alive, and the connection is kept
+//! for the next request.
+
+use std::cell::RefCell;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use kingcupfield_decisions::fingerprint::Fingerprint;
+use kingcupfield_decisions::id::UpstreamId;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use crate::log::Priority;
+use crate::node::{Node, Target};
+use crate::pool;
+
+/// Time from the first broken request until a connection is opened: the other requests break meanwhile, and
+/// a process that is ending closes its listening socket.
+const CHECK_DELAY: Duration = Duration::from_millis(10);
+
+/// Time for which requests that break at a crashed replica are counted to the same crash.
+const CRASH_MEMORY: Duration = Duration::from_secs(1);
+
+/// A request that broke off at a replica.
+#[derive(Debug, Clone)]
+pub struct BrokenRequest {
+    /// Id of the caller's attempt.
+    pub attempt_id: String,
+    /// What it has in common with others.
+    pub fingerprints: Vec<Fingerprint>,
+}
+
+/// The requests that broke off at one incarnation of a replica at one time.
+#[derive(Debug)]
+struct Breakage {
+    replica: UpstreamId,
+    incarnation: u64,
+    broken_at: Instant,
+    requests: Vec<BrokenRequest>,
+    /// Whether it is known by now if the replica crashed.
+    checked_tx: watch::Sender<bool>,
+}
+
+/// Requests that broke off lately.
+#[derive(Debug, Default)]
+pub struct CrashWatch {
+    breakages: RefCell<Vec<Breakage>>,
+}
+
+impl CrashWatch {
+    /// Adds a request to a breakage that is known; returns it if there is none.
+    fn add(&self, target: &Target, request: BrokenRequest) -> Result<Added, BrokenRequest> {
+        let now = Instant::now();
+        let mut breakages = self.breakages.borrow_mut();
+        breakages.retain(|b| !*b.checked_tx.borrow() || now < b.broken_at + CRASH_MEMORY);
+        let Some(breakage) = breakages.iter_mut().find(|b| b.is_at(target)) else {
+            return Err(request);
+        };
+        if *breakage.checked_tx.borrow() {
+            return Ok(Added::AfterCheck(breakage.broken_at, request));
+        }
+        breakage.requests.push(request);
+        Ok(Added::BeforeCheck)
+    }
+
+    /// Ends the check of a breakage, and returns when it began, and its requests. One that was no crash is
+    /// forgotten, as another one may follow.
+    fn end_check(&self, target: &Target, crashed: bool) -> Option<(Instant, Vec<BrokenRequest>)> {
+        let mut breakages = self.breakages.borrow_mut();
+        let index = breakages.iter().position(|b| b.is_at(target))?;
+        breakages[index].checked_tx.send_replace(true);
+        let broken_at = breakages[index].broken_at;
+        let requests = std::mem::take(&mut breakages[index].requests);
+        if !crashed {
+            breakages.remove(index);
+        }
+        Some((broken_at, requests))
+    }
+
+    /// Completes when no check of the replica is in progress.
+    pub async fn checked(&self, target: &Target) {
+        let checked_rx = {
+            let breakages = self.breakages.borrow();
+            let breakage = breakages.iter().find(|b| b.is_at(target));
+            breakage.map(|b| b.checked_tx.subscribe())
+        };
+        if let Some(mut checked_rx) = checked_rx {
+            // The sender is dropped after a check that found no crash.
+            let _ = checked_rx.wait_for(|checked| *checked).await;
+        }
+    }
+}
+
+impl Breakage {
+    fn is_at(&self, target: &Target) -> bool {
+        self.replica == target.published.id && self.incarnation == target.published.start_unix_ms
+    }
+}
+
+/// What became of a request that was added to a breakage.
+enum Added {
+    /// The check is in progress and counts it.
+    BeforeCheck,
+    /// The replica is known to have crashed at this time.
+    AfterCheck(Instant, BrokenRequest),
+}
+
+/// Records that a request broke off at a replica, and finds out whether the replica has crashed.
+pub fn on_broken(node: &Rc<Node>, target: &Rc<Target>, request: BrokenRequest) {
+    match node.crash_watch.add(target, request) {
+        Ok(Added::BeforeCheck) => {}
+        Ok(Added::AfterCheck(crashed_at, request)) => {
+            on_crash(node, target, crashed_at, &[request]);
+        }
+        Err(request) => start_check(node, target, request),
+    }
+}
+
+/// Starts the check of a replica at which a first request broke off.
+fn start_check(node: &Rc<Node>, target: &Rc<Target>, request: BrokenRequest) {
+    node.crash_watch.breakages.borrow_mut().push(Breakage {
+        replica: target.published.id.clone(),
+        incarnation: target.published.start_unix_ms,
+        broken_at: Instant::now(),
+        requests: vec![request],
+        checked_tx: watch::Sender::new(false),
+    });
+    let (node, target) = (Rc::clone(node), Rc::clone(target));
+    tokio::task::spawn_local(async move {
+        sleep(CHECK_DELAY).await;
+        let crashed = has_crashed(&node, &target).await;
+        if let Some((broken_at, requests)) = node.crash_watch.end_check(&target, crashed)
+            && crashed
+        {
+            node.metrics.count_replica_crash();
+            on_crash(&node, &target, broken_at, &requests);
+        }
+    });
+}
+
+/// Whether a replica refuses connections. One that does not answer at all may be cut off from this instance
+/// alone, and counts as alive.
+async fn has_crashed(node: &Node, target: &Target) -> bool {
+    match pool::connect(target.published.address).await {
+        Ok(connection) => {
+            let now = Instant::now();
+            target.pool.put_back(now, connection, &HeaderMap::new());
+            false
+        }
+        Err(e) => {
+            let refused = matches!(
+                e.kind(),
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+            );
+            if !refused {
+                node.log.line(
+                    Priority::High,
+                    format_args!(
+                        "event=crash_unknown replica={} reason={e:?}",
+                        target.published.id
+                    ),
+                );
+            }
+            refused
+        }
+    }
+}
+
+/// Logs a crash with the requests that it broke off.
+fn on_crash(node: &Node, target: &Target, crashed_at: Instant, requests: &[BrokenRequest]) {
+    for request in requests {
+        node.log.line(
+            Priority::High,
+            format_args!(
+                "event=replica_crashed replica={} start_ms={} ago_ms={} id={} fingerprints={:x?}",
+                target.published.id,
+                target.published.start_unix_ms,
+                crashed_at.elapsed().as_millis(),
+                request.attempt_id,
+                request.fingerprints,
+            ),
+        );
+    }
+}
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -68,6 +68,11 @@
         )
     }
 
+    /// Whether the connection ended while the replica may have run the request.
+    pub fn broke_connection(self) -> bool {
+        matches!(self, Self::Dropped | Self::Broken)
+    }
+
     /// How the dispatcher should count the failure for the replica.
     pub fn outcome(self) -> Outcome {
         match self {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -54,6 +54,8 @@
     durations: HistogramVec,
     /// Log lines dropped by the rate limit or because the reader stalled.
     dropped_lines: IntCounter,
+    /// Crashes of replicas while they ran requests of this instance.
+    replica_crashes: IntCounter,
     /// Replicas whose directory entry expired although they had not announced their departure.
     expired_replicas: IntCounter,
     /// Streams that callers took up, by how it was known where they began.
@@ -115,6 +117,11 @@
                 "kingcup_log_lines_dropped_total",
                 "Log lines beyond the budget or a reader that stands still",
             ),
+            replica_crashes: counter(
+                &registry,
+                "kingcup_replica_crashes_total",
+                "Crashes of replicas while they ran requests of this instance",
+            ),
             expired_replicas: counter(
                 &registry,
                 "kingcup_replicas_lapsed_total",
@@ -171,6 +178,11 @@
         self.dropped_lines.inc_by(lines);
     }
 
+    /// Counts a replica that crashed while it ran requests of this instance.
+    pub fn count_replica_crash(&self) {
+        self.replica_crashes.inc();
+    }
+
     /// Counts a replica whose directory entry expired.
     pub fn count_expired_replica(&self) {
         self.expired_replicas.inc();
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -23,6 +23,7 @@
 
 use crate::adapter::{DirectoryClient, ProtocolAdapter};
 use crate::clock::SuspendDetector;
+use crate::crash_watch::CrashWatch;
 use crate::credit;
 use crate::directory::{Confirmations, DirectoryReader};
 use crate::log::{Log, Priority};
@@ -80,6 +81,8 @@
     pub credit_wakeup: Notify,
     /// Messages to other instances that are to be sent.
     pub send_queue: SendQueue,
+    /// Requests that broke off lately, and whether their replicas crashed.
+    pub crash_watch: CrashWatch,
     /// Budget for retries.
     pub retry_budget: RefCell<UpstreamRetryBudget>,
     /// Latest known entry of each directory key.
@@ -182,6 +185,7 @@
             credit_waiters: RefCell::new(Vec::new()),
             credit_wakeup: Notify::new(),
             send_queue: SendQueue::default(),
+            crash_watch: CrashWatch::default(),
             retry_budget: RefCell::new(UpstreamRetryBudget::new(cfg.retry_bounds())),
             directory: RefCell::new(StoreView::new()),
             peers: RefCell::new(
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -174,8 +174,10 @@
 enum AttemptEnd {
     /// The replica ended the response, not inside of an event.
     Complete,
-    /// The replica ended it inside of an event, the connection broke, or the stream stalled.
+    /// The replica ended it inside of an event, or the connection broke.
     Broken,
+    /// No event came for too long.
+    Stalled,
     /// The caller disconnected.
     CallerGone,
     /// The route's timeout or the end of a shutdown was reached.
@@ -261,7 +263,8 @@
                     self.log(how, &replica);
                     return;
                 }
-                AttemptEnd::Broken => {}
+                AttemptEnd::Broken => self.ctx.on_broken(&self.node, &attempt.target),
+                AttemptEnd::Stalled => {}
             }
             self.log("broke_off", &replica);
             drop(attempt.connection);
@@ -298,7 +301,7 @@
                 () = self.tx.closed() => return AttemptEnd::CallerGone,
                 frame = attempt.body.frame() => frame,
                 expired = &mut expired => return AttemptEnd::Expired(expired),
-                () = self.stalled() => return AttemptEnd::Broken,
+                () = self.stalled() => return AttemptEnd::Stalled,
             };
             let chunk = match frame {
                 None if self.scanner.in_partial_event() => return AttemptEnd::Broken,
@@ -427,6 +430,9 @@
                 }
                 Ok(_) => slot.release(Outcome::Failed),
                 Err(e) => {
+                    if e.broke_connection() {
+                        self.ctx.on_broken(&self.node, &target);
+                    }
                     if !e.may_have_run() {
                         self.ctx.runs -= 1;
                     }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -14,16 +14,18 @@
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use kingcupfield_decisions::fingerprint::{self, Fingerprint};
 use kingcupfield_decisions::id::{ServiceId, UpstreamId};
 use kingcupfield_decisions::software_versions::StreamOrigin;
 use tokio::time::Instant;
 
 use crate::adapter::RequestMeta;
 use crate::admission::{charge, pick_service, read_body, resolve};
+use crate::crash_watch::{self, BrokenRequest};
 use crate::credit::{self, CreditGrant};
 use crate::expiry::{Expiry, wait_for_expiry};
 use crate::metrics::Phase;
-use crate::node::{Node, ProcessState};
+use crate::node::{Node, ProcessState, Target};
 use crate::refusal::{Refusal, RefusalKind};
 use crate::relay::ResponseBody;
 use crate::request_log::{self, UnansweredGuard};
@@ -242,6 +244,25 @@
         }
     }
 
+    /// What the request has in common with others, as far as replicas may crash of it.
+    pub fn fingerprints(&self, node: &Node) -> Vec<Fingerprint> {
+        let method = self.head.method.as_str().as_bytes();
+        let path = self.head.uri.path_and_query();
+        let path = path.map_or(&b""[..], |path| path.as_str().as_bytes());
+        let mut fields = node.protocol.work_headers(&self.head);
+        fields.extend([method, path, &self.body]);
+        vec![fingerprint::of_request(&self.service, fields)]
+    }
+
+    /// Records that the request broke off at a replica, which may have crashed of it.
+    pub fn on_broken(&self, node: &Rc<Node>, target: &Rc<Target>) {
+        let request = BrokenRequest {
+            attempt_id: self.meta.attempt_id.clone(),
+            fingerprints: self.fingerprints(node),
+        };
+        crash_watch::on_broken(node, target, request);
+    }
+
     /// Refunds the credit of a request that no replica has run.
     fn refund(&self, node: &Node) {
         if let Some(organisation) = &self.organisation {
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -84,7 +84,7 @@
         };
         match sent {
             Ok(response) => self.on_response(node, target, slot, response, active).await,
-            Err(failure) => self.on_failure(node, slot, failure),
+            Err(failure) => self.on_failure(node, target, slot, failure),
         }
     }
 
@@ -110,7 +110,16 @@
     }
 
     /// Handles an attempt without a response: decides between a retry and a refusal.
-    fn on_failure(&mut self, node: &Node, slot: SlotGuard, failure: SendFailure) -> NextStep {
+    fn on_failure(
+        &mut self,
+        node: &Rc<Node>,
+        target: &Rc<Target>,
+        slot: SlotGuard,
+        failure: SendFailure,
+    ) -> NextStep {
+        if failure.broke_connection() {
+            self.on_broken(node, target);
+        }
         request_log::log_send_failed(node, self, &slot.upstream, failure);
         slot.release(failure.outcome());
         if failure.may_have_run() {
@@ -177,7 +186,7 @@
             }
         };
         let Ok(body) = body else {
-            return self.on_failure(node, slot, SendFailure::Broken);
+            return self.on_failure(node, target, slot, SendFailure::Broken);
         };
         target
             .pool
