Refuse requests with a part in their prompts under which replicas crashed

Change: each part of a prompt has a fingerprint beside that of the whole request. Several suspects may recur at once, the cause and what always or mostly came with it. A request is refused only if it has all that recur of two crashes, so that the cause is among them; with some of them it is sent, and its completion clears these at every instance. A suspect that ran only where another one did, and in two crashes less, is explained by it. Reports of a crash repeat the earlier ones of the same suspects, so that their order is known where messages take different times, and a replica counts as crashed only if it refuses connections, also after it has closed one.

Why it works: no completion of a request with the part exists, so it is never cleared; all others are, as soon as one sound request with them is completed anywhere.

--- a/crates/decisions/src/crash_suspects.rs
+++ b/crates/decisions/src/crash_suspects.rs
@@ -1,18 +1,24 @@
 //! Which requests are refused because replicas crash of them.
 //!
-//! Load pattern: a request crashes each replica that begins to answer it, and its caller sends it again,
-//! each time to another instance. To every instance it is a new request, and to every replica a first one.
-//! Without a memory of what crashed requests have in common, a few such requests keep a service down.
+//! Load pattern: a request, or each request with a certain part in its prompt, crashes each replica that
+//! begins to answer it. Such requests come to all instances. To every instance each is a new request, and to
+//! every replica a first one. Without a memory of what crashed requests have in common, a few of them keep a
+//! service down.
 //!
 //! A crash makes a suspect of everything that the replica was running. A response that is completed later
 //! clears the suspects that its request has in common with them, so that only what is never completed and
-//! was running in several crashes is quarantined. Only crashes of requests that were sent after the crash
-//! before count, as many replicas that fail together have another cause.
+//! was running in several crashes recurs. Only crashes of requests that were sent after the crash before
+//! count, as many replicas that fail together have another cause.
+//!
+//! What sound requests share may recur as well for a while, beside what crashes the replicas. A request is
+//! therefore refused only if it has all recurring suspects of several crashes, so that the cause is among
+//! them whichever it is.
 //!
 //! A quarantine ends by itself. From time to time one instance sends one request of the quarantined kind;
 //! if it is completed, the quarantine is over everywhere, and if it crashes the replica, the next one waits
 //! for twice as long.
 
+mod evidence;
 mod record;
 
 use std::time::Duration;
@@ -24,9 +30,9 @@
 
 use record::Record;
 
-/// Crashes, one after the other and without a completion since the first of them, from which on what was
-/// running in all of them is quarantined.
-pub const CRASHES_TO_QUARANTINE: usize = 3;
+/// Crashes, one after the other and without a completion since the first of them, from which on a suspect
+/// that was running in all of them recurs.
+pub const CRASHES_TO_RECUR: usize = 3;
 
 /// Time from the last crash to the first trial of what is quarantined.
 pub const FIRST_TRIAL_AFTER: Duration = Duration::from_mins(1);
@@ -34,7 +40,7 @@
 /// Longest time from a crash to the next trial.
 pub const LONGEST_TRIAL_PAUSE: Duration = Duration::from_mins(16);
 
-/// Time from the last crash after which a suspect is forgotten that is not quarantined.
+/// Time from the last crash after which a suspect is forgotten that does not recur.
 const SUSPECT_MEMORY: Duration = Duration::from_mins(10);
 
 /// Time from the last crash after which a quarantine is forgotten, if no request has come that could be
@@ -93,6 +99,8 @@
 pub struct CrashSuspects {
     /// Sorted by fingerprint.
     records: Vec<Record>,
+    /// Fingerprints of the records that recur, sorted.
+    recurring: Vec<Fingerprint>,
 }
 
 impl CrashSuspects {
@@ -118,6 +126,7 @@
                 }
             };
             is_news |= record.on_crash(report.crash, suspect.ran_for);
+            self.update_recurring(suspect.fingerprint);
         }
         self.drop_excess();
         is_news
@@ -132,6 +141,7 @@
                 && self.records[index].on_completed(at)
             {
                 cleared.push(*fingerprint);
+                self.update_recurring(*fingerprint);
             }
         }
         cleared
@@ -139,25 +149,30 @@
 
     /// Why a request must not be sent; `None` if it may.
     pub fn quarantine(&self, now: Instant, fingerprints: &[Fingerprint]) -> Option<Quarantine> {
-        let quarantined = fingerprints
-            .iter()
-            .filter_map(|f| self.records.get(self.search(*f).ok()?))
-            .find(|r| r.is_quarantined())?;
+        let of_request: Vec<&Record> = self
+            .recurring()
+            .filter(|r| fingerprints.contains(&r.fingerprint))
+            .collect();
+        let main = of_request.iter().max_by_key(|r| r.crashes().len())?;
+        let all: Vec<&Record> = self.recurring().collect();
+        if !evidence::suffices(&all, &of_request) {
+            return None;
+        }
         Some(Quarantine {
-            fingerprint: quarantined.fingerprint,
-            crashes: quarantined.crashes().len(),
-            retry_after: quarantined.time_to_trial(now),
+            fingerprint: main.fingerprint,
+            crashes: main.crashes().len(),
+            retry_after: main.time_to_trial(now),
         })
     }
 
-    /// Whether one more crash would quarantine a request with these fingerprints.
+    /// Whether one more crash might quarantine a request with these fingerprints.
     pub fn is_near_quarantine(&self, fingerprints: &[Fingerprint]) -> bool {
         let known = fingerprints
             .iter()
             .filter_map(|f| self.records.get(self.search(*f).ok()?));
         known
             .into_iter()
-            .any(|record| record.successive_crashes() + 1 >= CRASHES_TO_QUARANTINE)
+            .any(|record| record.successive_crashes() + 1 >= CRASHES_TO_RECUR)
     }
 
     /// Begins the trial of what is quarantined, if it is due; returns whether the request may be sent. One
@@ -170,26 +185,17 @@
     }
 
     /// The crashes of which other instances have to know: those with a suspect that was running in several.
-    pub fn recurring(&self) -> Vec<CrashReport> {
-        let mut reports: Vec<CrashReport> = Vec::new();
-        for record in self.records.iter().filter(|r| r.crashes().len() > 1) {
-            for sighting in record.crashes() {
-                let crash = sighting.crash;
-                let suspect = Suspect {
-                    fingerprint: record.fingerprint,
-                    ran_for: crash.at.saturating_duration_since(sighting.sent_at),
-                };
-                let key = |c: &Crash| (c.replica, c.incarnation, c.at);
-                match reports.binary_search_by_key(&key(&crash), |r| key(&r.crash)) {
-                    Ok(index) => reports[index].suspects.push(suspect),
-                    Err(index) => {
-                        let suspects = vec![suspect];
-                        reports.insert(index, CrashReport { crash, suspects });
-                    }
-                }
-            }
-        }
-        reports
+    pub fn reports(&self) -> Vec<CrashReport> {
+        reports_of(self.records.iter().filter(|r| r.crashes().len() > 1))
+    }
+
+    /// All crashes of some suspects. Told together, another instance learns their order, which messages that
+    /// take different times would hide.
+    pub fn history(&self, suspects: &[Suspect]) -> Vec<CrashReport> {
+        let indices = suspects
+            .iter()
+            .filter_map(|s| self.search(s.fingerprint).ok());
+        reports_of(indices.map(|index| &self.records[index]))
     }
 
     /// What was cleared since a time, and when it was last completed.
@@ -199,22 +205,48 @@
         completed.filter(|(_, at)| *at >= since).collect()
     }
 
-    /// What is quarantined.
-    pub fn quarantined(&self) -> impl Iterator<Item = Fingerprint> {
-        let quarantined = self.records.iter().filter(|r| r.is_quarantined());
-        quarantined.map(|r| r.fingerprint)
+    /// Suspects that recur, sorted.
+    pub fn recurring_fingerprints(&self) -> &[Fingerprint] {
+        &self.recurring
+    }
+
+    fn recurring(&self) -> impl Iterator<Item = &Record> {
+        let indices = self.recurring.iter().filter_map(|f| self.search(*f).ok());
+        indices.map(|index| &self.records[index])
+    }
+
+    /// Updates the list of what recurs after a change of a record.
+    fn update_recurring(&mut self, fingerprint: Fingerprint) {
+        let recurs = self
+            .search(fingerprint)
+            .is_ok_and(|index| self.records[index].recurs());
+        match self.recurring.binary_search(&fingerprint) {
+            Ok(index) if !recurs => {
+                self.recurring.remove(index);
+            }
+            Err(index) if recurs => self.recurring.insert(index, fingerprint),
+            _ => {}
+        }
     }
 
     /// Forgets what has not been heard of for long.
     pub fn expire(&mut self, now: Instant) {
         self.records.retain(|r| {
-            let memory = if r.is_quarantined() {
+            let memory = if r.recurs() {
                 QUARANTINE_MEMORY
             } else {
                 SUSPECT_MEMORY
             };
             now.saturating_duration_since(r.heard_at()) < memory
         });
+        self.drop_missing_recurring();
+    }
+
+    /// Removes fingerprints without a record from the list of what recurs.
+    fn drop_missing_recurring(&mut self) {
+        let records = &self.records;
+        self.recurring
+            .retain(|f| records.binary_search_by_key(f, |r| r.fingerprint).is_ok());
     }
 
     /// Drops the records whose last crash is longest ago, if there are too many.
@@ -226,7 +258,7 @@
         let (_, oldest_kept, _) = heard_at.select_nth_unstable(MAX_RECORDS / 4);
         let oldest_kept = *oldest_kept;
         self.records
-            .retain(|r| r.heard_at() > oldest_kept || r.is_quarantined());
+            .retain(|r| r.heard_at() > oldest_kept || r.recurs());
     }
 
     fn search(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
@@ -235,6 +267,29 @@
     }
 }
 
+/// The crashes of some records, with what of these was running there.
+fn reports_of<'a>(records: impl Iterator<Item = &'a Record>) -> Vec<CrashReport> {
+    let mut reports: Vec<CrashReport> = Vec::new();
+    for record in records {
+        for sighting in record.crashes() {
+            let crash = sighting.crash;
+            let suspect = Suspect {
+                fingerprint: record.fingerprint,
+                ran_for: crash.at.saturating_duration_since(sighting.sent_at),
+            };
+            let key = |c: &Crash| (c.replica, c.incarnation, c.at);
+            match reports.binary_search_by_key(&key(&crash), |r| key(&r.crash)) {
+                Ok(index) => reports[index].suspects.push(suspect),
+                Err(index) => {
+                    let suspects = vec![suspect];
+                    reports.insert(index, CrashReport { crash, suspects });
+                }
+            }
+        }
+    }
+    reports
+}
+
 impl Crash {
     /// Time within which reports of one incarnation tell of the same crash. A replica takes longer to start
     /// again, also if its new start is not published yet.
--- a/crates/decisions/src/crash_suspects/record.rs
+++ b/crates/decisions/src/crash_suspects/record.rs
@@ -4,11 +4,11 @@
 
 use tokio::time::Instant;
 
-use super::{CRASHES_TO_QUARANTINE, Crash, FIRST_TRIAL_AFTER, LONGEST_TRIAL_PAUSE, TRIAL_TIMEOUT};
+use super::{CRASHES_TO_RECUR, Crash, FIRST_TRIAL_AFTER, LONGEST_TRIAL_PAUSE, TRIAL_TIMEOUT};
 use crate::fingerprint::Fingerprint;
 
 /// Most crashes that are remembered of one fingerprint; the latest ones are kept.
-const MAX_CRASHES: usize = 16;
+const MAX_CRASHES: usize = 32;
 
 /// A request counts as sent after a crash also if it was sent this much earlier: the times of one instance
 /// are known at another one to about so much.
@@ -33,6 +33,18 @@
     trial_until: Option<Instant>,
 }
 
+impl Sighting {
+    /// Corrects the times if a report says that the crash was earlier. Messages that take long make crashes
+    /// look later than they were.
+    fn correct(&mut self, crashed_at: Instant) {
+        let Some(correction) = self.crash.at.checked_duration_since(crashed_at) else {
+            return;
+        };
+        self.crash.at = crashed_at;
+        self.sent_at = self.sent_at.checked_sub(correction).unwrap_or(self.sent_at);
+    }
+}
+
 impl Record {
     pub(super) fn new(fingerprint: Fingerprint) -> Self {
         Self {
@@ -48,6 +60,11 @@
         &self.crashes
     }
 
+    /// Whether it was running in a crash that is remembered.
+    pub(super) fn was_in(&self, crash: &Crash) -> bool {
+        self.crashes.iter().any(|s| s.crash.is_same(crash))
+    }
+
     /// Latest completion since the first crash.
     pub(super) fn completed_at(&self) -> Option<Instant> {
         self.completed_at
@@ -63,8 +80,11 @@
     /// Records a crash; returns whether it was not known. One from before the latest completion had another
     /// cause.
     pub(super) fn on_crash(&mut self, crash: Crash, ran_for: Duration) -> bool {
-        let is_cleared = self.completed_at.is_some_and(|at| crash.at <= at);
-        if is_cleared || self.crashes.iter().any(|s| s.crash.is_same(&crash)) {
+        if self.completed_at.is_some_and(|at| crash.at <= at) {
+            return false;
+        }
+        if let Some(known) = self.crashes.iter_mut().find(|s| s.crash.is_same(&crash)) {
+            known.correct(crash.at);
             return false;
         }
         let index = self.crashes.partition_point(|s| s.crash.at <= crash.at);
@@ -89,9 +109,9 @@
         cleared
     }
 
-    /// Whether requests with this fingerprint are refused, but for trials.
-    pub(super) fn is_quarantined(&self) -> bool {
-        self.successive_crashes() >= CRASHES_TO_QUARANTINE
+    /// Whether it was running in so many crashes, one after the other, that it may be their cause.
+    pub(super) fn recurs(&self) -> bool {
+        self.successive_crashes() >= CRASHES_TO_RECUR
     }
 
     /// Number of crashes of requests that were sent after the crash before.
--- a/crates/decisions/tests/crash_suspects.rs
+++ b/crates/decisions/tests/crash_suspects.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::crash_suspects::{
-    CRASHES_TO_QUARANTINE, Crash, CrashReport, CrashSuspects, FIRST_TRIAL_AFTER,
-    LONGEST_TRIAL_PAUSE, Suspect,
+    CRASHES_TO_RECUR, Crash, CrashReport, CrashSuspects, FIRST_TRIAL_AFTER, LONGEST_TRIAL_PAUSE,
+    Suspect,
 };
 use kingcupfield_decisions::fingerprint::Fingerprint;
 use kingcupfield_decisions::id::NameHash;
@@ -165,7 +165,7 @@
 
     suspects.expire(start + Duration::from_mins(11));
     assert!(is_quarantined(&suspects, start, BAD));
-    assert!(!suspects.recurring().is_empty());
+    assert!(!suspects.reports().is_empty());
     suspects.expire(start + Duration::from_mins(31));
 
     assert!(suspects.is_empty());
@@ -197,7 +197,7 @@
     suspects.on_crash(&report(9, start + ms(900), &[OTHER]));
 
     let mut other = CrashSuspects::new();
-    for report in suspects.recurring() {
+    for report in suspects.reports() {
         other.on_crash(&report);
     }
 
@@ -207,5 +207,127 @@
         suspects.quarantine(now, &[BAD])
     );
     assert!(other.quarantine(now, &[BAD]).is_some());
-    assert_eq!(CRASHES_TO_QUARANTINE, 3);
+    assert_eq!(CRASHES_TO_RECUR, 3);
+}
+
+// Guards against a crash that is not counted because the message about the one before it took longer.
+#[test]
+fn reports_that_take_longer_do_not_hide_the_order_of_crashes() {
+    let start = Instant::now();
+    let mut near = CrashSuspects::new();
+    let mut far = CrashSuspects::new();
+    for replica in 0..3 {
+        // Each request is sent at once when the replica before has crashed.
+        let crashed_at = start + RUN_TIME * replica;
+        let report = report(replica, crashed_at, &[BAD]);
+        near.on_crash(&report);
+        let delay = ms(100 - u64::from(replica) * 50);
+        for mut report in near.history(&report.suspects) {
+            report.crash.at += delay;
+            far.on_crash(&report);
+        }
+    }
+
+    let now = start + ms(1000);
+    assert!(is_quarantined(&near, now, BAD));
+    assert!(is_quarantined(&far, now, BAD));
+}
+
+/// Parts of prompts.
+const A: Fingerprint = 11;
+const B: Fingerprint = 12;
+const C: Fingerprint = 13;
+const PART: Fingerprint = 14;
+
+struct EvidenceCase {
+    /// What was running in each crash, one after the other.
+    crashes: &'static [&'static [Fingerprint]],
+    /// Parts that were completed after the crash with this index.
+    completed: &'static [(usize, Fingerprint)],
+    refused: &'static [&'static [Fingerprint]],
+    served: &'static [&'static [Fingerprint]],
+}
+
+// Guards against blaming a part for the harm of its neighbour, and against a part that hides among others.
+#[parameterized(
+    alone = { EvidenceCase {
+        crashes: &[&[PART], &[PART], &[PART]],
+        completed: &[],
+        refused: &[&[PART], &[A, PART], &[PART, B]],
+        served: &[&[A], &[A, B]],
+    } },
+    always_beside_the_same_parts = { EvidenceCase {
+        crashes: &[&[A, PART, B], &[A, PART, B], &[A, PART, B]],
+        completed: &[],
+        refused: &[&[A, PART, B], &[A, PART, B, C]],
+        served: &[&[A], &[A, B], &[A, C], &[B]],
+    } },
+    neighbours_that_are_completed_later = { EvidenceCase {
+        crashes: &[&[A, PART, B], &[A, PART, B], &[A, PART, B]],
+        completed: &[(2, A), (2, B)],
+        refused: &[&[PART], &[C, PART], &[A, PART, B]],
+        served: &[&[A], &[A, B], &[A, C]],
+    } },
+    neighbours_that_are_completed_between = { EvidenceCase {
+        crashes: &[&[A, PART], &[A, PART], &[A, PART], &[A, PART], &[A, PART]],
+        completed: &[(1, A)],
+        refused: &[&[PART], &[A, PART]],
+        served: &[&[A], &[A, B]],
+    } },
+    beside_parts_that_differ = { EvidenceCase {
+        crashes: &[&[A, PART], &[B, PART], &[C, PART]],
+        completed: &[],
+        refused: &[&[PART], &[A, PART]],
+        served: &[&[A], &[A, B, C]],
+    } },
+    requests_that_run_beside_it_at_each_replica = { EvidenceCase {
+        crashes: &[&[PART, C], &[PART, C], &[PART, C], &[PART], &[PART]],
+        completed: &[],
+        refused: &[&[PART], &[PART, A], &[PART, C]],
+        served: &[&[C], &[C, A]],
+    } },
+    another_cause_beside_it = { EvidenceCase {
+        crashes: &[&[A, PART], &[A, PART], &[A, PART], &[A]],
+        completed: &[],
+        refused: &[&[A, PART]],
+        served: &[&[A], &[A, B]],
+    } },
+    two_causes_at_once = { EvidenceCase {
+        crashes: &[&[PART], &[C], &[PART], &[C], &[PART], &[C]],
+        completed: &[],
+        refused: &[&[PART], &[C], &[A, C]],
+        served: &[&[A]],
+    } },
+    crashes_of_another_cause = { EvidenceCase {
+        crashes: &[&[A, B], &[A, C], &[B, C], &[A, B]],
+        completed: &[(0, A), (1, C), (2, B), (3, A)],
+        refused: &[],
+        served: &[&[A], &[B], &[C], &[A, B], &[A, C], &[B, C]],
+    } },
+)]
+fn requests_are_refused_if_they_have_the_cause_whichever_it_is(case: EvidenceCase) {
+    let start = Instant::now();
+    let mut suspects = CrashSuspects::new();
+    for (index, running) in case.crashes.iter().enumerate() {
+        let at = start + ms(index as u64 * 300);
+        suspects.on_crash(&report(index as NameHash, at, running));
+        for (_, part) in case.completed.iter().filter(|(after, _)| *after == index) {
+            suspects.on_completed(at + ms(100), &[*part]);
+        }
+    }
+
+    let now = start + ms(10_000);
+    for request in case.refused {
+        assert!(
+            suspects.quarantine(now, request).is_some(),
+            "{request:?} is served"
+        );
+    }
+    for request in case.served {
+        assert_eq!(
+            suspects.quarantine(now, request),
+            None,
+            "{request:?} is refused"
+        );
+    }
 }
--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -119,6 +119,9 @@
     /// attempts.
     fn work_headers<'a>(&self, head: &'a RequestParts) -> Vec<&'a [u8]>;
 
+    /// Returns the ids of the parts of a request's prompt, which other requests may share.
+    fn prompt_parts<'a>(&self, head: &'a RequestParts) -> Vec<&'a str>;
+
     /// Builds the headers with which a request is forwarded to a replica.
     fn forward_headers(&self, head: &RequestParts, info: &ForwardInfo<'_>) -> HeaderMap;
 
--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -25,6 +25,9 @@
 /// a process that is ending closes its listening socket.
 const CHECK_DELAY: Duration = Duration::from_millis(10);
 
+/// Most connections that one check opens.
+const MAX_CONNECTIONS: usize = 3;
+
 /// Time for which requests that break at a crashed replica are counted to the same crash.
 const CRASH_MEMORY: Duration = Duration::from_secs(1);
 
@@ -149,31 +152,35 @@
 }
 
 /// Whether a replica refuses connections. One that does not answer at all may be cut off from this instance
-/// alone, and counts as alive.
+/// alone, and counts as alive, as does one that closes connections because it has too many.
 async fn has_crashed(node: &Node, target: &Target) -> bool {
-    match pool::connect(target.published.address).await {
-        Ok(connection) => {
+    for _ in 0..MAX_CONNECTIONS {
+        let connection = match pool::connect(target.published.address).await {
+            Ok(connection) => connection,
+            Err(e) => return is_refusal(node, target, &e),
+        };
+        // A process that ends may accept a connection before it closes its listening socket.
+        sleep(CHECK_DELAY).await;
+        if !connection.sender.is_closed() {
             let now = Instant::now();
             target.pool.put_back(now, connection, &HeaderMap::new());
-            false
-        }
-        Err(e) => {
-            let refused = matches!(
-                e.kind(),
-                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
-            );
-            if !refused {
-                node.log.line(
-                    Priority::High,
-                    format_args!(
-                        "event=crash_unknown replica={} reason={e:?}",
-                        target.published.id
-                    ),
-                );
-            }
-            refused
+            return false;
         }
     }
+    false
+}
+
+/// Whether an attempt to connect was refused; logs any other error.
+fn is_refusal(node: &Node, target: &Target, error: &std::io::Error) -> bool {
+    let is_refused = error.kind() == ErrorKind::ConnectionRefused;
+    if !is_refused {
+        let replica = &target.published.id;
+        node.log.line(
+            Priority::High,
+            format_args!("event=crash_unknown replica={replica} reason={error:?}"),
+        );
+    }
+    is_refused
 }
 
 /// Records a crash with the requests that it broke off.
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -34,6 +34,9 @@
 /// Most fingerprints in one datagram, so that it is not divided on the link.
 const FINGERPRINTS_PER_DATAGRAM: usize = 100;
 
+/// Most parts of a prompt that are compared with those of other requests.
+const MAX_PROMPT_PARTS: usize = 256;
+
 /// Most datagrams of one reminder to one instance.
 const DATAGRAMS_PER_REMINDER: usize = 8;
 
@@ -114,7 +117,10 @@
     let path = path.map_or(&b""[..], |path| path.as_str().as_bytes());
     let mut fields = node.protocol.work_headers(head);
     fields.extend([method, path, body]);
-    vec![fingerprint::of_request(service, fields)]
+    let parts = node.protocol.prompt_parts(head).into_iter();
+    let parts = parts.map(|part| fingerprint::of_prompt_part(service, part));
+    let whole = fingerprint::of_request(service, fields);
+    parts.take(MAX_PROMPT_PARTS).chain([whole]).collect()
 }
 
 /// Refuses a request that is quarantined and that this instance may not try either.
@@ -184,7 +190,8 @@
 pub fn on_crash(node: &Node, report: &CrashReport) {
     record_crash(node, report);
     let now = Instant::now();
-    let messages = crashed_messages(now, std::slice::from_ref(report));
+    let history = node.crash_suspects.borrow().history(&report.suspects);
+    let messages = crashed_messages(now, &history);
     let all = node.peers.borrow().all_reachable(now);
     for message in messages {
         send(node, &all, &message);
@@ -229,19 +236,17 @@
 
 fn record_crash(node: &Node, report: &CrashReport) {
     let mut suspects = node.crash_suspects.borrow_mut();
-    let before: Vec<Fingerprint> = suspects.quarantined().collect();
+    let before = suspects.recurring_fingerprints().to_vec();
     if !suspects.on_crash(report) {
         return;
     }
-    let begun: Vec<Fingerprint> = suspects
-        .quarantined()
-        .filter(|f| !before.contains(f))
-        .collect();
+    let recurring = suspects.recurring_fingerprints().iter().copied();
+    let begun: Vec<Fingerprint> = recurring.filter(|f| !before.contains(f)).collect();
     drop(suspects);
     for fingerprint in begun {
         node.log.line(
             Priority::High,
-            format_args!("event=quarantine_begins fingerprint={fingerprint:x}"),
+            format_args!("event=suspect_recurs fingerprint={fingerprint:x}"),
         );
     }
 }
@@ -289,7 +294,7 @@
 /// Messages with what several crashes have in common, and with what was cleared lately.
 fn reminders(node: &Node, now: Instant) -> Vec<CrashMessage> {
     let suspects = node.crash_suspects.borrow();
-    let mut messages = crashed_messages(now, &suspects.recurring());
+    let mut messages = crashed_messages(now, &suspects.reports());
     let since = now.checked_sub(COMPLETION_MEMORY).unwrap_or(now);
     let completed = suspects.cleared_since(since).into_iter();
     let completed: Vec<_> = completed.map(|(f, at)| (f, age_ms(now, at))).collect();
