Pass on an answer as broken whose replica crashed, also if it ends with its connection

An answer may have neither a length nor chunks. If its replica crashed, callers got a 200 that looked whole: the system closes the connections of a killed process like those of a complete answer.

Cause: the end of the connection was taken for the end of the answer, whatever ended it. Change: after such an answer the instance looks whether other connections to the replica are open, and else opens one, which the next request uses; if it is refused, the answer is broken. A stream of this kind without any event is broken too. Whole answers of this kind now clear suspects.

--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -129,6 +129,13 @@
     }
 }
 
+/// Whether a response that ended with its connection was cut short by a crash of the replica: its other
+/// connections have ended as well, and new ones are refused.
+pub async fn ended_by_crash(node: &Node, target: &Target) -> bool {
+    sleep(CHECK_DELAY).await;
+    !target.pool.has_idle(Instant::now()) && has_crashed(node, target).await
+}
+
 /// Starts the check of a replica at which a first request broke off.
 fn start_check(node: &Rc<Node>, target: &Rc<Target>, request: BrokenRequest) {
     node.crash_watch.breakages.borrow_mut().push(Breakage {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -21,6 +21,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::crash_watch;
 use crate::events::EventScanner;
 use crate::exchange::{self, ReplicaResponse, is_framed};
 use crate::expiry::{Expiry, wait_for_expiry};
@@ -246,9 +247,7 @@
                         &attempt.head.headers,
                     );
                     attempt.slot.release(Outcome::Served);
-                    if is_framed(&attempt.head.headers) {
-                        self.ctx.on_completed(&self.node);
-                    }
+                    self.ctx.on_completed(&self.node);
                     let status = attempt.head.status.as_u16();
                     let (first, gap) = (self.time_to_first_event, self.longest_gap);
                     request_log::log_answered(&self.node, &self.ctx, &replica, status, first, gap);
@@ -308,7 +307,7 @@
                 () = self.stalled() => return AttemptEnd::Stalled,
             };
             let chunk = match frame {
-                None if self.scanner.in_partial_event() => return AttemptEnd::Broken,
+                None if self.is_cut_short(attempt).await => return AttemptEnd::Broken,
                 None => return AttemptEnd::Complete,
                 Some(Err(_)) => return AttemptEnd::Broken,
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -328,6 +327,21 @@
         }
     }
 
+    /// Whether a response that has ended is only the beginning of one. The end of the connection is the end of
+    /// a response that tells no other, also if the replica crashed.
+    async fn is_cut_short(&self, attempt: &Attempt) -> bool {
+        if self.scanner.in_partial_event() {
+            return true;
+        }
+        if is_framed(&attempt.head.headers) {
+            return false;
+        }
+        let is_resumption =
+            self.scanner.last_event_id().is_some() || self.ctx.meta.last_event_id.is_some();
+        let has_no_event = self.first_pending && !is_resumption;
+        has_no_event || crash_watch::ended_by_crash(&self.node, &attempt.target).await
+    }
+
     /// Counts a chunk's events and returns the bytes that can be sent to the caller now.
     fn scan(&mut self, attempt: &Attempt, chunk: Bytes) -> Option<Bytes> {
         let found = self.scanner.read(&chunk);
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -9,6 +9,7 @@
 
 use super::{ActiveGuard, RequestContext};
 use crate::adapter::ForwardInfo;
+use crate::crash_watch;
 use crate::exchange::{self, ReplicaResponse, SendFailure, is_framed};
 use crate::expiry::wait_for_expiry;
 use crate::metrics::Phase;
@@ -189,6 +190,9 @@
         let Ok(body) = body else {
             return self.on_failure(node, target, slot, SendFailure::Broken);
         };
+        if !is_framed(&head.headers) && crash_watch::ended_by_crash(node, target).await {
+            return self.on_failure(node, target, slot, SendFailure::Broken);
+        }
         target
             .pool
             .put_back(Instant::now(), connection, &head.headers);
@@ -198,7 +202,7 @@
         } else {
             Outcome::Served
         });
-        if head.status.is_success() && is_framed(&head.headers) {
+        if head.status.is_success() {
             self.on_completed(node);
         }
         if failed && self.try_consume_retry(node) {
