Tell crashes together, and completions only of what crashed several replicas

Cause: an instance that saw several crashes sent one message for each to every other one, ahead of all else, and each first completion of any suspect was told to all. After a crash of hundreds of replicas at 584 instances (worked out) that is 4,000 datagrams at once from one instance, which displace its heartbeats, and thousands of completions. Change: crashes are collected for 3 ms and wait their turn; a completion is told if its suspect was running in two crashes one after the other; at most 4,096 fingerprints are remembered, and one incarnation has one crash in five seconds.

--- a/crates/decisions/src/crash_suspects.rs
+++ b/crates/decisions/src/crash_suspects.rs
@@ -50,9 +50,9 @@
 /// Time for which a request on trial may run; afterwards another one is tried.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Most fingerprints that are remembered: those of 200 crashes of replicas that run a dozen requests each,
-/// with three fingerprints a request. The ones whose last crash is longest ago are dropped first.
-const MAX_RECORDS: usize = 8192;
+/// Most fingerprints that are remembered: those of 80 crashes of replicas that run a dozen requests each, with
+/// four fingerprints a request. The ones whose last crash is longest ago are dropped first.
+const MAX_RECORDS: usize = 4096;
 
 /// One crash of a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -109,12 +109,17 @@
         Self::default()
     }
 
+    /// Number of fingerprints that are remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
     /// Whether nothing is suspected, so that requests need no check.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
 
-    /// Records a crash; returns whether it makes a difference to one that is known already.
+    /// Records a crash; returns whether it was not known for some of the suspects.
     pub fn on_crash(&mut self, report: &CrashReport) -> bool {
         let mut is_news = false;
         for suspect in &report.suspects {
@@ -132,19 +137,25 @@
         is_news
     }
 
-    /// Records that a request was completed; returns the suspects that this clears, of which the other
-    /// instances have to hear.
+    /// Records that a request was completed; returns the suspects that this clears and that other instances
+    /// have to know as cleared. Those of single crashes are not among them: after a crash of many replicas that
+    /// would be most of what runs.
     pub fn on_completed(&mut self, at: Instant, fingerprints: &[Fingerprint]) -> Vec<Fingerprint> {
-        let mut cleared = Vec::new();
+        let mut to_tell = Vec::new();
         for fingerprint in fingerprints {
-            if let Ok(index) = self.search(*fingerprint)
-                && self.records[index].on_completed(at)
-            {
-                cleared.push(*fingerprint);
+            let Ok(index) = self.search(*fingerprint) else {
+                continue;
+            };
+            let record = &mut self.records[index];
+            let was_in_several = record.successive_crashes() > 1;
+            if record.on_completed(at) {
                 self.update_recurring(*fingerprint);
+                if was_in_several {
+                    to_tell.push(*fingerprint);
+                }
             }
         }
-        cleared
+        to_tell
     }
 
     /// Why a request must not be sent; `None` if it may.
@@ -191,10 +202,8 @@
 
     /// All crashes of some suspects. Told together, another instance learns their order, which messages that
     /// take different times would hide.
-    pub fn history(&self, suspects: &[Suspect]) -> Vec<CrashReport> {
-        let indices = suspects
-            .iter()
-            .filter_map(|s| self.search(s.fingerprint).ok());
+    pub fn history(&self, suspects: &[Fingerprint]) -> Vec<CrashReport> {
+        let indices = suspects.iter().filter_map(|f| self.search(*f).ok());
         reports_of(indices.map(|index| &self.records[index]))
     }
 
@@ -291,9 +300,9 @@
 }
 
 impl Crash {
-    /// Time within which reports of one incarnation tell of the same crash. A replica takes longer to start
-    /// again, also if its new start is not published yet.
-    const REPORT_SPREAD: Duration = Duration::from_secs(1);
+    /// Time within which reports of one incarnation tell of the same crash: an instance that was frozen sees it
+    /// late. A replica that has crashed again after that had started again, and its new start is not known yet.
+    const REPORT_SPREAD: Duration = Duration::from_secs(5);
 
     /// Whether two reports tell of one crash.
     fn is_same(&self, other: &Self) -> bool {
--- a/crates/decisions/src/crash_suspects/record.rs
+++ b/crates/decisions/src/crash_suspects/record.rs
@@ -85,6 +85,7 @@
         }
         if let Some(known) = self.crashes.iter_mut().find(|s| s.crash.is_same(&crash)) {
             known.correct(crash.at);
+            self.crashes.sort_by_key(|s| s.crash.at);
             return false;
         }
         let index = self.crashes.partition_point(|s| s.crash.at <= crash.at);
--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -191,7 +191,7 @@
 }
 
 /// Records a crash with the requests that it broke off.
-fn on_crash(node: &Node, target: &Target, crashed_at: Instant, requests: &[BrokenRequest]) {
+fn on_crash(node: &Rc<Node>, target: &Target, crashed_at: Instant, requests: &[BrokenRequest]) {
     for request in requests {
         node.log.line(
             Priority::High,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -14,6 +14,7 @@
 use kingcupfield_decisions::credit::{Ledger, MessageNumber, Verdict as CreditVerdict};
 use kingcupfield_decisions::dispatch::{Dispatcher, JobId};
 use kingcupfield_decisions::drained_zones::DrainedZones;
+use kingcupfield_decisions::fingerprint::Fingerprint;
 use kingcupfield_decisions::id::name_hash;
 use kingcupfield_decisions::software_versions::VersionHistory;
 use kingcupfield_decisions::store_view::{Revision, StoreView};
@@ -86,6 +87,8 @@
     pub crash_watch: CrashWatch,
     /// What is known of the requests of which replicas crashed.
     pub crash_suspects: RefCell<CrashSuspects>,
+    /// Suspects of crashes that the other instances have not been told of.
+    pub untold_suspects: RefCell<Vec<Fingerprint>>,
     /// Budget for retries.
     pub retry_budget: RefCell<UpstreamRetryBudget>,
     /// Latest known entry of each directory key.
@@ -190,6 +193,7 @@
             send_queue: SendQueue::default(),
             crash_watch: CrashWatch::default(),
             crash_suspects: RefCell::default(),
+            untold_suspects: RefCell::default(),
             retry_budget: RefCell::new(UpstreamRetryBudget::new(cfg.retry_bounds())),
             directory: RefCell::new(StoreView::new()),
             peers: RefCell::new(
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -14,7 +14,7 @@
 use kingcupfield_decisions::stream_records::choose_holders;
 use rand::RngExt as _;
 use serde::{Deserialize, Serialize};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::log::Priority;
 use crate::node::Node;
@@ -31,6 +31,9 @@
 /// Age up to which completions are part of reminders.
 const COMPLETION_MEMORY: Duration = Duration::from_secs(30);
 
+/// Time for which crashes are collected before they are told: many replicas may crash together.
+const COLLECT_TIME: Duration = Duration::from_millis(3);
+
 /// Most fingerprints in one datagram, so that it is not divided on the link.
 const FINGERPRINTS_PER_DATAGRAM: usize = 100;
 
@@ -187,13 +190,28 @@
 }
 
 /// Records a crash that this instance has seen, and tells all others.
-pub fn on_crash(node: &Node, report: &CrashReport) {
+pub fn on_crash(node: &Rc<Node>, report: &CrashReport) {
     record_crash(node, report);
+    let mut untold = node.untold_suspects.borrow_mut();
+    if untold.is_empty() {
+        let node = Rc::clone(node);
+        tokio::task::spawn_local(async move {
+            sleep(COLLECT_TIME).await;
+            tell_crashes(&node);
+        });
+    }
+    untold.extend(report.suspects.iter().map(|s| s.fingerprint));
+}
+
+/// Tells all other instances of the crashes that they have not been told of.
+fn tell_crashes(node: &Node) {
     let now = Instant::now();
-    let history = node.crash_suspects.borrow().history(&report.suspects);
-    let messages = crashed_messages(now, &history);
+    let mut untold = std::mem::take(&mut *node.untold_suspects.borrow_mut());
+    untold.sort_unstable();
+    untold.dedup();
+    let history = node.crash_suspects.borrow().history(&untold);
     let all = node.peers.borrow().all_reachable(now);
-    for message in messages {
+    for message in crashed_messages(now, &history) {
         send(node, &all, &message);
     }
 }
@@ -237,9 +255,7 @@
 fn record_crash(node: &Node, report: &CrashReport) {
     let mut suspects = node.crash_suspects.borrow_mut();
     let before = suspects.recurring_fingerprints().to_vec();
-    if !suspects.on_crash(report) {
-        return;
-    }
+    suspects.on_crash(report);
     let recurring = suspects.recurring_fingerprints().iter().copied();
     let begun: Vec<Fingerprint> = recurring.filter(|f| !before.contains(f)).collect();
     drop(suspects);
@@ -337,6 +353,6 @@
     let port = node.settings().peer_port;
     for address in to {
         let to = SocketAddr::from((*address, port));
-        node.send_queue.push_urgent(Rc::clone(&bytes), to);
+        node.send_queue.push(Rc::clone(&bytes), to);
     }
 }
