Try what is quarantined sooner, and by the next instance if the first gets no request

If all replicas of a service crashed for a cause of their own, what all its requests share would have been refused for a minute after they were back, and longer where the one chosen instance gets few requests: at 584 instances one in 584. The first trial now comes after 20 s, and one more instance may begin it every 2 s. A cause that goes on costs one replica at 20, 60, 140, 300 s and so on.

--- a/crates/decisions/src/crash_suspects.rs
+++ b/crates/decisions/src/crash_suspects.rs
@@ -14,7 +14,7 @@
 //! therefore refused only if it has all recurring suspects of several crashes, so that the cause is among
 //! them whichever it is.
 //!
-//! A quarantine ends by itself. From time to time one instance sends one request of the quarantined kind;
+//! A quarantine ends by itself. From time to time an instance sends one request of the quarantined kind;
 //! if it is completed, the quarantine is over everywhere, and if it crashes the replica, the next one waits
 //! for twice as long.
 
@@ -26,7 +26,8 @@
 use tokio::time::Instant;
 
 use crate::fingerprint::Fingerprint;
-use crate::id::NameHash;
+use crate::id::{InstanceAddress, NameHash};
+use crate::stream_records::weight;
 
 use record::Record;
 
@@ -35,11 +36,15 @@
 pub const CRASHES_TO_RECUR: usize = 3;
 
 /// Time from the last crash to the first trial of what is quarantined.
-pub const FIRST_TRIAL_AFTER: Duration = Duration::from_mins(1);
+pub const FIRST_TRIAL_AFTER: Duration = Duration::from_secs(20);
 
 /// Longest time from a crash to the next trial.
 pub const LONGEST_TRIAL_PAUSE: Duration = Duration::from_mins(16);
 
+/// Time after which the next instance may begin a trial if the ones before it have not: longer than a response
+/// mostly takes, so that its end is known.
+pub const TRIAL_STAGGER: Duration = Duration::from_secs(2);
+
 /// Time from the last crash after which a suspect is forgotten that does not recur.
 const SUSPECT_MEMORY: Duration = Duration::from_mins(10);
 
@@ -92,6 +97,25 @@
     pub crashes: usize,
     /// Time until the next trial.
     pub retry_after: Duration,
+    /// Time since the next trial was due.
+    pub overdue: Duration,
+}
+
+impl Quarantine {
+    /// Whether an instance may begin the trial. The instances get their turns one after the other, ranked by
+    /// a hash, as the first ones may not receive such a request.
+    pub fn may_try(
+        &self,
+        own: InstanceAddress,
+        others: impl Iterator<Item = InstanceAddress>,
+    ) -> bool {
+        if !self.retry_after.is_zero() {
+            return false;
+        }
+        let own_weight = weight(self.fingerprint, own);
+        let before = others.filter(|other| weight(self.fingerprint, *other) < own_weight);
+        self.overdue >= TRIAL_STAGGER * before.count() as u32
+    }
 }
 
 /// What is known of crashes and completions at one instance.
@@ -173,6 +197,7 @@
             fingerprint: main.fingerprint,
             crashes: main.crashes().len(),
             retry_after: main.time_to_trial(now),
+            overdue: main.trial_overdue(now),
         })
     }
 
@@ -186,8 +211,8 @@
             .any(|record| record.successive_crashes() + 1 >= CRASHES_TO_RECUR)
     }
 
-    /// Begins the trial of what is quarantined, if it is due; returns whether the request may be sent. One
-    /// instance of the fleet alone may begin trials of a fingerprint.
+    /// Begins the trial of what is quarantined, if it is due; returns whether the request may be sent. An
+    /// instance begins one only if [`Quarantine::may_try`] says so.
     pub fn begin_trial(&mut self, now: Instant, fingerprint: Fingerprint) -> bool {
         let Ok(index) = self.search(fingerprint) else {
             return true;
--- a/crates/decisions/src/crash_suspects/record.rs
+++ b/crates/decisions/src/crash_suspects/record.rs
@@ -130,9 +130,19 @@
 
     /// Time until the next request may be tried.
     pub(super) fn time_to_trial(&self, now: Instant) -> Duration {
+        let due = self.trial_due_at();
+        due.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
+    }
+
+    /// Time since the next request could have been tried.
+    pub(super) fn trial_overdue(&self, now: Instant) -> Duration {
+        let due = self.trial_due_at();
+        due.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
+    fn trial_due_at(&self) -> Option<Instant> {
         let due = self.crashes.last().map(|s| s.crash.at + self.trial_pause());
-        let free = due.max(self.trial_until);
-        free.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
+        due.max(self.trial_until)
     }
 
     /// Begins a trial; returns false if it is not due, or if another one is in progress.
--- a/crates/decisions/src/stream_records.rs
+++ b/crates/decisions/src/stream_records.rs
@@ -33,8 +33,7 @@
     members: impl Iterator<Item = InstanceAddress>,
     count: usize,
 ) -> Vec<InstanceAddress> {
-    let weight = |member: InstanceAddress| xxh3_64_with_seed(&member.to_le_bytes(), key);
-    let mut ranked: Vec<(u64, InstanceAddress)> = members.map(|m| (weight(m), m)).collect();
+    let mut ranked: Vec<(u64, InstanceAddress)> = members.map(|m| (weight(key, m), m)).collect();
     if ranked.len() > count {
         ranked.select_nth_unstable(count - 1);
         ranked.truncate(count);
@@ -42,6 +41,11 @@
     ranked.into_iter().map(|(_, member)| member).collect()
 }
 
+/// Weight of an instance among those that may take care of a key, by which they are ranked.
+pub fn weight(key: u64, member: InstanceAddress) -> u64 {
+    xxh3_64_with_seed(&member.to_le_bytes(), key)
+}
+
 /// Progress of a stream at this instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Progress {
--- a/crates/decisions/tests/crash_suspects.rs
+++ b/crates/decisions/tests/crash_suspects.rs
@@ -4,10 +4,10 @@
 
 use kingcupfield_decisions::crash_suspects::{
     CRASHES_TO_RECUR, Crash, CrashReport, CrashSuspects, FIRST_TRIAL_AFTER, LONGEST_TRIAL_PAUSE,
-    Suspect,
+    Suspect, TRIAL_STAGGER,
 };
 use kingcupfield_decisions::fingerprint::Fingerprint;
-use kingcupfield_decisions::id::NameHash;
+use kingcupfield_decisions::id::{InstanceAddress, NameHash};
 use tokio::time::Instant;
 use yare::parameterized;
 
@@ -145,6 +145,28 @@
     assert!(!is_quarantined(&suspects, due + ms(901), BAD));
 }
 
+// Guards against trials by all instances at once, and against none because the chosen instance gets no request.
+#[test]
+fn instances_may_begin_a_trial_one_after_the_other() {
+    let start = Instant::now();
+    let suspects = after_crashes(start, &[0, 300, 600]);
+    let members: Vec<InstanceAddress> = (1..=584).collect();
+    let may_try = |after: Duration| {
+        let now = start + ms(600) + FIRST_TRIAL_AFTER + after;
+        let quarantine = suspects.quarantine(now, &[BAD]).expect("a quarantine");
+        let others = |own| members.iter().copied().filter(move |m| *m != own);
+        let may_try = members
+            .iter()
+            .filter(|own| quarantine.may_try(**own, others(**own)));
+        may_try.count()
+    };
+
+    assert_eq!(may_try(Duration::ZERO), 1);
+    assert_eq!(may_try(TRIAL_STAGGER - ms(1)), 1);
+    assert_eq!(may_try(TRIAL_STAGGER * 9), 10);
+    assert_eq!(may_try(TRIAL_STAGGER * 600), 584);
+}
+
 // Guards against a trial that is lost with its caller or instance, after which there would be no other.
 #[test]
 fn a_trial_without_an_end_is_followed_by_another() {
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -11,7 +11,6 @@
 use kingcupfield_decisions::crash_suspects::{Crash, CrashReport, Quarantine, Suspect};
 use kingcupfield_decisions::fingerprint::{self, Fingerprint};
 use kingcupfield_decisions::id::{NameHash, ServiceId};
-use kingcupfield_decisions::stream_records::choose_holders;
 use rand::RngExt as _;
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep};
@@ -166,16 +165,11 @@
     suspects.quarantine(Instant::now(), fingerprints)
 }
 
-/// Whether the time for a trial has come, and this instance is the one to make it.
+/// Whether the time for a trial by this instance has come.
 fn is_trial_due(node: &Node, quarantine: &Quarantine) -> bool {
-    if !quarantine.retry_after.is_zero() {
-        return false;
-    }
-    let own = node.settings().address();
-    let mut members = node.peers.borrow().live(Instant::now());
-    members.push(own);
-    let members = members.into_iter().map(Ipv4Addr::to_bits);
-    choose_holders(quarantine.fingerprint, members, 1) == [own.to_bits()]
+    let others = node.peers.borrow().live(Instant::now());
+    let own = node.settings().address().to_bits();
+    quarantine.may_try(own, others.into_iter().map(Ipv4Addr::to_bits))
 }
 
 /// The refusal of a request that no replica has run.
