Tell a cause from what runs beside it at every replica, also where nothing is completed any more

Cause: a request was refused only if it had all that recurs of a crash, and what ran beside the cause at every replica hid it.

Change: reports say which suspects belong to responses that had been arriving for 300 ms or more. These count only where there are no others, as most causes act when a response begins. Nothing else follows from it, so that a cause that acts late is found as before.

Three new cases of evidence.

--- a/crates/decisions/src/crash_suspects.rs
+++ b/crates/decisions/src/crash_suspects.rs
@@ -12,7 +12,8 @@
 //!
 //! What sound requests share may recur as well for a while, beside what crashes the replicas. A request is
 //! therefore refused only if it has all recurring suspects of several crashes, so that the cause is among
-//! them whichever it is.
+//! them whichever it is. Those whose responses had been arriving for a while count only if there are no
+//! others, as most causes act when a response begins.
 //!
 //! A quarantine ends by itself. From time to time an instance sends one request of the quarantined kind;
 //! if it is completed, the quarantine is over everywhere, and if it crashes the replica, the next one waits
@@ -35,6 +36,10 @@
 /// that was running in all of them recurs.
 pub const CRASHES_TO_RECUR: usize = 3;
 
+/// Time for which a response arrives after which its request is not among those that crash a replica when it
+/// begins to answer.
+pub const LONG_RESPONSE: Duration = Duration::from_millis(300);
+
 /// Time from the last crash to the first trial of what is quarantined.
 pub const FIRST_TRIAL_AFTER: Duration = Duration::from_secs(20);
 
@@ -77,6 +82,8 @@
     pub fingerprint: Fingerprint,
     /// Time from when the last of these requests was sent to the crash.
     pub ran_for: Duration,
+    /// Whether the response to one of them had been arriving for [`LONG_RESPONSE`] before.
+    pub has_written: bool,
 }
 
 /// A crash and what the replica was running.
@@ -155,6 +162,7 @@
                 }
             };
             is_news |= record.on_crash(report.crash, suspect.ran_for);
+            record.has_written |= suspect.has_written;
             self.update_recurring(suspect.fingerprint);
         }
         self.drop_excess();
@@ -310,6 +318,7 @@
             let suspect = Suspect {
                 fingerprint: record.fingerprint,
                 ran_for: crash.at.saturating_duration_since(sighting.sent_at),
+                has_written: record.has_written,
             };
             let key = |c: &Crash| (c.replica, c.incarnation, c.at);
             match reports.binary_search_by_key(&key(&crash), |r| key(&r.crash)) {
--- a/crates/decisions/src/crash_suspects/record.rs
+++ b/crates/decisions/src/crash_suspects/record.rs
@@ -25,6 +25,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct Record {
     pub(super) fingerprint: Fingerprint,
+    /// Whether the response to a request with it had been arriving for a while before a crash.
+    pub(super) has_written: bool,
     /// Sorted by time.
     crashes: Vec<Sighting>,
     /// Latest completion since the first crash.
@@ -49,6 +51,7 @@
     pub(super) fn new(fingerprint: Fingerprint) -> Self {
         Self {
             fingerprint,
+            has_written: false,
             crashes: Vec::new(),
             completed_at: None,
             trial_until: None,
--- a/crates/decisions/tests/crash_suspects.rs
+++ b/crates/decisions/tests/crash_suspects.rs
@@ -26,6 +26,7 @@
     let suspect = |fingerprint: &Fingerprint| Suspect {
         fingerprint: *fingerprint,
         ran_for: RUN_TIME,
+        has_written: false,
     };
     CrashReport {
         crash: Crash {
@@ -162,7 +163,7 @@
     };
 
     assert_eq!(may_try(Duration::ZERO), 1);
-    assert_eq!(may_try(TRIAL_STAGGER - ms(1)), 1);
+    assert_eq!(may_try(TRIAL_STAGGER.mul_f64(0.99)), 1);
     assert_eq!(may_try(TRIAL_STAGGER * 9), 10);
     assert_eq!(may_try(TRIAL_STAGGER * 600), 584);
 }
@@ -282,6 +283,8 @@
 struct EvidenceCase {
     /// What was running in each crash, one after the other.
     crashes: &'static [&'static [Fingerprint]],
+    /// Parts whose responses had been arriving for a while before the first crash.
+    written: &'static [Fingerprint],
     /// Parts that were completed after the crash with this index.
     completed: &'static [(usize, Fingerprint)],
     refused: &'static [&'static [Fingerprint]],
@@ -292,54 +295,84 @@
 #[parameterized(
     alone = { EvidenceCase {
         crashes: &[&[PART], &[PART], &[PART]],
+        written: &[],
         completed: &[],
         refused: &[&[PART], &[A, PART], &[PART, B]],
         served: &[&[A], &[A, B]],
     } },
     always_beside_the_same_parts = { EvidenceCase {
         crashes: &[&[A, PART, B], &[A, PART, B], &[A, PART, B]],
+        written: &[],
         completed: &[],
         refused: &[&[A, PART, B], &[A, PART, B, C]],
         served: &[&[A], &[A, B], &[A, C], &[B]],
     } },
     neighbours_that_are_completed_later = { EvidenceCase {
         crashes: &[&[A, PART, B], &[A, PART, B], &[A, PART, B]],
+        written: &[],
         completed: &[(2, A), (2, B)],
         refused: &[&[PART], &[C, PART], &[A, PART, B]],
         served: &[&[A], &[A, B], &[A, C]],
     } },
     neighbours_that_are_completed_between = { EvidenceCase {
         crashes: &[&[A, PART], &[A, PART], &[A, PART], &[A, PART], &[A, PART]],
+        written: &[],
         completed: &[(1, A)],
         refused: &[&[PART], &[A, PART]],
         served: &[&[A], &[A, B]],
     } },
     beside_parts_that_differ = { EvidenceCase {
         crashes: &[&[A, PART], &[B, PART], &[C, PART]],
+        written: &[],
         completed: &[],
         refused: &[&[PART], &[A, PART]],
         served: &[&[A], &[A, B, C]],
     } },
     requests_that_run_beside_it_at_each_replica = { EvidenceCase {
         crashes: &[&[PART, C], &[PART, C], &[PART, C], &[PART], &[PART]],
+        written: &[],
         completed: &[],
         refused: &[&[PART], &[PART, A], &[PART, C]],
         served: &[&[C], &[C, A]],
     } },
+    requests_beside_it_that_had_been_answered_for_a_while = { EvidenceCase {
+        crashes: &[&[PART, A, B], &[PART, A, B], &[PART, A, B]],
+        written: &[A, B],
+        completed: &[],
+        refused: &[&[PART], &[PART, C], &[A, PART]],
+        served: &[&[A], &[A, B], &[A, C]],
+    } },
+    a_cause_that_acts_late = { EvidenceCase {
+        crashes: &[&[PART, A], &[PART, A], &[PART, A]],
+        written: &[PART, A],
+        completed: &[(2, A)],
+        refused: &[&[PART], &[PART, A]],
+        served: &[&[A], &[A, B]],
+    } },
+    a_cause_that_acts_late_beside_parts_that_are_not_completed = { EvidenceCase {
+        crashes: &[&[PART, A], &[PART, A], &[PART, A]],
+        written: &[PART, A],
+        completed: &[],
+        refused: &[&[PART, A]],
+        served: &[&[A], &[A, B]],
+    } },
     another_cause_beside_it = { EvidenceCase {
         crashes: &[&[A, PART], &[A, PART], &[A, PART], &[A]],
+        written: &[],
         completed: &[],
         refused: &[&[A, PART]],
         served: &[&[A], &[A, B]],
     } },
     two_causes_at_once = { EvidenceCase {
         crashes: &[&[PART], &[C], &[PART], &[C], &[PART], &[C]],
+        written: &[],
         completed: &[],
         refused: &[&[PART], &[C], &[A, C]],
         served: &[&[A]],
     } },
     crashes_of_another_cause = { EvidenceCase {
         crashes: &[&[A, B], &[A, C], &[B, C], &[A, B]],
+        written: &[],
         completed: &[(0, A), (1, C), (2, B), (3, A)],
         refused: &[],
         served: &[&[A], &[B], &[C], &[A, B], &[A, C], &[B, C]],
@@ -350,7 +383,11 @@
     let mut suspects = CrashSuspects::new();
     for (index, running) in case.crashes.iter().enumerate() {
         let at = start + ms(index as u64 * 300);
-        suspects.on_crash(&report(index as NameHash, at, running));
+        let mut report = report(index as NameHash, at, running);
+        for suspect in &mut report.suspects {
+            suspect.has_written = case.written.contains(&suspect.fingerprint);
+        }
+        suspects.on_crash(&report);
         for (_, part) in case.completed.iter().filter(|(after, _)| *after == index) {
             suspects.on_completed(at + ms(100), &[*part]);
         }
--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
-use kingcupfield_decisions::crash_suspects::{Crash, CrashReport, Suspect};
+use kingcupfield_decisions::crash_suspects::{Crash, CrashReport, LONG_RESPONSE, Suspect};
 use kingcupfield_decisions::fingerprint::Fingerprint;
 use kingcupfield_decisions::id::{UpstreamId, name_hash};
 use tokio::sync::watch;
@@ -40,6 +40,8 @@
     pub fingerprints: Vec<Fingerprint>,
     /// When it was sent to the replica.
     pub sent_at: Instant,
+    /// When the first event of the replica's response arrived.
+    pub first_event_at: Option<Instant>,
 }
 
 /// The requests that broke off at one incarnation of a replica at one time.
@@ -219,14 +221,23 @@
     let mut suspects: Vec<Suspect> = Vec::new();
     for request in requests {
         let ran_for = crashed_at.saturating_duration_since(request.sent_at);
+        let wrote_for = request
+            .first_event_at
+            .map(|at| crashed_at.saturating_duration_since(at));
+        let has_written = wrote_for.is_some_and(|time| time >= LONG_RESPONSE);
         for fingerprint in request.fingerprints.iter().copied() {
             match suspects.binary_search_by_key(&fingerprint, |s| s.fingerprint) {
-                Ok(index) => suspects[index].ran_for = suspects[index].ran_for.min(ran_for),
+                Ok(index) => {
+                    let suspect = &mut suspects[index];
+                    suspect.ran_for = suspect.ran_for.min(ran_for);
+                    suspect.has_written |= has_written;
+                }
                 Err(index) => suspects.insert(
                     index,
                     Suspect {
                         fingerprint,
                         ran_for,
+                        has_written,
                     },
                 ),
             }
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -60,15 +60,15 @@
     incarnation: u64,
     /// Milliseconds since the crash.
     age_ms: u32,
-    /// What the requests have in common with others that the replica was running for the sender, and for how
-    /// many milliseconds the latest of them had been running.
-    suspects: Vec<(Fingerprint, u32)>,
+    /// What the requests have in common with others that the replica was running for the sender; for how many
+    /// milliseconds the latest of them had been running; and whether a response had been arriving for a while.
+    suspects: Vec<(Fingerprint, u32, bool)>,
 }
 
 impl CrashNews {
     fn new(now: Instant, report: &CrashReport) -> Self {
         let suspects = report.suspects.iter();
-        let suspects = suspects.map(|s| (s.fingerprint, millis(s.ran_for)));
+        let suspects = suspects.map(|s| (s.fingerprint, millis(s.ran_for), s.has_written));
         Self {
             replica: report.crash.replica,
             incarnation: report.crash.incarnation,
@@ -79,8 +79,9 @@
 
     fn received(self, now: Instant) -> CrashReport {
         let suspects = self.suspects.into_iter();
-        let suspects = suspects.map(|(fingerprint, ran_ms)| Suspect {
+        let suspects = suspects.map(|(fingerprint, ran_ms, has_written)| Suspect {
             fingerprint,
+            has_written,
             ran_for: Duration::from_millis(u64::from(ran_ms)),
         });
         CrashReport {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -151,6 +151,7 @@
         partial_event: BytesMut::new(),
         last_event_at: Instant::now(),
         first_pending: true,
+        first_event_at: None,
         time_to_first_event: Duration::ZERO,
         longest_gap: Duration::ZERO,
         end_logged: false,
@@ -203,6 +204,8 @@
     last_event_at: Instant,
     /// Whether no event of the current attempt has arrived yet.
     first_pending: bool,
+    /// When the first event of the current attempt arrived.
+    first_event_at: Option<Instant>,
     /// Time from the arrival of the request to the first event.
     time_to_first_event: Duration,
     /// Longest time between two events of the stream.
@@ -265,7 +268,11 @@
                     self.log(how, &replica);
                     return;
                 }
-                AttemptEnd::Broken => self.ctx.on_broken(&self.node, &attempt.target),
+                AttemptEnd::Broken => {
+                    let first_event_at = self.first_event_at;
+                    self.ctx
+                        .on_broken(&self.node, &attempt.target, first_event_at);
+                }
                 AttemptEnd::Stalled => {}
             }
             self.log("broke_off", &replica);
@@ -350,6 +357,7 @@
             self.record_origin(attempt);
             if self.first_pending {
                 attempt.slot.on_first_event();
+                self.first_event_at = Some(now);
                 if self.time_to_first_event.is_zero() {
                     self.time_to_first_event = self.ctx.received.elapsed();
                 }
@@ -437,6 +445,7 @@
             };
             self.last_event_at = Instant::now();
             self.first_pending = true;
+            self.first_event_at = None;
             match response {
                 Ok(response) if response.head.status.is_success() => {
                     self.log("resumed", &slot.upstream);
@@ -451,7 +460,7 @@
                 Ok(_) => slot.release(Outcome::Failed),
                 Err(e) => {
                     if e.broke_connection() {
-                        self.ctx.on_broken(&self.node, &target);
+                        self.ctx.on_broken(&self.node, &target, None);
                     }
                     if !e.may_have_run() {
                         self.ctx.runs -= 1;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -256,11 +256,14 @@
     }
 
     /// Records that the request broke off at a replica, which may have crashed of it.
-    pub fn on_broken(&self, node: &Rc<Node>, target: &Rc<Target>) {
+    ///
+    /// `first_event_at` is when the first event of the replica's response arrived.
+    pub fn on_broken(&self, node: &Rc<Node>, target: &Rc<Target>, first_event_at: Option<Instant>) {
         let request = BrokenRequest {
             attempt_id: self.meta.attempt_id.clone(),
             fingerprints: self.fingerprints(node),
             sent_at: self.sent_at,
+            first_event_at,
         };
         crash_watch::on_broken(node, target, request);
     }
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -120,7 +120,7 @@
         failure: SendFailure,
     ) -> NextStep {
         if failure.broke_connection() {
-            self.on_broken(node, target);
+            self.on_broken(node, target, None);
         }
         request_log::log_send_failed(node, self, &slot.upstream, failure);
         slot.release(failure.outcome());
