Divide the messages about crashes by their size, in files of their own

A datagram of 100 fingerprints had up to 1,400 bytes, and up to 3,300 if each was of another crash, and was divided on the link. The types of the messages and the reminders have files of their own; otherwise code was moved.

--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -3,16 +3,17 @@
 //! Crashes are rare, so each instance tells all others at once. What several crashes have in common is
 //! repeated to random instances for as long as it is remembered, for those that were away or lost a message.
 
+mod message;
+mod upkeep;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use http::request::Parts;
-use kingcupfield_decisions::crash_suspects::{Crash, CrashReport, Quarantine, Suspect};
+use kingcupfield_decisions::crash_suspects::{CrashReport, Quarantine};
 use kingcupfield_decisions::fingerprint::{self, Fingerprint};
-use kingcupfield_decisions::id::{NameHash, ServiceId};
-use rand::RngExt as _;
-use serde::{Deserialize, Serialize};
+use kingcupfield_decisions::id::ServiceId;
 use tokio::time::{Instant, sleep};
 
 use crate::log::Priority;
@@ -20,94 +21,20 @@
 use crate::peers::PeerMessage;
 use crate::refusal::{Refusal, RefusalKind};
 
-/// Interval at which instances repeat what they know to others.
-const REMINDER_INTERVAL: Duration = Duration::from_secs(1);
+use message::time_before;
 
-/// Instances that get each reminder. One that missed everything hears of it within three seconds in 99.7 of
-/// 100 cases.
-const REMINDED_INSTANCES: usize = 2;
+pub use message::{CrashMessage, CrashNews, completed_messages, crashed_messages};
+pub use upkeep::Upkeep;
 
-/// Age up to which completions are part of reminders.
-const COMPLETION_MEMORY: Duration = Duration::from_secs(30);
+/// Shortest time after which a caller is told to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Time for which crashes are collected before they are told: many replicas may crash together.
 const COLLECT_TIME: Duration = Duration::from_millis(3);
 
-/// Most fingerprints in one datagram, so that it is not divided on the link.
-const FINGERPRINTS_PER_DATAGRAM: usize = 100;
-
 /// Most parts of a prompt that are compared with those of other requests.
 const MAX_PROMPT_PARTS: usize = 256;
 
-/// Most datagrams of one reminder to one instance.
-const DATAGRAMS_PER_REMINDER: usize = 8;
-
-/// A message about crashes of replicas.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub enum CrashMessage {
-    /// Replicas crashed while they ran these requests.
-    Crashed(Vec<CrashNews>),
-    /// Requests were completed that have these fingerprints, each with its age in milliseconds.
-    Completed(Vec<(Fingerprint, u32)>),
-}
-
-/// A crash as one instance tells it to another.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct CrashNews {
-    /// Name hash of the replica.
-    replica: NameHash,
-    /// Start of the replica in Unix milliseconds.
-    incarnation: u64,
-    /// Milliseconds since the crash.
-    age_ms: u32,
-    /// What the requests have in common with others that the replica was running for the sender; for how many
-    /// milliseconds the latest of them had been running; and whether a response had been arriving for a while.
-    suspects: Vec<(Fingerprint, u32, bool)>,
-}
-
-impl CrashNews {
-    fn new(now: Instant, report: &CrashReport) -> Self {
-        let suspects = report.suspects.iter();
-        let suspects = suspects.map(|s| (s.fingerprint, millis(s.ran_for), s.has_written));
-        Self {
-            replica: report.crash.replica,
-            incarnation: report.crash.incarnation,
-            age_ms: age_ms(now, report.crash.at),
-            suspects: suspects.collect(),
-        }
-    }
-
-    fn received(self, now: Instant) -> CrashReport {
-        let suspects = self.suspects.into_iter();
-        let suspects = suspects.map(|(fingerprint, ran_ms, has_written)| Suspect {
-            fingerprint,
-            has_written,
-            ran_for: Duration::from_millis(u64::from(ran_ms)),
-        });
-        CrashReport {
-            crash: Crash {
-                replica: self.replica,
-                incarnation: self.incarnation,
-                at: time_before(now, self.age_ms),
-            },
-            suspects: suspects.collect(),
-        }
-    }
-}
-
-fn age_ms(now: Instant, at: Instant) -> u32 {
-    millis(now.saturating_duration_since(at))
-}
-
-fn millis(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
-fn time_before(now: Instant, age_ms: u32) -> Instant {
-    let age = Duration::from_millis(u64::from(age_ms));
-    now.checked_sub(age).unwrap_or(now)
-}
-
 /// What a request has in common with others, as far as replicas may crash of it.
 pub fn fingerprints(
     node: &Node,
@@ -181,7 +108,7 @@
     );
     Refusal::new(RefusalKind::Quarantined)
         .with_message(reason)
-        .with_retry_after(quarantine.retry_after.max(REMINDER_INTERVAL))
+        .with_retry_after(quarantine.retry_after.max(MIN_RETRY_AFTER))
 }
 
 /// Records a crash that this instance has seen, and tells all others.
@@ -222,9 +149,11 @@
         return;
     }
     log_cleared(node, &cleared);
-    let completed = cleared.into_iter().map(|f| (f, 0)).collect();
+    let completed: Vec<_> = cleared.into_iter().map(|f| (f, now)).collect();
     let all = node.peers.borrow().all_reachable(now);
-    send(node, &all, &CrashMessage::Completed(completed));
+    for message in completed_messages(now, &completed) {
+        send(node, &all, &message);
+    }
 }
 
 /// Applies a message of another instance.
@@ -271,75 +200,6 @@
     }
 }
 
-/// What an instance does about crashes beside requests.
-#[derive(Debug)]
-pub struct Upkeep {
-    checked_at: Instant,
-}
-
-impl Upkeep {
-    /// Creates the state of an instance that starts.
-    pub fn new(now: Instant) -> Self {
-        Self { checked_at: now }
-    }
-
-    /// Forgets what is old and reminds other instances of the rest, if that is due.
-    pub fn check(&mut self, node: &Node) {
-        let now = Instant::now();
-        let is_due = now.saturating_duration_since(self.checked_at) >= REMINDER_INTERVAL;
-        if !is_due || node.crash_suspects.borrow().is_empty() {
-            return;
-        }
-        self.checked_at = now;
-        node.crash_suspects.borrow_mut().expire(now);
-        let messages = reminders(node, now);
-        for _ in 0..REMINDED_INSTANCES {
-            let receiver = node.peers.borrow().random_live(now, rand::rng().random());
-            for message in messages.iter().take(DATAGRAMS_PER_REMINDER) {
-                send(node, receiver.as_slice(), message);
-            }
-        }
-    }
-}
-
-/// Messages with what several crashes have in common, and with what was cleared lately.
-fn reminders(node: &Node, now: Instant) -> Vec<CrashMessage> {
-    let suspects = node.crash_suspects.borrow();
-    let mut messages = crashed_messages(now, &suspects.reports());
-    let since = now.checked_sub(COMPLETION_MEMORY).unwrap_or(now);
-    let completed = suspects.cleared_since(since).into_iter();
-    let completed: Vec<_> = completed.map(|(f, at)| (f, age_ms(now, at))).collect();
-    let completed = completed.chunks(FINGERPRINTS_PER_DATAGRAM);
-    messages.extend(completed.map(|part| CrashMessage::Completed(part.to_vec())));
-    messages
-}
-
-/// Divides reports into messages.
-fn crashed_messages(now: Instant, reports: &[CrashReport]) -> Vec<CrashMessage> {
-    let mut messages = vec![Vec::new()];
-    let mut room = FINGERPRINTS_PER_DATAGRAM;
-    for report in reports {
-        let mut news = CrashNews::new(now, report);
-        let suspects = std::mem::take(&mut news.suspects);
-        for part in suspects.chunks(FINGERPRINTS_PER_DATAGRAM) {
-            if part.len() > room {
-                messages.push(Vec::new());
-                room = FINGERPRINTS_PER_DATAGRAM;
-            }
-            room -= part.len();
-            let news = CrashNews {
-                suspects: part.to_vec(),
-                ..news.clone()
-            };
-            if let Some(last) = messages.last_mut() {
-                last.push(news);
-            }
-        }
-    }
-    messages.retain(|news| !news.is_empty());
-    messages.into_iter().map(CrashMessage::Crashed).collect()
-}
-
 fn send(node: &Node, to: &[Ipv4Addr], message: &CrashMessage) {
     let Ok(bytes) = rmp_serde::to_vec(&PeerMessage::Crash(message.clone())) else {
         return;
