Reuse what the project had for peers, messages and ages in the code about crashes

No behaviour is meant to change. - gossip::send_to sends messages about crashes too; their own copy is gone. - Peers::live and all_reachable are iterators that eight places share, which had the same filter each; ages in messages have one conversion (age.rs). - on_crash returns the suspects that recur from now on, which its only caller worked out from two copies of a list; what it returned before nobody read. - A trial has one time in place of two durations, each cut off at zero. - The fingerprints of a request are made once, not at each of up to four checks. - relay_to_end and respond_buffered have a step less each. One assertion of a test asked for the old return value; it now asks that nothing at all is recorded, which is stricter.

--- a/crates/decisions/src/crash_suspects.rs
+++ b/crates/decisions/src/crash_suspects.rs
@@ -102,10 +102,8 @@
     pub fingerprint: Fingerprint,
     /// Number of crashes that are remembered of it.
     pub crashes: usize,
-    /// Time until the next trial.
-    pub retry_after: Duration,
-    /// Time since the next trial was due.
-    pub overdue: Duration,
+    /// When the next trial is due.
+    pub trial_at: Instant,
 }
 
 impl Quarantine {
@@ -113,15 +111,16 @@
     /// a hash, as the first ones may not receive such a request.
     pub fn may_try(
         &self,
+        now: Instant,
         own: InstanceAddress,
         others: impl Iterator<Item = InstanceAddress>,
     ) -> bool {
-        if !self.retry_after.is_zero() {
+        if now < self.trial_at {
             return false;
         }
         let own_weight = weight(self.fingerprint, own);
         let before = others.filter(|other| weight(self.fingerprint, *other) < own_weight);
-        self.overdue >= TRIAL_STAGGER * before.count() as u32
+        now - self.trial_at >= TRIAL_STAGGER * before.count() as u32
     }
 }
 
@@ -150,23 +149,22 @@
         self.records.is_empty()
     }
 
-    /// Records a crash; returns whether it was not known for some of the suspects.
-    pub fn on_crash(&mut self, report: &CrashReport) -> bool {
-        let mut is_news = false;
+    /// Records a crash; returns the suspects that recur from now on.
+    pub fn on_crash(&mut self, report: &CrashReport) -> Vec<Fingerprint> {
+        let mut begun = Vec::new();
         for suspect in &report.suspects {
-            let record = match self.search(suspect.fingerprint) {
-                Ok(index) => &mut self.records[index],
-                Err(index) => {
-                    self.records.insert(index, Record::new(suspect.fingerprint));
-                    &mut self.records[index]
-                }
-            };
-            is_news |= record.on_crash(report.crash, suspect.ran_for);
-            record.has_written |= suspect.has_written;
-            self.update_recurring(suspect.fingerprint);
+            let fingerprint = suspect.fingerprint;
+            let index = self.search(fingerprint).unwrap_or_else(|index| {
+                self.records.insert(index, Record::new(fingerprint));
+                index
+            });
+            self.records[index].on_crash(report.crash, suspect);
+            if self.update_recurring(fingerprint) {
+                begun.push(fingerprint);
+            }
         }
         self.drop_excess();
-        is_news
+        begun
     }
 
     /// Records that a request was completed; returns the suspects that this clears and that other instances
@@ -191,31 +189,24 @@
     }
 
     /// Why a request must not be sent; `None` if it may.
-    pub fn quarantine(&self, now: Instant, fingerprints: &[Fingerprint]) -> Option<Quarantine> {
-        let of_request: Vec<&Record> = self
-            .recurring()
-            .filter(|r| fingerprints.contains(&r.fingerprint))
-            .collect();
+    pub fn quarantine(&self, fingerprints: &[Fingerprint]) -> Option<Quarantine> {
+        let all: Vec<&Record> = self.known(&self.recurring).collect();
+        let mut of_request = all.clone();
+        of_request.retain(|r| fingerprints.contains(&r.fingerprint));
         let main = of_request.iter().max_by_key(|r| r.crashes().len())?;
-        let all: Vec<&Record> = self.recurring().collect();
         if !evidence::suffices(&all, &of_request) {
             return None;
         }
         Some(Quarantine {
             fingerprint: main.fingerprint,
             crashes: main.crashes().len(),
-            retry_after: main.time_to_trial(now),
-            overdue: main.trial_overdue(now),
+            trial_at: main.trial_at()?,
         })
     }
 
     /// Whether one more crash might quarantine a request with these fingerprints.
     pub fn is_near_quarantine(&self, fingerprints: &[Fingerprint]) -> bool {
-        let known = fingerprints
-            .iter()
-            .filter_map(|f| self.records.get(self.search(*f).ok()?));
-        known
-            .into_iter()
+        self.known(fingerprints)
             .any(|record| record.successive_crashes() + 1 >= CRASHES_TO_RECUR)
     }
 
@@ -236,8 +227,7 @@
     /// All crashes of some suspects. Told together, another instance learns their order, which messages that
     /// take different times would hide.
     pub fn history(&self, suspects: &[Fingerprint]) -> Vec<CrashReport> {
-        let indices = suspects.iter().filter_map(|f| self.search(*f).ok());
-        reports_of(indices.map(|index| &self.records[index]))
+        reports_of(self.known(suspects))
     }
 
     /// What was cleared since a time, and when it was last completed.
@@ -247,27 +237,25 @@
         completed.filter(|(_, at)| *at >= since).collect()
     }
 
-    /// Suspects that recur, sorted.
-    pub fn recurring_fingerprints(&self) -> &[Fingerprint] {
-        &self.recurring
-    }
-
-    fn recurring(&self) -> impl Iterator<Item = &Record> {
-        let indices = self.recurring.iter().filter_map(|f| self.search(*f).ok());
+    /// The records of those fingerprints that are remembered.
+    fn known(&self, fingerprints: &[Fingerprint]) -> impl Iterator<Item = &Record> {
+        let indices = fingerprints.iter().filter_map(|f| self.search(*f).ok());
         indices.map(|index| &self.records[index])
     }
 
-    /// Updates the list of what recurs after a change of a record.
-    fn update_recurring(&mut self, fingerprint: Fingerprint) {
-        let recurs = self
-            .search(fingerprint)
-            .is_ok_and(|index| self.records[index].recurs());
+    /// Updates the list of what recurs after a change of a record; returns whether it recurs from now on.
+    fn update_recurring(&mut self, fingerprint: Fingerprint) -> bool {
+        let recurs = self.known(&[fingerprint]).any(Record::recurs);
         match self.recurring.binary_search(&fingerprint) {
             Ok(index) if !recurs => {
                 self.recurring.remove(index);
+                false
+            }
+            Err(index) if recurs => {
+                self.recurring.insert(index, fingerprint);
+                true
             }
-            Err(index) if recurs => self.recurring.insert(index, fingerprint),
-            _ => {}
+            _ => false,
         }
     }
 
@@ -281,11 +269,6 @@
             };
             now.saturating_duration_since(r.heard_at()) < memory
         });
-        self.drop_missing_recurring();
-    }
-
-    /// Removes fingerprints without a record from the list of what recurs.
-    fn drop_missing_recurring(&mut self) {
         let records = &self.records;
         self.recurring
             .retain(|f| records.binary_search_by_key(f, |r| r.fingerprint).is_ok());
@@ -318,7 +301,7 @@
             let suspect = Suspect {
                 fingerprint: record.fingerprint,
                 ran_for: crash.at.saturating_duration_since(sighting.sent_at),
-                has_written: record.has_written,
+                has_written: record.has_written(),
             };
             let key = |c: &Crash| (c.replica, c.incarnation, c.at);
             match reports.binary_search_by_key(&key(&crash), |r| key(&r.crash)) {
--- a/crates/decisions/src/crash_suspects/evidence.rs
+++ b/crates/decisions/src/crash_suspects/evidence.rs
@@ -22,7 +22,7 @@
         .collect();
     let has_cause = |sighting: &&Sighting| {
         let running = unexplained.iter().filter(|r| r.was_in(&sighting.crash));
-        let (written, new): (Vec<&Record>, Vec<&Record>) = running.partition(|r| r.has_written);
+        let (written, new): (Vec<&Record>, Vec<&Record>) = running.partition(|r| r.has_written());
         let causes = if new.is_empty() { written } else { new };
         causes.into_iter().all(is_of_request)
     };
--- a/crates/decisions/src/crash_suspects/record.rs
+++ b/crates/decisions/src/crash_suspects/record.rs
@@ -4,7 +4,9 @@
 
 use tokio::time::Instant;
 
-use super::{CRASHES_TO_RECUR, Crash, FIRST_TRIAL_AFTER, LONGEST_TRIAL_PAUSE, TRIAL_TIMEOUT};
+use super::{
+    CRASHES_TO_RECUR, Crash, FIRST_TRIAL_AFTER, LONGEST_TRIAL_PAUSE, Suspect, TRIAL_TIMEOUT,
+};
 use crate::fingerprint::Fingerprint;
 
 /// Most crashes that are remembered of one fingerprint; the latest ones are kept.
@@ -26,7 +28,7 @@
 pub(super) struct Record {
     pub(super) fingerprint: Fingerprint,
     /// Whether the response to a request with it had been arriving for a while before a crash.
-    pub(super) has_written: bool,
+    has_written: bool,
     /// Sorted by time.
     crashes: Vec<Sighting>,
     /// Latest completion since the first crash.
@@ -58,6 +60,11 @@
         }
     }
 
+    /// Whether the response to a request with it had been arriving for a while before a crash.
+    pub(super) fn has_written(&self) -> bool {
+        self.has_written
+    }
+
     /// Crashes since the latest completion.
     pub(super) fn crashes(&self) -> &[Sighting] {
         &self.crashes
@@ -80,25 +87,23 @@
         heard_at.expect("a record begins with a crash, which a completion alone removes")
     }
 
-    /// Records a crash; returns whether it was not known. One from before the latest completion had another
-    /// cause.
-    pub(super) fn on_crash(&mut self, crash: Crash, ran_for: Duration) -> bool {
+    /// Records a crash. One from before the latest completion had another cause.
+    pub(super) fn on_crash(&mut self, crash: Crash, suspect: &Suspect) {
+        self.has_written |= suspect.has_written;
         if self.completed_at.is_some_and(|at| crash.at <= at) {
-            return false;
+            return;
         }
         if let Some(known) = self.crashes.iter_mut().find(|s| s.crash.is_same(&crash)) {
             known.correct(crash.at);
-            self.crashes.sort_by_key(|s| s.crash.at);
-            return false;
+        } else {
+            let sent_at = crash.at.checked_sub(suspect.ran_for).unwrap_or(crash.at);
+            self.crashes.push(Sighting { crash, sent_at });
+            self.trial_until = None;
         }
-        let index = self.crashes.partition_point(|s| s.crash.at <= crash.at);
-        let sent_at = crash.at.checked_sub(ran_for).unwrap_or(crash.at);
-        self.crashes.insert(index, Sighting { crash, sent_at });
+        self.crashes.sort_by_key(|s| s.crash.at);
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.remove(0);
         }
-        self.trial_until = None;
-        true
     }
 
     /// Records a completion; returns whether it clears any crash.
@@ -131,26 +136,15 @@
         count
     }
 
-    /// Time until the next request may be tried.
-    pub(super) fn time_to_trial(&self, now: Instant) -> Duration {
-        let due = self.trial_due_at();
-        due.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
-    }
-
-    /// Time since the next request could have been tried.
-    pub(super) fn trial_overdue(&self, now: Instant) -> Duration {
-        let due = self.trial_due_at();
-        due.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
-    }
-
-    fn trial_due_at(&self) -> Option<Instant> {
+    /// When the next request may be tried; `None` without a crash.
+    pub(super) fn trial_at(&self) -> Option<Instant> {
         let due = self.crashes.last().map(|s| s.crash.at + self.trial_pause());
         due.max(self.trial_until)
     }
 
     /// Begins a trial; returns false if it is not due, or if another one is in progress.
     pub(super) fn begin_trial(&mut self, now: Instant) -> bool {
-        if !self.time_to_trial(now).is_zero() {
+        if self.trial_at().is_some_and(|at| now < at) {
             return false;
         }
         self.trial_until = Some(now + TRIAL_TIMEOUT);
--- a/crates/decisions/tests/crash_fleet.rs
+++ b/crates/decisions/tests/crash_fleet.rs
@@ -268,10 +268,7 @@
         }
         let instance = self.rng.random_range(0..self.case.instances);
         let now = self.now();
-        if self.suspects[instance]
-            .quarantine(now, &fingerprints)
-            .is_some()
-        {
+        if self.suspects[instance].quarantine(&fingerprints).is_some() {
             return Sent::Refused;
         }
         let running = self.replicas.iter().enumerate();
--- a/crates/decisions/tests/crash_suspects.rs
+++ b/crates/decisions/tests/crash_suspects.rs
@@ -38,8 +38,8 @@
     }
 }
 
-fn is_quarantined(suspects: &CrashSuspects, now: Instant, fingerprint: Fingerprint) -> bool {
-    suspects.quarantine(now, &[fingerprint]).is_some()
+fn is_quarantined(suspects: &CrashSuspects, fingerprint: Fingerprint) -> bool {
+    suspects.quarantine(&[fingerprint]).is_some()
 }
 
 /// Suspects after one crash of a request at each of these times, in milliseconds.
@@ -71,10 +71,8 @@
     let start = Instant::now();
     let suspects = after_crashes(start, case.at_ms);
 
-    let now = start + ms(200_000);
-
-    assert_eq!(is_quarantined(&suspects, now, BAD), case.quarantined);
-    assert!(!is_quarantined(&suspects, now, OTHER));
+    assert_eq!(is_quarantined(&suspects, BAD), case.quarantined);
+    assert!(!is_quarantined(&suspects, OTHER));
 }
 
 // Guards against one crash that counts as several because several instances report it.
@@ -89,7 +87,7 @@
         suspects.on_crash(&report(8, start + ms(at_ms), &[BAD, OTHER]));
     }
 
-    assert!(!is_quarantined(&suspects, start + ms(2000), BAD));
+    assert!(!is_quarantined(&suspects, BAD));
 }
 
 // Guards against blaming what sound requests share with those that crash replicas, or what runs beside them.
@@ -100,11 +98,13 @@
 
     let cleared = suspects.on_completed(start + ms(400), &[BAD, OTHER]);
     suspects.on_crash(&report(3, start + ms(600), &[BAD]));
-    let is_news = suspects.on_crash(&report(4, start + ms(200), &[BAD]));
+    let before = suspects.history(&[BAD]);
+    suspects.on_crash(&report(4, start + ms(200), &[BAD]));
 
     assert_eq!(cleared, [BAD]);
-    assert!(!is_news, "a crash from before the completion");
-    assert!(!is_quarantined(&suspects, start + ms(700), BAD));
+    let after = suspects.history(&[BAD]);
+    assert_eq!(after, before, "a crash from before the completion");
+    assert!(!is_quarantined(&suspects, BAD));
 }
 
 // Guards against a quarantine of something sound that goes on after a response has shown that it is sound.
@@ -112,11 +112,11 @@
 fn a_completion_ends_a_quarantine() {
     let start = Instant::now();
     let mut suspects = after_crashes(start, &[0, 300, 600]);
-    assert!(is_quarantined(&suspects, start + ms(700), BAD));
+    assert!(is_quarantined(&suspects, BAD));
 
     suspects.on_completed(start + ms(800), &[BAD]);
 
-    assert!(!is_quarantined(&suspects, start + ms(900), BAD));
+    assert!(!is_quarantined(&suspects, BAD));
 }
 
 // Guards against a suspicion without end.
@@ -143,7 +143,7 @@
     assert!(suspects.begin_trial(due, BAD));
     suspects.on_completed(due + ms(900), &[BAD]);
 
-    assert!(!is_quarantined(&suspects, due + ms(901), BAD));
+    assert!(!is_quarantined(&suspects, BAD));
 }
 
 // Guards against trials by all instances at once, and against none because the chosen instance gets no request.
@@ -154,11 +154,11 @@
     let members: Vec<InstanceAddress> = (1..=584).collect();
     let may_try = |after: Duration| {
         let now = start + ms(600) + FIRST_TRIAL_AFTER + after;
-        let quarantine = suspects.quarantine(now, &[BAD]).expect("a quarantine");
+        let quarantine = suspects.quarantine(&[BAD]).expect("a quarantine");
         let others = |own| members.iter().copied().filter(move |m| *m != own);
         let may_try = members
             .iter()
-            .filter(|own| quarantine.may_try(**own, others(**own)));
+            .filter(|own| quarantine.may_try(now, **own, others(**own)));
         may_try.count()
     };
 
@@ -187,7 +187,7 @@
     suspects.on_crash(&report(9, start + ms(600), &[OTHER]));
 
     suspects.expire(start + Duration::from_mins(11));
-    assert!(is_quarantined(&suspects, start, BAD));
+    assert!(is_quarantined(&suspects, BAD));
     assert!(!suspects.reports().is_empty());
     suspects.expire(start + Duration::from_mins(31));
 
@@ -206,7 +206,7 @@
         suspects.on_crash(&report(crash + 10, at, &unique));
     }
 
-    assert!(is_quarantined(&suspects, start + ms(5_000), BAD));
+    assert!(is_quarantined(&suspects, BAD));
     assert!(suspects.len() <= 4096, "{}", suspects.len());
 }
 
@@ -222,12 +222,8 @@
         other.on_crash(&report);
     }
 
-    let now = start + ms(1000);
-    assert_eq!(
-        other.quarantine(now, &[BAD]),
-        suspects.quarantine(now, &[BAD])
-    );
-    assert!(other.quarantine(now, &[BAD]).is_some());
+    assert_eq!(other.quarantine(&[BAD]), suspects.quarantine(&[BAD]));
+    assert!(other.quarantine(&[BAD]).is_some());
     assert_eq!(CRASHES_TO_RECUR, 3);
 }
 
@@ -248,7 +244,7 @@
         suspects.on_crash(&report(*replica, now - ms(*age_ms), &[BAD]));
     }
 
-    assert!(is_quarantined(&suspects, now, BAD));
+    assert!(is_quarantined(&suspects, BAD));
 }
 
 // Guards against a crash that is not counted because the message about the one before it took longer.
@@ -269,9 +265,8 @@
         }
     }
 
-    let now = start + ms(1000);
-    assert!(is_quarantined(&near, now, BAD));
-    assert!(is_quarantined(&far, now, BAD));
+    assert!(is_quarantined(&near, BAD));
+    assert!(is_quarantined(&far, BAD));
 }
 
 /// Parts of prompts.
@@ -393,18 +388,13 @@
         }
     }
 
-    let now = start + ms(10_000);
     for request in case.refused {
         assert!(
-            suspects.quarantine(now, request).is_some(),
+            suspects.quarantine(request).is_some(),
             "{request:?} is served"
         );
     }
     for request in case.served {
-        assert_eq!(
-            suspects.quarantine(now, request),
-            None,
-            "{request:?} is refused"
-        );
+        assert_eq!(suspects.quarantine(request), None, "{request:?} is refused");
     }
 }
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -22,7 +22,7 @@
 use crate::log::{self, Priority};
 use crate::node::Node;
 use crate::outbox::{self, DigestBatch};
-use crate::peers::{Digest, ForwardScope, Peer, PeerMessage};
+use crate::peers::{Digest, ForwardScope, PeerMessage};
 use crate::quarantine;
 use crate::receiver;
 use crate::stream_origin;
@@ -258,9 +258,8 @@
     /// over.
     fn update_relays(&mut self, node: &Node, now: Instant) {
         let peers = node.peers.borrow();
-        let in_zone = |p: &&Peer| p.is_live(now) && p.digest.zone == self.zone;
-        let live = peers.all().iter().filter(in_zone);
-        let live: Vec<InstanceAddress> = live.map(|p| p.address.to_bits()).collect();
+        let in_zone = peers.live(now).filter(|p| p.digest.zone == self.zone);
+        let live: Vec<InstanceAddress> = in_zone.map(|p| p.address.to_bits()).collect();
         let sent_at = |member: InstanceAddress| peers.last_datagram_at(Ipv4Addr::from_bits(member));
         let lost = self
             .relays
@@ -344,10 +343,7 @@
             SocketAddr::V6(_) => None,
         });
         let peers = node.peers.borrow();
-        let is_live = |a: Ipv4Addr| {
-            let mut all = peers.all().iter();
-            all.any(|p| p.address == a && p.is_live(now))
-        };
+        let is_live = |a: Ipv4Addr| peers.live(now).any(|p| p.address == a);
         let to: Vec<Ipv4Addr> = contacts
             .filter(|a| *a != self.own_address && !is_live(*a))
             .collect();
@@ -428,7 +424,7 @@
 }
 
 /// Sends a message to each of the receivers.
-fn send_to(node: &Node, message: &PeerMessage, to: &[Ipv4Addr]) {
+pub fn send_to(node: &Node, message: &PeerMessage, to: &[Ipv4Addr]) {
     if to.is_empty() {
         return;
     }
--- a/crates/entry/src/gossip/local_state.rs
+++ b/crates/entry/src/gossip/local_state.rs
@@ -115,7 +115,7 @@
 pub(super) fn live_members(node: &Node) -> Vec<(NameHash, Vec<Ipv4Addr>)> {
     let now = Instant::now();
     let peers = node.peers.borrow();
-    let live = peers.all().iter().filter(|p| p.is_live(now));
+    let live = peers.live(now);
     let mut by_zone: Vec<(NameHash, Vec<Ipv4Addr>)> = Vec::new();
     for peer in live {
         let zone = peer.digest.zone;
--- a/crates/entry/src/node/statements.rs
+++ b/crates/entry/src/node/statements.rs
@@ -11,6 +11,7 @@
 
 use super::Node;
 use crate::adapter::{ResponseClass, Stated};
+use crate::age::time_before;
 use crate::log::Priority;
 use crate::peers::{ReplicaLimitReport, ReplicaReports};
 use crate::replica::PublishedReplica;
@@ -44,7 +45,7 @@
         let age = self.suspend_aware_now().saturating_duration_since(sent_at);
         let report = |per_s| LimitReport {
             per_s,
-            earliest: now.checked_sub(age).unwrap_or(now),
+            earliest: time_before(now, age),
             latest: now,
         };
         match statement.limit_per_s {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -180,21 +180,18 @@
 
     /// The instances of a zone that are live, or became known a short time ago.
     pub fn reachable(&self, now: Instant, zone: NameHash) -> Vec<Ipv4Addr> {
-        let in_zone = self.others.iter().filter(|p| p.digest.zone == zone);
-        let reachable = in_zone.filter(|p| p.is_reachable(now));
-        reachable.map(|p| p.address).collect()
+        let in_zone = self.all_reachable(now).filter(|p| p.digest.zone == zone);
+        in_zone.map(|p| p.address).collect()
     }
 
     /// The instances of all zones that are live, or became known a short time ago.
-    pub fn all_reachable(&self, now: Instant) -> Vec<Ipv4Addr> {
-        let reachable = self.others.iter().filter(|p| p.is_reachable(now));
-        reachable.map(|p| p.address).collect()
+    pub fn all_reachable(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.others.iter().filter(move |p| p.is_reachable(now))
     }
 
     /// The other live instances.
-    pub fn live(&self, now: Instant) -> Vec<Ipv4Addr> {
-        let live = self.others.iter().filter(|p| p.is_live(now));
-        live.map(|p| p.address).collect()
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.others.iter().filter(move |p| p.is_live(now))
     }
 
     /// Number of known instances, including this one.
@@ -208,14 +205,13 @@
 
     /// Number of live instances, including this one.
     pub fn live_count(&self, now: Instant) -> usize {
-        self.others.iter().filter(|p| p.is_live(now)).count() + 1
+        self.live(now).count() + 1
     }
 
     /// Age of the oldest last report among the live instances, which bounds the age of the remote
     /// load.
     pub fn max_report_age(&self, now: Instant) -> Duration {
-        let live = self.others.iter().filter(|p| p.is_live(now));
-        let oldest = live.filter_map(|p| p.last_digest_at).min();
+        let oldest = self.live(now).filter_map(|p| p.last_digest_at).min();
         oldest.map_or(Duration::ZERO, |digest_at| {
             now.saturating_duration_since(digest_at)
         })
@@ -470,8 +466,7 @@
 
     /// The instances that record a stream which this instance relays.
     pub fn stream_holders(&self, now: Instant, key: StreamKey) -> Vec<Ipv4Addr> {
-        let reachable = self.others.iter().filter(|p| p.is_reachable(now));
-        let reachable = reachable.map(|p| p.address.to_bits());
+        let reachable = self.all_reachable(now).map(|p| p.address.to_bits());
         let holders = stream_records::choose_holders(key, reachable, HOLDERS);
         holders.into_iter().map(Ipv4Addr::from_bits).collect()
     }
@@ -486,7 +481,7 @@
 
     /// A random live instance, chosen by `salt`.
     pub fn random_live(&self, now: Instant, salt: u64) -> Option<Ipv4Addr> {
-        let live: Vec<&Peer> = self.others.iter().filter(|p| p.is_live(now)).collect();
+        let live: Vec<&Peer> = self.live(now).collect();
         let index = (salt as usize).checked_rem(live.len())?;
         Some(live[index].address)
     }
--- a/crates/entry/src/peers/digest.rs
+++ b/crates/entry/src/peers/digest.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::age::{millis, time_before};
 use crate::quarantine::CrashMessage;
 
 /// A datagram from one instance to another.
@@ -157,10 +158,7 @@
         now: Instant,
         suspended: Duration,
     ) -> Self {
-        let age_ms = |at: Instant| {
-            let age = now.saturating_duration_since(at) + suspended;
-            u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
-        };
+        let age_ms = |at: Instant| millis(now.saturating_duration_since(at) + suspended);
         Self {
             replica,
             incarnation,
@@ -173,12 +171,11 @@
     /// The report as it counts at an instance that receives the message at `now`. It may have been on
     /// its way for up to two seconds, by which the earliest time is moved back.
     pub fn received(&self, now: Instant) -> LimitReport {
-        let earlier = |age: Duration| now.checked_sub(age).unwrap_or(now);
         let earliest_age = Duration::from_millis(u64::from(self.earliest_age_ms));
         LimitReport {
             per_s: self.per_s,
-            earliest: earlier(earliest_age + Self::MAX_DELAY),
-            latest: earlier(Duration::from_millis(u64::from(self.latest_age_ms))),
+            earliest: time_before(now, earliest_age + Self::MAX_DELAY),
+            latest: time_before(now, Duration::from_millis(self.latest_age_ms.into())),
         }
     }
 }
--- a/crates/entry/src/peers/store_readers.rs
+++ b/crates/entry/src/peers/store_readers.rs
@@ -48,7 +48,7 @@
         let candidates = self.store_candidates(now, max_store_age);
         let mut lower_in_zone = LowerInstances::default();
         let mut lower_in_fleet = LowerInstances::default();
-        for peer in self.others.iter().filter(|p| p.is_live(now)) {
+        for peer in self.live(now) {
             if peer.address >= self.own {
                 break;
             }
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -6,7 +6,7 @@
 mod message;
 mod upkeep;
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,13 +16,13 @@
 use kingcupfield_decisions::id::ServiceId;
 use tokio::time::{Instant, sleep};
 
+use crate::age::time_before;
+use crate::gossip;
 use crate::log::Priority;
 use crate::node::Node;
 use crate::peers::PeerMessage;
 use crate::refusal::{Refusal, RefusalKind};
 
-use message::time_before;
-
 pub use message::{CrashMessage, CrashNews, completed_messages, crashed_messages};
 pub use upkeep::Upkeep;
 
@@ -59,7 +59,8 @@
         return Ok(());
     }
     let fingerprints = fingerprints(node, service, head, body);
-    match quarantine(node, &fingerprints) {
+    let quarantine = node.crash_suspects.borrow().quarantine(&fingerprints);
+    match quarantine {
         Some(quarantine) if !is_trial_due(node, &quarantine) => Err(refusal(&quarantine)),
         _ => Ok(()),
     }
@@ -68,7 +69,8 @@
 /// Like [`check`], for a request that is sent if it is not refused. If it is the trial of what is
 /// quarantined, no other one is sent until its end.
 pub fn check_before_send(node: &Node, fingerprints: &[Fingerprint]) -> Result<(), Refusal> {
-    let Some(quarantine) = quarantine(node, fingerprints) else {
+    let quarantine = node.crash_suspects.borrow().quarantine(fingerprints);
+    let Some(quarantine) = quarantine else {
         return Ok(());
     };
     if is_trial_due(node, &quarantine) {
@@ -88,16 +90,13 @@
     Err(refusal(&quarantine))
 }
 
-fn quarantine(node: &Node, fingerprints: &[Fingerprint]) -> Option<Quarantine> {
-    let suspects = node.crash_suspects.borrow();
-    suspects.quarantine(Instant::now(), fingerprints)
-}
-
 /// Whether the time for a trial by this instance has come.
 fn is_trial_due(node: &Node, quarantine: &Quarantine) -> bool {
-    let others = node.peers.borrow().live(Instant::now());
+    let now = Instant::now();
     let own = node.settings().address().to_bits();
-    quarantine.may_try(own, others.into_iter().map(Ipv4Addr::to_bits))
+    let peers = node.peers.borrow();
+    let others = peers.live(now).map(|p| p.address.to_bits());
+    quarantine.may_try(now, own, others)
 }
 
 /// The refusal of a request that no replica has run.
@@ -106,9 +105,12 @@
         "{} replicas crashed while they ran requests with fingerprint {:x}",
         quarantine.crashes, quarantine.fingerprint
     );
+    let retry_after = quarantine
+        .trial_at
+        .saturating_duration_since(Instant::now());
     Refusal::new(RefusalKind::Quarantined)
         .with_message(reason)
-        .with_retry_after(quarantine.retry_after.max(MIN_RETRY_AFTER))
+        .with_retry_after(retry_after.max(MIN_RETRY_AFTER))
 }
 
 /// Records a crash that this instance has seen, and tells all others.
@@ -132,9 +134,18 @@
     untold.sort_unstable();
     untold.dedup();
     let history = node.crash_suspects.borrow().history(&untold);
-    let all = node.peers.borrow().all_reachable(now);
-    for message in crashed_messages(now, &history) {
-        send(node, &all, &message);
+    tell_all(node, now, crashed_messages(now, &history));
+}
+
+/// Sends messages to all other instances.
+fn tell_all<M>(node: &Node, now: Instant, messages: M)
+where
+    M: IntoIterator<Item = CrashMessage>,
+{
+    let peers = node.peers.borrow();
+    let all: Vec<Ipv4Addr> = peers.all_reachable(now).map(|p| p.address).collect();
+    for message in messages {
+        gossip::send_to(node, &PeerMessage::Crash(message), &all);
     }
 }
 
@@ -150,10 +161,7 @@
     }
     log_cleared(node, &cleared);
     let completed: Vec<_> = cleared.into_iter().map(|f| (f, now)).collect();
-    let all = node.peers.borrow().all_reachable(now);
-    for message in completed_messages(now, &completed) {
-        send(node, &all, &message);
-    }
+    tell_all(node, now, completed_messages(now, &completed));
 }
 
 /// Applies a message of another instance.
@@ -167,8 +175,9 @@
         }
         CrashMessage::Completed(completed) => {
             for (fingerprint, age_ms) in completed {
+                let at = time_before(now, Duration::from_millis(age_ms.into()));
                 let mut suspects = node.crash_suspects.borrow_mut();
-                let cleared = suspects.on_completed(time_before(now, age_ms), &[fingerprint]);
+                let cleared = suspects.on_completed(at, &[fingerprint]);
                 drop(suspects);
                 log_cleared(node, &cleared);
             }
@@ -177,12 +186,7 @@
 }
 
 fn record_crash(node: &Node, report: &CrashReport) {
-    let mut suspects = node.crash_suspects.borrow_mut();
-    let before = suspects.recurring_fingerprints().to_vec();
-    suspects.on_crash(report);
-    let recurring = suspects.recurring_fingerprints().iter().copied();
-    let begun: Vec<Fingerprint> = recurring.filter(|f| !before.contains(f)).collect();
-    drop(suspects);
+    let begun = node.crash_suspects.borrow_mut().on_crash(report);
     for fingerprint in begun {
         node.log.line(
             Priority::High,
@@ -199,15 +203,3 @@
         );
     }
 }
-
-fn send(node: &Node, to: &[Ipv4Addr], message: &CrashMessage) {
-    let Ok(bytes) = rmp_serde::to_vec(&PeerMessage::Crash(message.clone())) else {
-        return;
-    };
-    let bytes: Rc<[u8]> = bytes.into();
-    let port = node.settings().peer_port;
-    for address in to {
-        let to = SocketAddr::from((*address, port));
-        node.send_queue.push(Rc::clone(&bytes), to);
-    }
-}
--- a/crates/entry/src/quarantine/message.rs
+++ b/crates/entry/src/quarantine/message.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::age::{millis, time_before};
+
 /// Most bytes of the content of one datagram, so that it is not divided on the link.
 const MAX_CONTENT_BYTES: usize = 1100;
 
@@ -48,7 +50,7 @@
         Self {
             replica: report.crash.replica,
             incarnation: report.crash.incarnation,
-            age_ms: age_ms(now, report.crash.at),
+            age_ms: millis(now.saturating_duration_since(report.crash.at)),
             suspects: suspects.collect(),
         }
     }
@@ -59,33 +61,19 @@
         let suspects = suspects.map(|(fingerprint, ran_ms, has_written)| Suspect {
             fingerprint,
             has_written,
-            ran_for: Duration::from_millis(u64::from(ran_ms)),
+            ran_for: Duration::from_millis(ran_ms.into()),
         });
         CrashReport {
             crash: Crash {
                 replica: self.replica,
                 incarnation: self.incarnation,
-                at: time_before(now, self.age_ms),
+                at: time_before(now, Duration::from_millis(self.age_ms.into())),
             },
             suspects: suspects.collect(),
         }
     }
 }
 
-fn age_ms(now: Instant, at: Instant) -> u32 {
-    millis(now.saturating_duration_since(at))
-}
-
-fn millis(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
-/// The time `age_ms` milliseconds before `now`.
-pub(super) fn time_before(now: Instant, age_ms: u32) -> Instant {
-    let age = Duration::from_millis(u64::from(age_ms));
-    now.checked_sub(age).unwrap_or(now)
-}
-
 /// Divides reports of crashes into messages that fit into a datagram.
 pub fn crashed_messages(now: Instant, reports: &[CrashReport]) -> Vec<CrashMessage> {
     const MAX_SUSPECTS: usize = (MAX_CONTENT_BYTES - CRASH_BYTES) / SUSPECT_BYTES;
@@ -118,7 +106,9 @@
 ) -> impl Iterator<Item = CrashMessage> {
     let parts = completed.chunks(MAX_CONTENT_BYTES / COMPLETED_BYTES);
     parts.map(move |part| {
-        let part = part.iter().map(|(f, at)| (*f, age_ms(now, *at)));
+        let part = part
+            .iter()
+            .map(|(f, at)| (*f, millis(now.saturating_duration_since(*at))));
         CrashMessage::Completed(part.collect())
     })
 }
--- a/crates/entry/src/quarantine/upkeep.rs
+++ b/crates/entry/src/quarantine/upkeep.rs
@@ -6,8 +6,10 @@
 use tokio::time::Instant;
 
 use super::message::{CrashMessage, completed_messages, crashed_messages};
-use super::send;
+use crate::age::time_before;
+use crate::gossip;
 use crate::node::Node;
+use crate::peers::PeerMessage;
 
 /// Interval at which an instance repeats what it knows to others.
 const REMINDER_INTERVAL: Duration = Duration::from_secs(1);
@@ -43,11 +45,15 @@
         }
         self.checked_at = now;
         node.crash_suspects.borrow_mut().expire(now);
-        let messages = reminders(node, now);
+        let messages: Vec<PeerMessage> = reminders(node, now)
+            .into_iter()
+            .map(PeerMessage::Crash)
+            .take(DATAGRAMS_PER_REMINDER)
+            .collect();
         for _ in 0..REMINDED_INSTANCES {
             let receiver = node.peers.borrow().random_live(now, rand::rng().random());
-            for message in messages.iter().take(DATAGRAMS_PER_REMINDER) {
-                send(node, receiver.as_slice(), message);
+            for message in &messages {
+                gossip::send_to(node, message, receiver.as_slice());
             }
         }
     }
@@ -56,7 +62,7 @@
 /// Messages with what several crashes have in common, and with what was cleared lately.
 fn reminders(node: &Node, now: Instant) -> Vec<CrashMessage> {
     let suspects = node.crash_suspects.borrow();
-    let since = now.checked_sub(COMPLETION_MEMORY).unwrap_or(now);
+    let since = time_before(now, COMPLETION_MEMORY);
     let mut messages = crashed_messages(now, &suspects.reports());
     messages.extend(completed_messages(now, &suspects.cleared_since(since)));
     messages
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -242,20 +242,7 @@
             let end = self.relay_attempt(&mut attempt).await;
             let replica = attempt.slot.upstream.clone();
             match end {
-                AttemptEnd::Complete => {
-                    self.complete.set(true);
-                    attempt.target.pool.put_back(
-                        Instant::now(),
-                        attempt.connection,
-                        &attempt.head.headers,
-                    );
-                    attempt.slot.release(Outcome::Served);
-                    self.ctx.on_completed(&self.node);
-                    let status = attempt.head.status.as_u16();
-                    let (first, gap) = (self.time_to_first_event, self.longest_gap);
-                    request_log::log_answered(&self.node, &self.ctx, &replica, status, first, gap);
-                    return;
-                }
+                AttemptEnd::Complete => return self.on_complete(attempt),
                 AttemptEnd::CallerGone => {
                     self.log("caller_gone", &replica);
                     return;
@@ -269,9 +256,8 @@
                     return;
                 }
                 AttemptEnd::Broken => {
-                    let first_event_at = self.first_event_at;
                     self.ctx
-                        .on_broken(&self.node, &attempt.target, first_event_at);
+                        .on_broken(&self.node, &attempt.target, self.first_event_at);
                 }
                 AttemptEnd::Stalled => {}
             }
@@ -293,6 +279,27 @@
         }
     }
 
+    /// Ends the response to the caller after the replica has ended its own.
+    fn on_complete(&self, attempt: Attempt) {
+        let Attempt {
+            target,
+            slot,
+            connection,
+            head,
+            ..
+        } = attempt;
+        self.complete.set(true);
+        target
+            .pool
+            .put_back(Instant::now(), connection, &head.headers);
+        let replica = slot.upstream.clone();
+        slot.release(Outcome::Served);
+        self.ctx.on_completed(&self.node);
+        let status = head.status.as_u16();
+        let (first, gap) = (self.time_to_first_event, self.longest_gap);
+        request_log::log_answered(&self.node, &self.ctx, &replica, status, first, gap);
+    }
+
     /// Logs how the stream ended, broke or was resumed, with the last event that was relayed.
     fn log(&self, how: &'static str, replica: &str) {
         let last_event = self.scanner.last_event_id();
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -6,6 +6,7 @@
 mod refusals;
 mod slot_request;
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -67,6 +68,8 @@
     pub origin: Option<StreamOrigin>,
     /// When the request was last sent to a replica; when it was received, before that.
     pub sent_at: Instant,
+    /// What it has in common with others, once that was needed.
+    pub fingerprints: OnceCell<Vec<Fingerprint>>,
     /// Replicas that the request was sent to, in order.
     pub tried: Vec<UpstreamId>,
     /// Number of replicas that may have run the request.
@@ -151,6 +154,7 @@
         service,
         origin,
         sent_at: received,
+        fingerprints: OnceCell::new(),
         tried: Vec::new(),
         runs: 0,
         waited: Duration::ZERO,
@@ -251,8 +255,9 @@
     }
 
     /// What the request has in common with others, as far as replicas may crash of it.
-    fn fingerprints(&self, node: &Node) -> Vec<Fingerprint> {
-        quarantine::fingerprints(node, &self.service, &self.head, &self.body)
+    fn fingerprints(&self, node: &Node) -> &[Fingerprint] {
+        self.fingerprints
+            .get_or_init(|| quarantine::fingerprints(node, &self.service, &self.head, &self.body))
     }
 
     /// Records that the request broke off at a replica, which may have crashed of it.
@@ -261,7 +266,7 @@
     pub fn on_broken(&self, node: &Rc<Node>, target: &Rc<Target>, first_event_at: Option<Instant>) {
         let request = BrokenRequest {
             attempt_id: self.meta.attempt_id.clone(),
-            fingerprints: self.fingerprints(node),
+            fingerprints: self.fingerprints(node).to_vec(),
             sent_at: self.sent_at,
             first_event_at,
         };
@@ -271,7 +276,7 @@
     /// Records that a replica has answered the request completely.
     pub fn on_completed(&self, node: &Node) {
         if !node.crash_suspects.borrow().is_empty() {
-            quarantine::on_completed(node, &self.fingerprints(node));
+            quarantine::on_completed(node, self.fingerprints(node));
         }
     }
 
@@ -280,7 +285,7 @@
     pub async fn crash_checked(&self, node: &Node, target: &Target) {
         let may_decide = {
             let suspects = node.crash_suspects.borrow();
-            !suspects.is_empty() && suspects.is_near_quarantine(&self.fingerprints(node))
+            !suspects.is_empty() && suspects.is_near_quarantine(self.fingerprints(node))
         };
         if may_decide {
             node.crash_watch.checked(target).await;
@@ -293,7 +298,7 @@
         if node.crash_suspects.borrow().is_empty() {
             return Ok(());
         }
-        let checked = quarantine::check_before_send(node, &self.fingerprints(node));
+        let checked = quarantine::check_before_send(node, self.fingerprints(node));
         checked.map_err(|refusal| {
             if self.runs == 0 {
                 self.refund(node);
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{HeaderMap, Response};
+use hyper::body::Incoming;
 use kingcupfield_decisions::dispatch::Outcome;
 use tokio::time::Instant;
 
@@ -182,7 +184,7 @@
             connection,
         } = response;
         let body = tokio::select! {
-            body = exchange::read_body(body) => body,
+            body = read_whole_body(node, target, &head.headers, body) => body,
             expiry = wait_for_expiry(node, &self.route, self.received) => {
                 return NextStep::Refuse(self.expiry_refusal(node, expiry));
             }
@@ -190,9 +192,6 @@
         let Ok(body) = body else {
             return self.on_failure(node, target, slot, SendFailure::Broken);
         };
-        if !is_framed(&head.headers) && crash_watch::ended_by_crash(node, target).await {
-            return self.on_failure(node, target, slot, SendFailure::Broken);
-        }
         target
             .pool
             .put_back(Instant::now(), connection, &head.headers);
@@ -238,6 +237,7 @@
             service: self.service.clone(),
             origin: self.origin,
             sent_at: self.sent_at,
+            fingerprints: std::mem::take(&mut self.fingerprints),
             tried: std::mem::take(&mut self.tried),
             runs: self.runs,
             waited: self.waited,
@@ -278,3 +278,18 @@
         node.protocol.forward_headers(&self.head, &info)
     }
 }
+
+/// Reads a response body to its end; fails if it broke off, or if it has no other end than that of its
+/// connection and the replica has crashed.
+async fn read_whole_body(
+    node: &Node,
+    target: &Target,
+    headers: &HeaderMap,
+    body: Incoming,
+) -> Result<Bytes, SendFailure> {
+    let body = exchange::read_body(body).await?;
+    if !is_framed(headers) && crash_watch::ended_by_crash(node, target).await {
+        return Err(SendFailure::Broken);
+    }
+    Ok(body)
+}
