--- a/crates/decisions/tests/crash_fleet.rs
+++ b/crates/decisions/tests/crash_fleet.rs
@@ -43,6 +43,9 @@
 /// Share of the messages that are lost.
 const LOSS: f64 = 0.03;
 
+/// When the fleet is cut in two. Requests with the part come from the first second on.
+const CUT_MS: std::ops::Range<u64> = 500..6_000;
+
 /// Interval of reminders, and their receivers.
 const REMINDER_MS: u64 = 1_000;
 const REMINDED: usize = 2;
@@ -68,6 +71,48 @@
     shared_parts: u64,
     /// Replicas that crash together every two seconds for another cause.
     other_crashes: usize,
+    /// Whether half of the instances do not hear the other half during [`CUT_MS`].
+    is_cut: bool,
+}
+
+impl Case {
+    /// A fleet of this size with two requests with the part a second, whose prompts share one of 40 parts.
+    const fn new(instances: usize, replicas: usize, sound_per_s: f64) -> Self {
+        Self {
+            instances,
+            replicas,
+            sound_per_s,
+            bad_per_s: 2.0,
+            shared_parts: 40,
+            other_crashes: 0,
+            is_cut: false,
+        }
+    }
+
+    const fn with_bad_per_s(self, bad_per_s: f64) -> Self {
+        Self { bad_per_s, ..self }
+    }
+
+    const fn with_shared_parts(self, shared_parts: u64) -> Self {
+        Self {
+            shared_parts,
+            ..self
+        }
+    }
+
+    const fn with_other_crashes(self, other_crashes: usize) -> Self {
+        Self {
+            other_crashes,
+            ..self
+        }
+    }
+
+    const fn with_cut(self) -> Self {
+        Self {
+            is_cut: true,
+            ..self
+        }
+    }
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -223,29 +268,34 @@
                 }
             }
             Event::Back(replica) => self.replicas[replica].is_down = false,
-            Event::Reminder(instance) => {
-                let reports = self.suspects[instance].reports();
-                if !reports.is_empty() {
-                    for _ in 0..REMINDED {
-                        let to = self.rng.random_range(0..self.case.instances);
-                        self.tell(to, Message::Crashed(reports.clone()));
-                    }
+            Event::Reminder(instance) => self.remind(instance),
+            Event::Message(to, index) => self.receive(to, index),
+        }
+    }
+
+    /// Repeats what an instance knows to some others.
+    fn remind(&mut self, instance: usize) {
+        let reports = self.suspects[instance].reports();
+        if !reports.is_empty() {
+            for _ in 0..REMINDED {
+                let to = self.rng.random_range(0..self.case.instances);
+                self.tell(instance, to, Message::Crashed(reports.clone()));
+            }
+        }
+        self.at(REMINDER_MS, Event::Reminder(instance));
+    }
+
+    fn receive(&mut self, to: usize, index: usize) {
+        self.received += 1;
+        match self.messages[index].clone() {
+            Message::Crashed(reports) => {
+                for report in reports {
+                    self.suspects[to].on_crash(&report);
                 }
-                self.at(REMINDER_MS, Event::Reminder(instance));
             }
-            Event::Message(to, index) => {
-                self.received += 1;
-                match self.messages[index].clone() {
-                    Message::Crashed(reports) => {
-                        for report in reports {
-                            self.suspects[to].on_crash(&report);
-                        }
-                    }
-                    Message::Completed(completed) => {
-                        for (fingerprint, at) in completed {
-                            self.suspects[to].on_completed(at, &[fingerprint]);
-                        }
-                    }
+            Message::Completed(completed) => {
+                for (fingerprint, at) in completed {
+                    self.suspects[to].on_completed(at, &[fingerprint]);
                 }
             }
         }
@@ -349,12 +399,14 @@
 
     fn tell_all(&mut self, from: usize, message: &Message) {
         for to in (0..self.case.instances).filter(|to| *to != from) {
-            self.tell(to, message.clone());
+            self.tell(from, to, message.clone());
         }
     }
 
-    fn tell(&mut self, to: usize, message: Message) {
-        if self.rng.random_bool(LOSS) {
+    fn tell(&mut self, from: usize, to: usize, message: Message) {
+        let is_cut = self.case.is_cut && CUT_MS.contains(&self.now_ms);
+        let crosses_cut = from % 2 != to % 2;
+        if is_cut && crosses_cut || self.rng.random_bool(LOSS) {
             return;
         }
         let after_ms = self.rng.random_range(MESSAGE_MS);
@@ -366,21 +418,28 @@
 
 // Guards against a fleet whose size decides how many replicas crash before it refuses what crashes them.
 #[parameterized(
-    seven = { Case { instances: 7, replicas: 12, sound_per_s: 43.0, bad_per_s: 2.0, shared_parts: 40, other_crashes: 0 } },
-    seven_with_few_parts = { Case { instances: 7, replicas: 12, sound_per_s: 43.0, bad_per_s: 2.0, shared_parts: 1, other_crashes: 0 } },
-    seven_with_rare_requests = { Case { instances: 7, replicas: 12, sound_per_s: 5.0, bad_per_s: 0.5, shared_parts: 4, other_crashes: 0 } },
-    seven_with_many_bad_ones = { Case { instances: 7, replicas: 12, sound_per_s: 43.0, bad_per_s: 20.0, shared_parts: 4, other_crashes: 0 } },
-    seven_amid_other_crashes = { Case { instances: 7, replicas: 12, sound_per_s: 43.0, bad_per_s: 2.0, shared_parts: 4, other_crashes: 2 } },
-    seventy_nine = { Case { instances: 79, replicas: 400, sound_per_s: 300.0, bad_per_s: 3.0, shared_parts: 40, other_crashes: 0 } },
-    seventy_nine_amid_other_crashes = { Case { instances: 79, replicas: 400, sound_per_s: 300.0, bad_per_s: 3.0, shared_parts: 40, other_crashes: 30 } },
-    five_hundred_eighty_four = { Case { instances: 584, replicas: 3000, sound_per_s: 600.0, bad_per_s: 3.0, shared_parts: 150, other_crashes: 0 } },
+    seven = { Case::new(7, 12, 43.0) },
+    seven_with_few_parts = { Case::new(7, 12, 43.0).with_shared_parts(1) },
+    seven_with_rare_requests = { Case::new(7, 12, 5.0).with_bad_per_s(0.5).with_shared_parts(4) },
+    seven_with_many_bad_ones = { Case::new(7, 12, 43.0).with_bad_per_s(20.0).with_shared_parts(4) },
+    seven_amid_other_crashes = { Case::new(7, 12, 43.0).with_shared_parts(4).with_other_crashes(2) },
+    seven_cut_in_two = { Case::new(7, 12, 43.0).with_cut() },
+    seventy_nine = { Case::new(79, 400, 300.0).with_bad_per_s(3.0) },
+    seventy_nine_amid_other_crashes = { Case::new(79, 400, 300.0).with_bad_per_s(3.0).with_other_crashes(30) },
+    seventy_nine_cut_in_two = { Case::new(79, 400, 300.0).with_bad_per_s(3.0).with_cut() },
+    five_hundred_eighty_four = { Case::new(584, 3000, 600.0).with_bad_per_s(3.0).with_shared_parts(150) },
+    five_hundred_eighty_four_cut_in_two = { Case::new(584, 3000, 600.0).with_bad_per_s(3.0).with_shared_parts(150).with_cut() },
 )]
 fn a_part_that_crashes_replicas_is_stopped_in_a_fleet_of_any_size(case: Case) {
     for seed in 0..5 {
         let record = Fleet::new(case, seed).run(16_000);
         // The fifth crash, or the last if there are fewer.
         let counted = record.crashes_ms.iter().take(CRASHES).next_back();
-        let from = counted.expect("a crash") + CONTACT_MS;
+        let mut from = counted.expect("a crash") + CONTACT_MS;
+        if case.is_cut {
+            // Instances are in touch again when the cut has been over for this long.
+            from = from.max(CUT_MS.end + CONTACT_MS);
+        }
         let late = record.bad_sent_ms.iter().filter(|at| **at >= from).count();
         let sound: Vec<bool> = record
             .sound
