Add the settings, options and report fields of the scheduling under hard load

A deployment without them sends the same bytes as before: the new report fields are left out together while all are empty.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -28,6 +28,7 @@
 use crate::id::{InstanceAddress, NameHash, ServiceId, UpstreamId};
 use crate::regions::Regions;
 use crate::replica_limit::FleetMembers;
+use crate::scheduling::SchedulingOptions;
 
 use departed::Departed;
 use priority::Waiting;
@@ -67,6 +68,8 @@
     /// Replicas that are no longer published. An entry may be missing for a moment and come back, and
     /// what was learned about the replica then still holds.
     departed: Departed,
+    /// Optional parts that are on.
+    options: SchedulingOptions,
 }
 
 impl Dispatcher {
@@ -82,6 +85,16 @@
         self
     }
 
+    /// Switches optional parts on or off.
+    pub fn set_options(&mut self, options: SchedulingOptions) {
+        self.options = options;
+    }
+
+    /// The optional parts that are on.
+    pub fn options(&self) -> SchedulingOptions {
+        self.options
+    }
+
     /// Updates the number of requests, and their pending prompt tokens, that other instances have
     /// running at a replica.
     pub fn update_remote_load(&mut self, upstream: &UpstreamId, running: u32, prompt_tokens: f64) {
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -393,7 +393,7 @@
             unreachable: unreachable_replicas(node),
             loads: state.loads,
             waiting: state.waiting,
-            replicas: node.replica_reports(),
+            reports: node.reports(),
             ..Digest::default()
         };
         if matches!(kind, StateKind::Full | StateKind::Greeting) {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -181,6 +181,8 @@
         };
         let mut ledger = Ledger::new(cfg.address().to_bits(), rand::random());
         ledger.set_bounds(cfg.limit_window(), cfg.credit_tolerance());
+        let mut dispatcher = Dispatcher::new().with_address(cfg.address().to_bits());
+        dispatcher.set_options(cfg.scheduling.options());
         Rc::new(Self {
             protocol,
             directory_client,
@@ -200,7 +202,7 @@
                 Peers::new(now, cfg.address(), cfg.has_other_contacts())
                     .with_zones(credit::zone_distances(&cfg)),
             ),
-            dispatch: RefCell::new(Dispatcher::new().with_address(cfg.address().to_bits())),
+            dispatch: RefCell::new(dispatcher),
             drained_zones: RefCell::new(DrainedZones::new()),
             resync_wakeup: Notify::new(),
             greeting_targets: RefCell::new(Vec::new()),
@@ -249,6 +251,9 @@
         let mut ledger = self.credit_ledger.borrow_mut();
         ledger.set_bounds(cfg.limit_window(), cfg.credit_tolerance());
         drop(ledger);
+        self.dispatch
+            .borrow_mut()
+            .set_options(cfg.scheduling.options());
         *self.cfg.borrow_mut() = Rc::new(cfg);
     }
 
--- a/crates/entry/src/node/statements.rs
+++ b/crates/entry/src/node/statements.rs
@@ -13,7 +13,7 @@
 use crate::adapter::{ResponseClass, Stated};
 use crate::age::time_before;
 use crate::log::Priority;
-use crate::peers::{ReplicaLimitReport, ReplicaReports};
+use crate::peers::{ReplicaLimitReport, Reports};
 use crate::replica::PublishedReplica;
 
 /// Replicas of each kind of statement in one message to the other instances.
@@ -107,13 +107,14 @@
         );
     }
 
-    /// What replicas have said about themselves, for the other instances.
-    pub fn replica_reports(&self) -> ReplicaReports {
+    /// What this instance reports about replicas and organisations to the others.
+    pub fn reports(&self) -> Reports {
         let mut leaving = self.leaving_replicas();
         leaving.truncate(MAX_REPORTS);
-        ReplicaReports {
+        Reports {
             limits: self.own_limit_reports(),
             leaving,
+            ..Reports::default()
         }
     }
 
@@ -142,8 +143,8 @@
         reports
     }
 
-    /// Applies what replicas have told another instance.
-    pub fn on_peer_replica_reports(&self, from: Ipv4Addr, reports: &ReplicaReports) {
+    /// Applies what another instance reports about replicas and organisations.
+    pub fn on_peer_reports(&self, from: Ipv4Addr, reports: &Reports) {
         self.on_peer_limit_reports(from, &reports.limits);
         for (name, start_unix_ms) in &reports.leaving {
             if let Some(id) = self.replica_by_name_hash(*name) {
--- a/crates/entry/src/outbox.rs
+++ b/crates/entry/src/outbox.rs
@@ -105,7 +105,11 @@
 /// Approximate encoded size of a digest in bytes.
 fn encoded_size(digest: &Digest) -> usize {
     let list_bytes = digest.loads.len() * 11 + digest.waiting.len() * 9 + digest.steps.len() * 9;
-    let replicas = &digest.replicas;
-    let replica_bytes = replicas.limits.len() * 34 + replicas.leaving.len() * 15;
-    48 + list_bytes + digest.unreachable.len() * 5 + replica_bytes
+    let reports = &digest.reports;
+    let report_bytes = reports.limits.len() * 34
+        + reports.leaving.len() * 15
+        + reports.usage.len() * 10
+        + reports.speeds.len() * 21
+        + reports.paces.len() * 23;
+    48 + list_bytes + digest.unreachable.len() * 5 + report_bytes
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -24,7 +24,8 @@
 use cell::Cell;
 
 pub use digest::{
-    Digest, ForwardScope, PeerMessage, ReplicaLimitReport, ReplicaReports, StreamMessage,
+    Digest, ForwardScope, PeerMessage, ReplicaLimitReport, ReplicaPaceReport, ReplicaSpeedReport,
+    Reports, StreamMessage,
 };
 pub use peer::{Nearness, Peer};
 
--- a/crates/entry/src/peers/digest.rs
+++ b/crates/entry/src/peers/digest.rs
@@ -10,7 +10,7 @@
 use kingcupfield_decisions::replica_limit::LimitReport;
 use kingcupfield_decisions::software_versions::StreamOrigin;
 use kingcupfield_decisions::store_view::Revision;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use tokio::time::Instant;
 
 use crate::age::{millis, time_before};
@@ -109,25 +109,112 @@
     pub members: Vec<(NameHash, Vec<Ipv4Addr>)>,
     /// Its clock in Unix milliseconds; not in every message.
     pub time_ms: Option<u64>,
-    /// What replicas told it about themselves. Left out while there is nothing, so that instances of
-    /// earlier versions can read the message.
-    #[serde(skip_serializing_if = "ReplicaReports::is_empty")]
-    pub replicas: ReplicaReports,
+    /// What it reports about replicas and organisations. Left out while there is nothing, so that
+    /// instances of earlier versions can read the message.
+    #[serde(skip_serializing_if = "Reports::is_empty")]
+    pub reports: Reports,
 }
 
-/// What replicas told one instance about themselves.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct ReplicaReports {
-    /// Their limits.
+/// What one instance reports about replicas and organisations.
+///
+/// The fields after `leaving` are left out together while all of them are empty, so that instances of
+/// earlier versions can read the message.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Reports {
+    /// Limits that replicas named.
     pub limits: Vec<ReplicaLimitReport>,
-    /// Name hashes and start times, in Unix milliseconds, of those that shut down.
+    /// Name hashes and start times, in Unix milliseconds, of replicas that shut down.
     pub leaving: Vec<(NameHash, u64)>,
+    /// Use of replicas by organisations through this instance, in units of work per second.
+    pub usage: Vec<(NameHash, f32)>,
+    /// How long work takes at replicas at this moment.
+    pub speeds: Vec<ReplicaSpeedReport>,
+    /// Bounds on the requests in flight at replicas that have just started or recovered.
+    pub paces: Vec<ReplicaPaceReport>,
 }
 
-impl ReplicaReports {
+impl Reports {
     fn is_empty(&self) -> bool {
-        self.limits.is_empty() && self.leaving.is_empty()
+        self.limits.is_empty() && self.leaving.is_empty() && !self.has_scheduling()
     }
+
+    /// Whether there is anything beside limits and leaving replicas.
+    fn has_scheduling(&self) -> bool {
+        !(self.usage.is_empty() && self.speeds.is_empty() && self.paces.is_empty())
+    }
+}
+
+impl Serialize for Reports {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        if self.has_scheduling() {
+            let all = (
+                &self.limits,
+                &self.leaving,
+                &self.usage,
+                &self.speeds,
+                &self.paces,
+            );
+            return all.serialize(serializer);
+        }
+        (&self.limits, &self.leaving).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Reports {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let fields = ReportFields::deserialize(deserializer)?;
+        Ok(Self {
+            limits: fields.limits,
+            leaving: fields.leaving,
+            usage: fields.usage,
+            speeds: fields.speeds,
+            paces: fields.paces,
+        })
+    }
+}
+
+/// Fields of [`Reports`] in their order in the message; those that are missing at its end are empty.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct ReportFields {
+    limits: Vec<ReplicaLimitReport>,
+    leaving: Vec<(NameHash, u64)>,
+    usage: Vec<(NameHash, f32)>,
+    speeds: Vec<ReplicaSpeedReport>,
+    paces: Vec<ReplicaPaceReport>,
+}
+
+/// How long work takes at one replica at this moment, as the replica stated it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaSpeedReport {
+    /// Name hash of the replica.
+    pub replica: NameHash,
+    /// Start of the replica in Unix milliseconds, which distinguishes its incarnations.
+    pub incarnation: u64,
+    /// Time that work takes, in percent of the usual time.
+    pub percent: u16,
+    /// Milliseconds since the replica stated it.
+    pub age_ms: u16,
+}
+
+/// Bound on the requests in flight at one replica that has just started or recovered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaPaceReport {
+    /// Name hash of the replica.
+    pub replica: NameHash,
+    /// Start of the replica in Unix milliseconds, which distinguishes its incarnations.
+    pub incarnation: u64,
+    /// Requests in flight from all instances together; `None` once the replica needs no bound.
+    pub bound: Option<u16>,
+    /// Number of changes of the bound in this incarnation, which orders messages that arrive on
+    /// different paths.
+    pub change: u32,
 }
 
 /// What one instance was told about the limit of one replica.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of one entry instance, read from a JSON file and validated.
 
+mod scheduling;
+
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
@@ -11,6 +13,11 @@
 use kingcupfield_decisions::upstream_retries::UpstreamRetryBounds;
 use serde::Deserialize;
 
+pub use scheduling::{
+    EarlyRefusalSettings, FairOrderSettings, LoadReportSettings, SchedulingSettings, SpillSettings,
+    WarmUpSettings,
+};
+
 /// Error of a settings file.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -69,6 +76,9 @@
     /// Amount by which the request rate of a cold replica may exceed its sustainable rate.
     #[serde(default)]
     pub cold_tolerance: ColdToleranceSettings,
+    /// Optional parts of the scheduling.
+    #[serde(default)]
+    pub scheduling: SchedulingSettings,
     /// Speed of the machine's network link in Mbit/s.
     #[serde(default = "default_link_mbit_per_s")]
     pub link_mbit_per_s: f64,
@@ -123,13 +133,14 @@
 
 impl Settings {
     /// Names of the fields that a running process applies when the file is reloaded.
-    pub const RELOADABLE: [&'static str; 6] = [
+    pub const RELOADABLE: [&'static str; 7] = [
         "contacts",
         "grace_s",
         "limit_window_s",
         "limit_tolerance",
         "repeats",
         "cold_tolerance",
+        "scheduling",
     ];
 
     /// Returns the names of the fields in which `other` differs.
@@ -143,7 +154,7 @@
     }
 
     /// Returns for each field whether it is equal in `other`.
-    fn compare_fields(&self, other: &Self) -> [(&'static str, bool); 17] {
+    fn compare_fields(&self, other: &Self) -> [(&'static str, bool); 18] {
         [
             ("instance", self.instance == other.instance),
             (
@@ -176,6 +187,7 @@
                 "cold_tolerance",
                 self.cold_tolerance == other.cold_tolerance,
             ),
+            ("scheduling", self.scheduling == other.scheduling),
             (
                 "link_mbit_per_s",
                 self.link_mbit_per_s
@@ -193,6 +205,7 @@
         self.limit_tolerance = other.limit_tolerance;
         self.repeats = other.repeats;
         self.cold_tolerance = other.cold_tolerance;
+        self.scheduling = other.scheduling;
     }
 
     /// Reads and validates a settings file.
@@ -278,6 +291,7 @@
         check_not_negative("repeats.extra", self.repeats.extra)?;
         check_not_negative("cold_tolerance.times", self.cold_tolerance.times)?;
         check_not_negative("cold_tolerance.extra", self.cold_tolerance.extra)?;
+        self.scheduling.validate()?;
         if !self.listen.is_ipv4() {
             return invalid("listen", &format!("{} is not an IPv4 address", self.listen));
         }
--- a/crates/entry/tests/replica_limits.rs
+++ b/crates/entry/tests/replica_limits.rs
@@ -11,7 +11,7 @@
 use kingcupfield_decisions::dispatch::{Assignment, Dispatcher, JobId, Outcome, Replica};
 use kingcupfield_decisions::id::{NameHash, name_hash};
 use kingcupfield_decisions::replica_limit::LimitReport;
-use kingcupfield_entry::peers::{Digest, Peers, ReplicaLimitReport, ReplicaReports};
+use kingcupfield_entry::peers::{Digest, Peers, ReplicaLimitReport, Reports};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
@@ -221,9 +221,9 @@
             greeting,
             settled: greeting && self.peers.is_settled(now),
             members: if greeting { members } else { Vec::new() },
-            replicas: ReplicaReports {
+            reports: Reports {
                 limits,
-                ..ReplicaReports::default()
+                ..Reports::default()
             },
             ..Digest::default()
         }
@@ -346,7 +346,7 @@
             if now < to.down_until {
                 continue;
             }
-            for report in &message.digest.replicas.limits {
+            for report in &message.digest.reports.limits {
                 let id = REPLICAS.iter().find(|r| name_hash(r) == report.replica);
                 let id = (*id.expect("a known replica")).into();
                 to.dispatcher
