Collect digests while the link can't send them, so that none is out of date

Cause: since datagrams to other instances wait for half of the link's speed, in a queue of up to 4,096. On links of 10 Mbit/s the two relays of a zone of 22 instances have more to send at a peak than that. States queue up behind older ones, each instance orders and chooses by load that is seconds old, and requests wait at the wrong replicas.

Change: while the queue has more than the budget or the socket covers, an instance holds back changes of its state and a relay goes on collecting, where the latest digest of an instance replaces the one before. Digests for other zones are held back for 800 ms at most, those for the own zone for 300 ms; messages about credit go first as before.

--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -25,6 +25,7 @@
 use crate::peers::{Digest, ForwardScope, PeerMessage};
 use crate::quarantine;
 use crate::receiver;
+use crate::send_queue::BUDGET_INTERVAL;
 use crate::stream_origin;
 
 use local_state::{LocalState, live_members, local_state, local_step_times, unreachable_replicas};
@@ -43,6 +44,10 @@
 /// Longest time between two messages of a relay to its zone, also if it has nothing to forward.
 const RELAY_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Longest time for which digests for other zones are held back while the send queue is congested; a
+/// fraction of the time after which a silent instance is dropped.
+const MAX_CONGESTION_DELAY: Duration = Duration::from_millis(800);
+
 /// Sends and receives messages of other instances until the process ends.
 ///
 /// `incarnation` is greater for each start of the process.
@@ -58,6 +63,7 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         let own_zone_due = sender.own_zone_due(&node);
+        let state_due = sender.state_due;
         tokio::select! {
             _ = ticks.tick() => {
                 receiver::expire_silent(&node);
@@ -72,9 +78,13 @@
                 quarantines.check(&node);
             }
             () = node.greeting_wakeup.notified() => sender.greet(&node),
-            () = node.state_changed.notified() => {
-                sender.send_state(&node, StateKind::Change);
-                sleep(MIN_STATE_INTERVAL).await;
+            () = node.state_changed.notified(), if state_due.is_none() => {
+                sender.state_due = Some(Instant::now());
+            }
+            () = sleep_until(state_due.unwrap_or_else(Instant::now)), if state_due.is_some() => {
+                if sender.send_change(&node) {
+                    sleep(MIN_STATE_INTERVAL).await;
+                }
             }
             () = node.outbox_wakeup.notified() => {}
             () = sleep_until(own_zone_due.unwrap_or_else(Instant::now)), if own_zone_due.is_some() => {
@@ -131,6 +141,8 @@
     full_state_sent_at: Option<Instant>,
     /// When greetings were last sent to the configured contacts.
     contacts_sent_at: Option<Instant>,
+    /// When a change of the state is to be sent; `None` if there is none.
+    state_due: Option<Instant>,
     /// When collected digests were last sent to the zone.
     own_zone_sent_at: Instant,
     /// When digests were last sent to the other zones of the region.
@@ -156,6 +168,7 @@
             news_sent_at: None,
             full_state_sent_at: None,
             contacts_sent_at: None,
+            state_due: None,
             own_zone_sent_at: now,
             near_zones_sent_at: now,
             far_zones_sent_at: now,
@@ -175,7 +188,7 @@
             self.greet_relays(node);
         } else if has_passed(self.news_sent_at, HEARTBEAT) {
             self.send_state(node, StateKind::Heartbeat);
-        } else {
+        } else if !node.send_queue.is_congested() {
             self.send_state(node, StateKind::Change);
         }
         let accrues_credit = node.credit_ledger.borrow().accrues();
@@ -193,18 +206,35 @@
         {
             self.flush_own_zone(node);
         }
-        if now.saturating_duration_since(self.near_zones_sent_at) >= NEAR_ZONE {
+        let is_due = |sent_at: Instant, interval| {
+            let elapsed = now.saturating_duration_since(sent_at);
+            elapsed >= interval
+                && (!node.send_queue.is_congested() || elapsed >= MAX_CONGESTION_DELAY)
+        };
+        if is_due(self.near_zones_sent_at, NEAR_ZONE) {
             self.near_zones_sent_at = now;
             let collected = node.outbox.borrow_mut().take_near_zones();
             self.send_cross_zone(node, collected, true);
         }
-        if now.saturating_duration_since(self.far_zones_sent_at) >= FAR_ZONE {
+        if is_due(self.far_zones_sent_at, FAR_ZONE) {
             self.far_zones_sent_at = now;
             let collected = node.outbox.borrow_mut().take_far_zones();
             self.send_cross_zone(node, collected, false);
         }
     }
 
+    /// Sends a change of the state, unless the send queue is congested: then it is due again when the
+    /// queue may send more, with what has changed until then. Returns whether it was sent.
+    fn send_change(&mut self, node: &Node) -> bool {
+        if node.send_queue.is_congested() {
+            self.state_due = Some(Instant::now() + BUDGET_INTERVAL);
+            return false;
+        }
+        self.state_due = None;
+        self.send_state(node, StateKind::Change);
+        true
+    }
+
     /// Sends the state of this instance to its cell, and, if it is due, to the other cells and zones.
     fn send_state(&mut self, node: &Node, kind: StateKind) {
         let now = Instant::now();
@@ -283,7 +313,12 @@
             return None;
         }
         let zone_size = node.peers.borrow().zone_size();
-        Some(self.own_zone_sent_at + digest_timing::collect_time(zone_size))
+        let due = self.own_zone_sent_at + digest_timing::collect_time(zone_size);
+        if !node.send_queue.is_congested() {
+            return Some(due);
+        }
+        let latest = self.own_zone_sent_at + RELAY_HEARTBEAT_INTERVAL;
+        Some(due.max(latest.min(Instant::now() + BUDGET_INTERVAL)))
     }
 
     /// Sends the collected digests to all instances of the zone.
--- a/crates/entry/src/send_queue.rs
+++ b/crates/entry/src/send_queue.rs
@@ -5,7 +5,7 @@
 //! dropped, each time the datagrams that come last, and their receivers believe that the relay, or
 //! the instances that it serves, are dead.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -26,7 +26,7 @@
 const LINK_SHARE: f64 = 0.5;
 
 /// Interval at which the budget is renewed.
-const BUDGET_INTERVAL: Duration = Duration::from_millis(20);
+pub const BUDGET_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why no more datagrams were sent.
 #[derive(Debug, PartialEq, Eq)]
@@ -46,6 +46,8 @@
 #[derive(Debug, Default)]
 pub struct SendQueue {
     waiting: RefCell<VecDeque<Datagram>>,
+    /// Whether datagrams were left when the last ones were sent.
+    is_congested: Cell<bool>,
     wakeup: Notify,
 }
 
@@ -75,6 +77,13 @@
         self.waiting.borrow().len()
     }
 
+    /// Whether datagrams wait that the budget or the socket did not cover. Whoever sends states, of
+    /// which each supersedes the one before, waits then: what is queued now would be out of date when
+    /// it is sent, and would delay what is newer.
+    pub fn is_congested(&self) -> bool {
+        self.is_congested.get()
+    }
+
     /// Whether no datagram waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.borrow().is_empty()
@@ -82,7 +91,16 @@
 
     /// Sends datagrams until none waits, the `budget` in bytes is spent or `send` would block. The last
     /// datagram may overdraw the budget. One that fails is dropped, as a later message supersedes it.
-    pub fn drain<F>(&self, budget: &mut i64, mut send: F) -> Drained
+    pub fn drain<F>(&self, budget: &mut i64, send: F) -> Drained
+    where
+        F: FnMut(&[u8], SocketAddr) -> io::Result<usize>,
+    {
+        let drained = self.send_waiting(budget, send);
+        self.is_congested.set(drained != Drained::All);
+        drained
+    }
+
+    fn send_waiting<F>(&self, budget: &mut i64, mut send: F) -> Drained
     where
         F: FnMut(&[u8], SocketAddr) -> io::Result<usize>,
     {
--- a/crates/entry/tests/send_queue.rs
+++ b/crates/entry/tests/send_queue.rs
@@ -90,3 +90,18 @@
     }
     assert!(rounds >= 10);
 }
+
+/// A relay has more to send than its link carries for some time. It must be told, or it queues states
+/// that are out of date when they are sent, and the newer ones behind them.
+#[test]
+fn a_queue_that_exceeds_the_budget_is_congested_until_it_is_empty() {
+    let queue = SendQueue::default();
+    for receiver in 0..10 {
+        queue.push(Rc::from([0; 1200]), to(receiver));
+    }
+    assert!(!queue.is_congested());
+    assert_eq!(queue.drain(&mut 6000, |_, _| Ok(1)), Drained::OutOfBudget);
+    assert!(queue.is_congested());
+    assert_eq!(queue.drain(&mut 60_000, |_, _| Ok(1)), Drained::All);
+    assert!(!queue.is_congested());
+}
