Read the load figures of replicas and pass them on to other instances

The header Replica-Load of a response is parsed and given to the dispatcher while scheduling.load_reports is set. A value that can't be used is counted, and logged once for each start of a replica. Each figure is sent to other instances once, with a message that is sent anyway; relays keep figures of digests that they replace, and receivers add the time for which relays collect. The line of a sent request has the figure and its age, and a gauge shows the newest figures. Without the option, messages and lines are as before.

--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -8,6 +8,7 @@
 use http::response::Parts as ResponseParts;
 use http::{HeaderMap, StatusCode};
 use kingcupfield_decisions::id::ZoneId;
+use kingcupfield_decisions::load_figures::LoadFigures;
 use kingcupfield_decisions::store_view::{Entry, Revision};
 
 use crate::refusal::Refusal;
@@ -108,6 +109,8 @@
     pub leaving: Stated<()>,
     /// Time for which it wants no requests from this instance, after it has refused one.
     pub rest: Stated<Duration>,
+    /// Its load at the moment of the response.
+    pub load: Stated<LoadFigures>,
 }
 
 /// Translation between the instance and the HTTP headers of callers and replicas.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -62,6 +62,10 @@
     resumptions: IntCounterVec,
     /// What replicas stated about themselves, by kind of statement, and the invalid ones.
     statements: IntCounterVec,
+    /// Load figures of replicas that could not be used.
+    invalid_loads: IntCounter,
+    /// Newest figure of how long work takes at each replica, in percent of the usual time.
+    replica_work_times: GaugeVec,
     /// Limit in force of each replica that named one, in requests per second.
     replica_limits: GaugeVec,
     /// Version of the table in force.
@@ -99,6 +103,17 @@
                 "Responses in which a replica states something about itself: limit, leaving, rest; invalid",
                 "kind",
             ),
+            invalid_loads: counter(
+                &registry,
+                "kingcup_invalid_load_figures_total",
+                "Responses in which a replica states load figures that can't be used",
+            ),
+            replica_work_times: gauges(
+                &registry,
+                "kingcup_replica_work_time",
+                "How long work takes at a replica in percent of the usual time, as it stated last",
+                "replica",
+            ),
             replica_limits: gauges(
                 &registry,
                 "kingcup_replica_limit",
@@ -168,6 +183,11 @@
         self.statements.with_label_values(&[kind]).inc();
     }
 
+    /// Counts load figures of a replica that can't be used.
+    pub fn count_invalid_load(&self) {
+        self.invalid_loads.inc();
+    }
+
     /// Counts a stream that a caller took up, by how it was known where it began.
     pub fn count_resumption(&self, evidence: &'static str) {
         self.resumptions.with_label_values(&[evidence]).inc();
@@ -239,6 +259,12 @@
                 .with_label_values(&[state])
                 .set(f64::from(count));
         }
+        self.replica_work_times.reset();
+        for (replica, figure) in dispatch.work_times(now).take(MAX_REPLICAS) {
+            self.replica_work_times
+                .with_label_values(&[&**replica])
+                .set(f64::from(figure.percent));
+        }
         self.replica_limits.reset();
         for (replica, per_s) in dispatch.limits(now).take(MAX_REPLICAS) {
             self.replica_limits
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,5 +1,6 @@
 //! State of one entry instance, shared by its tasks.
 
+mod load_figures;
 mod replicas;
 mod slots;
 mod statements;
@@ -38,6 +39,7 @@
 use crate::stream_origin::Queries;
 use crate::table::Table;
 
+pub use load_figures::MAX_SPEED_REPORTS;
 pub use replicas::Target;
 use slots::SlotResult;
 pub use slots::{SlotError, SlotGuard};
--- a/crates/entry/src/node/statements.rs
+++ b/crates/entry/src/node/statements.rs
@@ -67,6 +67,7 @@
             Stated::Absent => {}
             Stated::Invalid(value) => self.on_invalid_statement(replica, id, "rest", &value),
         }
+        self.on_load_statement(replica, id, statement.load);
     }
 
     /// Records that a replica says that it shuts down.
@@ -114,6 +115,7 @@
         Reports {
             limits: self.own_limit_reports(),
             leaving,
+            speeds: self.take_speed_reports(),
             ..Reports::default()
         }
     }
@@ -146,6 +148,7 @@
     /// Applies what another instance reports about replicas and organisations.
     pub fn on_peer_reports(&self, from: Ipv4Addr, reports: &Reports) {
         self.on_peer_limit_reports(from, &reports.limits);
+        self.on_peer_speed_reports(from, &reports.speeds);
         for (name, start_unix_ms) in &reports.leaving {
             if let Some(id) = self.replica_by_name_hash(*name) {
                 self.on_said_leaving(&id, *start_unix_ms, format_args!("peer={from}"));
--- a/crates/entry/src/outbox.rs
+++ b/crates/entry/src/outbox.rs
@@ -2,7 +2,8 @@
 
 use std::net::Ipv4Addr;
 
-use crate::peers::{Digest, ForwardScope};
+use crate::node::MAX_SPEED_REPORTS;
+use crate::peers::{Digest, ForwardScope, ReplicaSpeedReport};
 
 /// Maximum payload of a datagram in bytes, which links carry without fragmentation.
 const MAX_DATAGRAM_BYTES: usize = 1200;
@@ -77,12 +78,27 @@
                 digest.steps = std::mem::take(&mut previous.steps);
                 digest.time_ms = digest.time_ms.or(previous.time_ms);
             }
+            if previous.incarnation == digest.incarnation {
+                let earlier = std::mem::take(&mut previous.reports.speeds);
+                keep_speeds(&mut digest.reports.speeds, earlier);
+            }
             *previous = digest;
         }
         Err(index) => batch.insert(index, (from, digest)),
     }
 }
 
+/// Adds the earlier reports of the replicas that are not in the later ones: each figure is sent once.
+fn keep_speeds(speeds: &mut Vec<ReplicaSpeedReport>, earlier: Vec<ReplicaSpeedReport>) {
+    let later = speeds.len();
+    for report in earlier {
+        let is_newer = |s: &ReplicaSpeedReport| s.replica == report.replica;
+        if speeds.len() < MAX_SPEED_REPORTS && !speeds[..later].iter().any(is_newer) {
+            speeds.push(report);
+        }
+    }
+}
+
 /// Divides digests into datagrams. Without any digest the result is one empty datagram, which shows
 /// that the relay is alive.
 pub fn datagrams(batch: DigestBatch) -> Vec<DigestBatch> {
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -22,10 +22,11 @@
 pub fn log_sent(node: &Node, ctx: &RequestContext, target: &Target, slot: &SlotGuard) {
     let selection = slot.selection;
     let organisation = ctx.organisation.as_ref().map_or("-", |o| &*o.name);
+    let work_time = work_time_fields(node, slot);
     node.log.line(
         Priority::Low,
         format_args!(
-            "event=sent id={} replica={} service={} version={} resumes={} last_event={:?} route={} organisation={organisation} table={} wait_ms={} try={} cost_ms={:.0} with_room={} own={} elsewhere={} elsewhere_age_ms={} cold={} limit={} credit_ms={} keeper={}",
+            "event=sent id={} replica={} service={} version={} resumes={} last_event={:?} route={} organisation={organisation} table={} wait_ms={} try={} cost_ms={:.0} with_room={} own={} elsewhere={} elsewhere_age_ms={} cold={} limit={} credit_ms={} keeper={}{work_time}",
             ctx.meta.attempt_id,
             slot.upstream,
             ctx.service,
@@ -49,6 +50,17 @@
     );
 }
 
+/// Fields for the stated work time of the chosen replica, where load figures are used.
+fn work_time_fields(node: &Node, slot: &SlotGuard) -> String {
+    if node.settings().scheduling.load_reports.is_none() {
+        return String::new();
+    }
+    slot.selection.work_time.map_or_else(
+        || " work_time=- work_time_age_ms=-".to_owned(),
+        |(percent, age)| format!(" work_time={percent} work_time_age_ms={}", age.as_millis()),
+    )
+}
+
 /// Logs an attempt that ended without a response from the replica.
 pub fn log_send_failed(
     node: &Node,
--- a/crates/entry/tests/outbox.rs
+++ b/crates/entry/tests/outbox.rs
@@ -4,7 +4,7 @@
 
 use kingcupfield_decisions::remote_load::ReplicaLoad;
 use kingcupfield_entry::outbox::{DigestBatch, Outbox, datagrams};
-use kingcupfield_entry::peers::{Digest, PeerMessage};
+use kingcupfield_entry::peers::{Digest, PeerMessage, ReplicaSpeedReport};
 use yare::parameterized;
 
 fn address(last: u8) -> Ipv4Addr {
@@ -52,6 +52,30 @@
     assert!(!outbox.has_own_zone());
 }
 
+/// Each figure of a replica's speed is in one digest. If a later digest replaced it, no other zone would
+/// get it; an earlier figure must not replace a later one of the same replica.
+#[test]
+fn the_speeds_of_replaced_digests_are_sent() {
+    let with_speeds = |seq, speeds: &[(u32, u16)]| {
+        let mut digest = digest(seq, 1);
+        let report = |(replica, percent)| ReplicaSpeedReport {
+            replica,
+            incarnation: 1,
+            percent,
+            age_ms: 3,
+        };
+        digest.reports.speeds = speeds.iter().copied().map(report).collect();
+        digest
+    };
+    let mut outbox = Outbox::default();
+    outbox.add_for_other_zones(address(1), with_speeds(1, &[(7, 100), (8, 100)]));
+    outbox.add_for_other_zones(address(1), with_speeds(2, &[(7, 500)]));
+    let batch = outbox.take_near_zones();
+    let speeds = batch[0].1.reports.speeds.iter();
+    let speeds: Vec<_> = speeds.map(|s| (s.replica, s.percent)).collect();
+    assert_eq!(speeds, [(7, 500), (8, 100)]);
+}
+
 /// Digests of another zone must be forwarded to the own zone alone. Forwarded to a third zone, they
 /// would circulate forever.
 #[test]
