--- a/crates/decisions/tests/momentary_speed.rs
+++ b/crates/decisions/tests/momentary_speed.rs
@@ -372,7 +372,7 @@
             percent: 500,
             stated_at: now,
         });
-        speed.usual_time(now, Duration::from_millis(10_000), Some(10.0));
+        speed.usual_time(now, Duration::from_secs(10), Some(10.0));
     }
     speed.on_own_figure(now + Duration::from_millis(1), 500);
     speed
