--- a/crates/decisions/tests/momentary_speed.rs
+++ b/crates/decisions/tests/momentary_speed.rs
@@ -401,6 +401,48 @@
     assert!(factor(&speed, 1) <= 1.0);
 }
 
+/// Two engines are slow in turn, and one event of each is measured in a period. A stream that goes by
+/// learned times alone would start at the engine that has just become slow.
+#[test]
+fn streams_start_at_the_engine_that_is_fast_now() {
+    let start = Instant::now();
+    let engine = |id| Replica {
+        is_engine: true,
+        ..plain_service::replica(id, 1)
+    };
+    let mut dispatcher = Dispatcher::new();
+    dispatcher.set_options(options());
+    dispatcher.update_replicas(start, &[engine("a"), engine("b")]);
+    for period in 0..40 {
+        let now = start + Duration::from_secs_f64(period as f64 * PERIOD_MS / 1e3);
+        let (fast, slow) = if period % 2 == 0 {
+            ("a", "b")
+        } else {
+            ("b", "a")
+        };
+        for (id, percent) in [(fast, 100), (slow, 500)] {
+            let figures = LoadFigures {
+                running: 0,
+                waiting: 0,
+                slots: 4,
+                work_time_percent: Some(percent),
+            };
+            dispatcher.on_load_figures(now, &id.into(), 1, figures);
+        }
+        dispatcher.enqueue(Job {
+            prompt_tokens: 1000.0,
+            ..plain_service::job(period, now)
+        });
+        let chosen = dispatcher.assign(now).remove(0).upstream;
+        assert!(period < 20 || *chosen == *fast, "period {period}: {chosen}");
+        dispatcher.on_end(now, &chosen, period, Outcome::Unknown);
+        for (id, gap_ms) in [(fast, 10), (slow, 50)] {
+            let later = now + Duration::from_millis(100);
+            dispatcher.on_events(later, &id.into(), 1, Duration::from_millis(gap_ms));
+        }
+    }
+}
+
 /// A replica of another region is full of requests of instances whose counts take 400 ms to arrive.
 /// Requests would be sent there as if it were idle; once the counts are due, they alone count.
 #[test]
