Keep figures of replicas' speeds in their zone

Bytes between zones are priced, and a relay's link of 10 Mbit/s has no room for 200 kB/s (worked out) of figures that are 100 ms old when they arrive.

--- a/crates/entry/src/node/load_figures.rs
+++ b/crates/entry/src/node/load_figures.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use kingcupfield_decisions::digest_timing::{FAR_ZONE, NEAR_ZONE};
+use kingcupfield_decisions::digest_timing;
 use kingcupfield_decisions::id::name_hash;
 use kingcupfield_decisions::load_figures::LoadFigures;
 use kingcupfield_decisions::momentary_speed::{MAX_FIGURE_AGE, WorkTime};
@@ -13,7 +13,7 @@
 use crate::adapter::Stated;
 use crate::age::time_before;
 use crate::log::Priority;
-use crate::peers::{Nearness, ReplicaSpeedReport};
+use crate::peers::ReplicaSpeedReport;
 use crate::replica::PublishedReplica;
 
 /// Figures in one message to the other instances: 840 bytes of a datagram of 1,200.
@@ -94,14 +94,13 @@
         }
     }
 
-    /// Longest time for which relays keep a message of another instance.
+    /// Longest time for which relays keep a message of another instance of the zone; none passes between
+    /// the members of a cell.
     fn relay_time(&self, from: Ipv4Addr) -> Duration {
-        let cfg = self.settings();
-        let location = (name_hash(&cfg.availability_zone), name_hash(&cfg.region));
-        match self.peers.borrow().nearness_of(from, location) {
-            Nearness::SameZone => Duration::ZERO,
-            Nearness::SameRegion => NEAR_ZONE,
-            Nearness::OtherRegion => FAR_ZONE,
+        let peers = self.peers.borrow();
+        if peers.is_in_cell(from) {
+            return Duration::ZERO;
         }
+        digest_timing::collect_time(peers.zone_size())
     }
 }
--- a/crates/entry/src/outbox.rs
+++ b/crates/entry/src/outbox.rs
@@ -37,12 +37,11 @@
 
     /// Adds a digest of an instance of the own zone that the own zone already has, for the other
     /// zones.
-    pub fn add_for_other_zones(&mut self, from: Ipv4Addr, digest: Digest) {
-        add(&mut self.near_zones, from, digest.clone());
-        // Figures of speeds have lost most of their weight when a digest arrives in another region, and
+    pub fn add_for_other_zones(&mut self, from: Ipv4Addr, mut digest: Digest) {
+        // Figures of speeds have lost much of their weight when a digest arrives in another zone, and
         // would be most of the bytes that its relays pass on there.
-        let mut digest = digest;
         digest.reports.speeds.clear();
+        add(&mut self.near_zones, from, digest.clone());
         add(&mut self.far_zones, from, digest);
     }
 
