--- a/crates/decisions/src/scheduling.rs
+++ b/crates/decisions/src/scheduling.rs
@@ -9,10 +9,6 @@
     pub fair_order: Option<FairOrderOptions>,
     /// Use of the load figures in responses of replicas.
     pub load_reports: Option<LoadReportOptions>,
-    /// Use of replicas of other zones while they have room.
-    pub spill: Option<SpillOptions>,
-    /// Refusal of requests that would not be assigned a slot in time.
-    pub early_refusal: Option<EarlyRefusalOptions>,
     /// Bound on the requests at replicas that have just started or recovered.
     pub warm_up: Option<WarmUpOptions>,
 }
@@ -31,21 +27,6 @@
     pub half_life: Duration,
 }
 
-/// Options of the use of other zones.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct SpillOptions {
-    /// Requests of all instances that may be sent to one free slot before its report is renewed, on
-    /// average.
-    pub max_claims_per_slot: f64,
-}
-
-/// Options of early refusals.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct EarlyRefusalOptions {
-    /// Factor by which the expected wait must exceed the longest permitted one.
-    pub margin: f64,
-}
-
 /// Options of the bound on requests at replicas that have just started or recovered.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WarmUpOptions {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -13,10 +13,7 @@
 use kingcupfield_decisions::upstream_retries::UpstreamRetryBounds;
 use serde::Deserialize;
 
-pub use scheduling::{
-    EarlyRefusalSettings, FairOrderSettings, LoadReportSettings, SchedulingSettings, SpillSettings,
-    WarmUpSettings,
-};
+pub use scheduling::{FairOrderSettings, LoadReportSettings, SchedulingSettings, WarmUpSettings};
 
 /// Error of a settings file.
 #[derive(Debug, thiserror::Error)]
--- a/crates/entry/src/settings/scheduling.rs
+++ b/crates/entry/src/settings/scheduling.rs
@@ -3,8 +3,7 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::scheduling::{
-    EarlyRefusalOptions, FairOrderOptions, LoadReportOptions, SchedulingOptions, SpillOptions,
-    WarmUpOptions,
+    FairOrderOptions, LoadReportOptions, SchedulingOptions, WarmUpOptions,
 };
 use serde::Deserialize;
 
@@ -18,10 +17,6 @@
     pub fair_order: Option<FairOrderSettings>,
     /// Use of the load figures in responses of replicas.
     pub load_reports: Option<LoadReportSettings>,
-    /// Use of replicas of other zones while they have room.
-    pub spill: Option<SpillSettings>,
-    /// Refusal of requests that would not be assigned a slot in time.
-    pub early_refusal: Option<EarlyRefusalSettings>,
     /// Bound on the requests at replicas that have just started or recovered.
     pub warm_up: Option<WarmUpSettings>,
 }
@@ -42,23 +37,6 @@
     pub half_life_ms: f64,
 }
 
-/// Use of other zones.
-#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct SpillSettings {
-    /// Requests of all instances that may be sent to one free slot before its report is renewed, on
-    /// average; from 0.1 to 10.
-    pub max_claims_per_slot: f64,
-}
-
-/// Early refusals.
-#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct EarlyRefusalSettings {
-    /// Factor by which the expected wait must exceed the longest permitted one, from 1 to 10.
-    pub margin: f64,
-}
-
 /// Bound on the requests at replicas that have just started or recovered.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -78,12 +56,6 @@
             load_reports: self.load_reports.map(|s| LoadReportOptions {
                 half_life: Duration::from_secs_f64(s.half_life_ms / 1e3),
             }),
-            spill: self.spill.map(|s| SpillOptions {
-                max_claims_per_slot: s.max_claims_per_slot,
-            }),
-            early_refusal: self
-                .early_refusal
-                .map(|s| EarlyRefusalOptions { margin: s.margin }),
             warm_up: self.warm_up.map(|s| WarmUpOptions {
                 slow_ratio: s.slow_ratio,
             }),
@@ -103,16 +75,6 @@
                 self.load_reports.map(|s| s.half_life_ms),
                 10.0..=10_000.0,
             ),
-            (
-                "scheduling.spill.max_claims_per_slot",
-                self.spill.map(|s| s.max_claims_per_slot),
-                0.1..=10.0,
-            ),
-            (
-                "scheduling.early_refusal.margin",
-                self.early_refusal.map(|s| s.margin),
-                1.0..=10.0,
-            ),
             (
                 "scheduling.warm_up.slow_ratio",
                 self.warm_up.map(|s| s.slow_ratio),
