Keep false counts of a replica from closing it

The counts in a response were added to the own requests when room was checked, so an engine with false counts and one own request got nothing else for the delay of the other instances' counts. Room, and whether a prompt starts at once, now depend on the counts of the instances; the replica's own counts only raise its cost and the expected wait.

--- a/crates/decisions/src/dispatch/speeds.rs
+++ b/crates/decisions/src/dispatch/speeds.rs
@@ -48,7 +48,7 @@
         if let Some(percent) = figures.work_time_percent {
             self.speed.on_own_figure(now, percent);
         }
-        // A false count must not close the replica, so it counts up to the slots only.
+        // Limits the cost that a false count adds.
         let total = figures.running.saturating_add(figures.waiting);
         let others = total.saturating_sub(self.running.len() as u32);
         let delay = self.propagation_delay().max(MIN_COLLECT_TIME);
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -223,8 +223,14 @@
             || self.limit.own_report(now).is_some()
     }
 
-    /// Requests of all instances that run at the replica.
-    pub(super) fn running_total(&self) -> u32 {
+    /// Requests that run at the replica according to the instances.
+    fn reported_running(&self) -> u32 {
+        self.running.len() as u32 + self.remote_running
+    }
+
+    /// Requests that run at the replica according to the instances and the replica itself. It is used
+    /// for costs only: the replica's counts may be false and must not decide whether it gets requests.
+    fn running_total(&self) -> u32 {
         self.running.len() as u32 + self.remote_running.max(self.stated_load.others())
     }
 
@@ -235,7 +241,7 @@
         } else {
             self.replica.slots * PLAIN_REQUESTS_PER_SLOT
         };
-        self.running_total() < room
+        self.reported_running() < room
     }
 
     /// Whether it may get new requests: neither the directory nor the replica itself says otherwise.
@@ -359,7 +365,7 @@
 
     /// Whether a slot is free and no prompt is being processed there.
     pub(super) fn starts_prompt_at_once(&self) -> bool {
-        self.pending_prompt_tokens() <= 0.0 && self.running_total() < self.replica.slots
+        self.pending_prompt_tokens() <= 0.0 && self.reported_running() < self.replica.slots
     }
 
     /// Prompt tokens at the replica that have yet to be processed, of all instances.
--- a/crates/decisions/tests/momentary_speed.rs
+++ b/crates/decisions/tests/momentary_speed.rs
@@ -478,3 +478,32 @@
         dispatcher.on_end(at, &expected.into(), at_ms, Outcome::Unknown);
     }
 }
+
+/// An engine of another region has one request of this instance and states false counts. It would get
+/// no other request for the 400 ms that the counts of other instances take.
+#[test]
+fn false_counts_close_no_engine() {
+    let start = Instant::now();
+    let engine = Replica {
+        is_engine: true,
+        slots: 4,
+        propagation_delay: Duration::from_millis(400),
+        ..plain_service::replica("a", 1)
+    };
+    let mut dispatcher = Dispatcher::new();
+    dispatcher.set_options(options());
+    dispatcher.update_replicas(start, &[engine]);
+    dispatcher.update_room(start);
+    let now = start + Duration::from_secs(1);
+    dispatcher.enqueue(plain_service::job(1, now));
+    assert_eq!(dispatcher.assign(now).len(), 1);
+    let figures = LoadFigures {
+        running: 1_000_000,
+        waiting: 1_000_000,
+        slots: 4,
+        work_time_percent: None,
+    };
+    dispatcher.on_load_figures(now, &"a".into(), 1, figures);
+    dispatcher.enqueue(plain_service::job(2, now));
+    assert_eq!(dispatcher.assign(now).len(), 1);
+}
