Keep the prior weight of the trust in figures

The prior decayed with each comparison. After some hundred comparisons of constant figures both sums were 0 and the trust was 1, so that one false figure had its full effect. The sums hold evidence only now, and the prior is added when the trust is read.

--- a/crates/decisions/src/momentary_speed.rs
+++ b/crates/decisions/src/momentary_speed.rs
@@ -324,7 +324,7 @@
 }
 
 /// How far measured times agree with figures: a regression of the former over the latter.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 struct Agreement {
     /// Sum of the squares of the stated deviations.
     squares: f64,
@@ -332,15 +332,6 @@
     products: f64,
 }
 
-impl Default for Agreement {
-    fn default() -> Self {
-        Self {
-            squares: PRIOR_WEIGHT,
-            products: PRIOR_WEIGHT * PRIOR_TRUST,
-        }
-    }
-}
-
 impl Agreement {
     /// Adds a stated deviation from the usual time and the measured one.
     fn add(&mut self, stated: f64, measured: f64) {
@@ -349,11 +340,10 @@
         self.products = self.products * COMPARISON_RETENTION + stated * measured;
     }
 
-    /// Share of the stated deviations that is used, from 0 to 1.
+    /// Share of the stated deviations that is used, from 0 to 1. The prior keeps its weight, so that
+    /// constant figures, which can't be compared, leave a replica with the prior trust.
     fn trust(&self) -> f64 {
-        if self.squares <= f64::EPSILON {
-            return 1.0;
-        }
-        (self.products / self.squares).clamp(0.0, 1.0)
+        let products = PRIOR_WEIGHT * PRIOR_TRUST + self.products;
+        (products / (PRIOR_WEIGHT + self.squares)).clamp(0.0, 1.0)
     }
 }
--- a/crates/decisions/tests/momentary_speed.rs
+++ b/crates/decisions/tests/momentary_speed.rs
@@ -507,3 +507,21 @@
     dispatcher.enqueue(plain_service::job(2, now));
     assert_eq!(dispatcher.assign(now).len(), 1);
 }
+
+/// Figures that never change can't be compared with measured times. If they gained trust with time, a
+/// false one after them would have its full effect.
+#[test]
+fn constant_figures_gain_no_trust() {
+    let mut now = Instant::now();
+    let mut speed = MomentarySpeed::default();
+    speed.set_half_life(Some(HALF_LIFE));
+    for _ in 0..2_000 {
+        now += Duration::from_millis(50);
+        speed.on_own_figure(now, 100);
+        speed.usual_time(now, Duration::from_millis(10), Some(10.0));
+    }
+    speed.on_own_figure(now + Duration::from_millis(50), 10_000);
+    let factor = speed.factor(now + Duration::from_millis(50));
+    // A quarter of the greatest deviation.
+    assert!(factor <= 2.75 + 1e-6, "{factor}");
+}
