Apply reported speeds from newer digests only

Copies and late relayed digests were applied as well. The age of a figure counts from its arrival, so that a copy seemed newer than what had come in between. DigestEffects says whether the digest was applied as a newer one.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -68,6 +68,9 @@
     pub silent: Vec<Ipv4Addr>,
     /// Whether instances were left out because too many are known.
     pub is_list_full: bool,
+    /// Whether the digest has replaced the last one of its sender and is newer. False for copies and
+    /// for digests that arrive late.
+    pub is_applied: bool,
 }
 
 /// An instance that announced its shutdown.
@@ -298,6 +301,8 @@
                 ..DigestEffects::default()
             };
         }
+        let is_copy =
+            same_incarnation && peer.last_digest_at.is_some() && digest.seq == peer.digest.seq;
         let is_new = !same_incarnation || !peer.is_live(now);
         if same_incarnation {
             digest.upto = digest.upto.max(peer.digest.upto);
@@ -318,6 +323,7 @@
             greet,
             silent,
             is_list_full,
+            is_applied: !is_copy,
         }
     }
 
--- a/crates/entry/src/receiver.rs
+++ b/crates/entry/src/receiver.rs
@@ -94,7 +94,7 @@
     let steps = digest.steps.clone();
     let unreachable = digest.unreachable.clone();
     let time_ms = digest.time_ms;
-    let reports = digest.reports.clone();
+    let mut reports = digest.reports.clone();
     let effects = node.peers.borrow_mut().on_digest(now, from, digest);
     log_silent(node, &effects.silent);
     if effects.is_list_full {
@@ -116,6 +116,10 @@
     }
     apply_step_times(node, &steps);
     apply_unreachable(node, &unreachable);
+    // The age of a figure counts from its first arrival. In a copy or a late digest it would seem newer.
+    if !effects.is_applied {
+        reports.speeds.clear();
+    }
     node.on_peer_reports(from, &reports);
     if upto > directory::known_up_to(node) {
         directory::schedule_peer_sync(node, sync_delay(node, from));
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -7,6 +7,7 @@
 use kingcupfield_decisions::credit::Distance;
 use kingcupfield_decisions::digest_timing;
 use kingcupfield_decisions::fanout::MAX_FULL_MESH;
+use kingcupfield_decisions::momentary_speed::{MomentarySpeed, WorkTime};
 use kingcupfield_decisions::remote_load::{ReplicaLoad, TotalLoad};
 use kingcupfield_entry::peers::{
     Digest, DigestEffects, Nearness, PeerMessage, Peers, SILENCE_TIMEOUT,
@@ -316,6 +317,30 @@
     assert_eq!(peers.load_at(4).running, 1);
 }
 
+/// Two relays pass on a report of a replica's speed. If the second copy were applied, it would be taken
+/// for newer than a figure that this instance got in between.
+#[test]
+fn copies_of_a_report_of_speed_replace_no_newer_figure() {
+    let start = Instant::now();
+    let mut peers = Peers::new(start, OWN, true);
+    let mut speed = MomentarySpeed::default();
+    speed.set_half_life(Some(Duration::from_millis(250)));
+    let report = |seq| Digest { seq, ..digest(1) };
+    for (ms, seq, is_applied) in [(0, 5, true), (20, 5, false), (30, 4, false), (40, 6, true)] {
+        let now = start + Duration::from_millis(ms);
+        let effects = peers.on_digest(now, address(1), report(seq));
+        assert_eq!(effects.is_applied, is_applied, "{seq} after {ms} ms");
+        if effects.is_applied {
+            let (percent, stated_at) = (500, now);
+            speed.on_peer_figure(WorkTime { percent, stated_at });
+        }
+        let percent = speed.newest().map(|figure| figure.percent);
+        assert_eq!(percent, Some(if is_applied { 500 } else { 100 }));
+        speed.on_own_figure(now + Duration::from_millis(1), 100);
+    }
+    assert!(peers.on_digest(start, address(1), digest(2)).is_applied);
+}
+
 /// An instance that announces its shutdown is removed at once, with its load and its share.
 #[test]
 fn a_leaving_peer_is_removed() {
