--- a/crates/decisions/src/momentary_speed.rs
+++ b/crates/decisions/src/momentary_speed.rs
@@ -127,13 +127,12 @@
         true
     }
 
-    /// Adds a figure to the history, unless it says the same as one shortly before.
+    /// Adds a figure to the history, unless another one was added shortly before.
     fn add_to_history(&mut self, figure: WorkTime) {
-        let is_repeated = self.history.back().is_some_and(|last| {
-            figure.percent == last.percent
-                && figure.stated_at.saturating_duration_since(last.stated_at) < MIN_HISTORY_INTERVAL
+        let is_too_early = self.history.back().is_some_and(|last| {
+            figure.stated_at.saturating_duration_since(last.stated_at) < MIN_HISTORY_INTERVAL
         });
-        if is_repeated {
+        if is_too_early {
             return;
         }
         if self.history.len() >= MAX_HISTORY {
@@ -324,7 +323,7 @@
 }
 
 /// How far measured times agree with figures: a regression of the former over the latter.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 struct Agreement {
     /// Sum of the squares of the stated deviations.
     squares: f64,
@@ -332,15 +331,6 @@
     products: f64,
 }
 
-impl Default for Agreement {
-    fn default() -> Self {
-        Self {
-            squares: PRIOR_WEIGHT,
-            products: PRIOR_WEIGHT * PRIOR_TRUST,
-        }
-    }
-}
-
 impl Agreement {
     /// Adds a stated deviation from the usual time and the measured one.
     fn add(&mut self, stated: f64, measured: f64) {
@@ -349,11 +339,10 @@
         self.products = self.products * COMPARISON_RETENTION + stated * measured;
     }
 
-    /// Share of the stated deviations that is used, from 0 to 1.
+    /// Share of the stated deviations that is used, from 0 to 1. The prior keeps its weight, so that
+    /// constant figures, which can't be compared, leave a replica with the prior trust.
     fn trust(&self) -> f64 {
-        if self.squares <= f64::EPSILON {
-            return 1.0;
-        }
-        (self.products / self.squares).clamp(0.0, 1.0)
+        let products = PRIOR_WEIGHT * PRIOR_TRUST + self.products;
+        (products / (PRIOR_WEIGHT + self.squares)).clamp(0.0, 1.0)
     }
 }
