Bound the requests at replicas that have just started or recovered

Two of six replicas that need six times as long for 4 s after their start make a tenth of all requests late, and stay idle long after they are well: their learned times are only renewed by requests that they do not get.

A replica that started within 30 s, or that answers again after it was slow, failing or silent, has a bound on the requests in flight from all instances. It begins at 1 and is set by the response times against those of its peers. One request at a time tries it, whatever its learned times are. Without the option nothing changes.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -14,6 +14,7 @@
 mod departed;
 mod job;
 mod latency;
+mod pacing;
 mod priority;
 mod published;
 mod size;
@@ -29,6 +30,7 @@
 use crate::regions::Regions;
 use crate::replica_limit::FleetMembers;
 use crate::scheduling::SchedulingOptions;
+use crate::warm_up::PaceChange;
 
 use departed::Departed;
 use priority::Waiting;
@@ -70,6 +72,10 @@
     departed: Departed,
     /// Optional parts that are on.
     options: SchedulingOptions,
+    /// A time and the Unix milliseconds at it, for the age of replicas.
+    unix_time: Option<(Instant, u64)>,
+    /// Changes of bounds at replicas that have not been logged yet.
+    pace_changes: Vec<(UpstreamId, PaceChange)>,
 }
 
 impl Dispatcher {
@@ -87,6 +93,9 @@
 
     /// Switches optional parts on or off.
     pub fn set_options(&mut self, options: SchedulingOptions) {
+        if options.warm_up.is_none() && self.options.warm_up.is_some() {
+            self.reset_paces();
+        }
         self.options = options;
     }
 
@@ -388,6 +397,7 @@
 
     /// Records the first event of a response.
     pub fn on_first_event(&mut self, now: Instant, upstream: &UpstreamId, job: JobId) {
+        self.pace_on_first_event(now, upstream);
         let Some(u) = self.find(upstream) else {
             return;
         };
@@ -415,18 +425,30 @@
 
     /// Records `events` of a stream that arrived together, `gap` after the previous event.
     pub fn on_events(&mut self, now: Instant, upstream: &UpstreamId, events: u32, gap: Duration) {
-        if let Some(u) = self.find(upstream) {
-            u.last_response_at = Some(now);
-            let tokens = events.max(1) * u.replica.tokens_per_event.max(1);
-            u.latency.on_gap(gap / tokens);
-        }
+        let Some(index) = self.index_of(upstream) else {
+            return;
+        };
+        self.activate(index);
+        let u = &mut self.upstreams[index];
+        u.last_response_at = Some(now);
+        let tokens = events.max(1) * u.replica.tokens_per_event.max(1);
+        u.latency.on_gap(gap / tokens);
+        self.pace_on_gap(now, index, gap / tokens);
     }
 
     /// Releases the slot of a request and updates the replica's statistics from the outcome.
     pub fn on_end(&mut self, now: Instant, upstream: &UpstreamId, job: JobId, outcome: Outcome) {
-        let Some(u) = self.find(upstream) else {
+        let Some(index) = self.index_of(upstream) else {
             return;
         };
+        self.activate(index);
+        let paces = self.options.warm_up.is_some();
+        let u = &mut self.upstreams[index];
+        let was_silent = paces && u.is_unresponsive(now);
+        let service_ms = u
+            .unqueued_ms(now, job)
+            .filter(|_| outcome == Outcome::Served);
+        let learns_quickly = u.warm_up.learns_quickly(now);
         let dispatched_at = u
             .running
             .iter()
@@ -439,18 +461,22 @@
                 u.connect_failures = 0;
                 u.latency.on_outcome(now, false);
                 if let Some(dispatched_at) = dispatched_at.filter(|_| !u.replica.is_engine) {
-                    u.latency
-                        .on_completed(now.saturating_duration_since(dispatched_at));
+                    let elapsed = now.saturating_duration_since(dispatched_at);
+                    u.latency.on_completed(elapsed, learns_quickly);
                 }
             }
             Outcome::Failed => u.latency.on_outcome(now, true),
             Outcome::Unreachable => {
                 u.latency.on_outcome(now, true);
                 u.back_off_unreachable(now);
+                if paces {
+                    u.shorten_designated_backoff(now);
+                }
             }
             Outcome::Full => u.back_off_full(now),
             Outcome::Unknown => {}
         }
+        self.pace_on_end(now, index, outcome, was_silent, service_ms);
     }
 
     /// Whether the replica has sent nothing for so long that it is likely dead.
@@ -476,6 +502,8 @@
         let prompt_started_at_once = u.replica.is_engine && u.starts_prompt_at_once();
         u.cold_gate.on_dispatch(now);
         u.limit.on_dispatch(now);
+        u.warm_up.on_dispatch(now);
+        let load_per_slot = u.load_per_slot_with_another();
         u.running.push(Running {
             job: job.id,
             pending_prompt_tokens: if u.replica.is_engine {
@@ -487,6 +515,7 @@
             has_responded: false,
             prompt_started_at_once,
             queueing_allowance,
+            load_per_slot,
         });
         Assignment {
             job: job.id,
--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -153,17 +153,24 @@
         let mut candidates_with_room = 0;
         for index in candidates {
             let u = &self.upstreams[index];
-            if !is_candidate(u, job)
-                || !self.may_claim_slot(now, u, w)
-                || !samples.contains(index, self.group(now, u))
-            {
+            if !is_candidate(u, job) {
+                continue;
+            }
+            let is_trial = u.needs_pace_trial(now);
+            let may_be_late = is_trial && !u.warm_up.is_free();
+            let is_considered =
+                || self.may_claim_slot(now, u, w) && samples.contains(index, self.group(now, u));
+            if !is_trial && !is_considered() {
                 continue;
             }
-            if !u.finishes_by_deadline(now, job, &prompt_cost) && *another_can_finish {
+            if !may_be_late
+                && !u.finishes_by_deadline(now, job, &prompt_cost)
+                && *another_can_finish
+            {
                 continue;
             }
             candidates_with_room += 1;
-            let cost_ms = if u.limit.needs_probe(now) {
+            let cost_ms = if is_trial || u.limit.needs_probe(now) {
                 0.0
             } else {
                 u.cost_ms(now, job, &prompt_cost, lowest_failure_share)
@@ -273,7 +280,7 @@
 
     /// Lowest failure share among the replicas of a service: the share caused by the requests
     /// themselves rather than by a replica.
-    fn lowest_failure_share(&self, now: Instant, service: &ServiceId) -> f64 {
+    pub(super) fn lowest_failure_share(&self, now: Instant, service: &ServiceId) -> f64 {
         self.upstreams
             .iter()
             .filter(|u| u.is_usable() && u.replica.service == *service)
--- a/crates/decisions/src/dispatch/latency.rs
+++ b/crates/decisions/src/dispatch/latency.rs
@@ -24,6 +24,9 @@
 /// Weight of a new sample in the moving average of a plain service's processing time.
 const SERVICE_TIME_GAIN: f64 = 0.1;
 
+/// The same during a warm-up, in which the time changes from one request to the next.
+const QUICK_SERVICE_TIME_GAIN: f64 = 0.5;
+
 /// Time in which the recorded failure share falls by half.
 const FAILURE_HALF_LIFE_S: f64 = 4.0;
 
@@ -91,11 +94,39 @@
         }
     }
 
-    /// Records the processing time of a complete response from a plain service.
-    pub fn on_completed(&mut self, elapsed: Duration) {
+    /// Milliseconds that a plain service takes for a request, if measured.
+    pub fn learned_service_ms(&self) -> Option<f64> {
+        self.service_ms
+    }
+
+    /// Replaces what was learned, after a sudden change of the speed: the step time of an engine, or
+    /// the processing time of a plain service.
+    pub fn replace(&mut self, ms: f64, is_engine: bool) {
+        if is_engine {
+            self.gaps_ms.clear();
+            self.next_index = 0;
+            self.step_ms = Some(ms.max(MIN_STEP_MS));
+        } else {
+            self.service_ms = Some(ms);
+        }
+    }
+
+    /// Forgets failures of a replica that is well again.
+    pub fn forget_failures(&mut self) {
+        self.recorded_failure_share = 0.0;
+    }
+
+    /// Records the processing time of a complete response from a plain service. New samples have more
+    /// weight if it `changes_quickly`.
+    pub fn on_completed(&mut self, elapsed: Duration, changes_quickly: bool) {
+        let gain = if changes_quickly {
+            QUICK_SERVICE_TIME_GAIN
+        } else {
+            SERVICE_TIME_GAIN
+        };
         let ms = elapsed.as_secs_f64() * 1000.0;
         let mean_ms = self.service_ms.unwrap_or(ms);
-        self.service_ms = Some(mean_ms + (ms - mean_ms) * SERVICE_TIME_GAIN);
+        self.service_ms = Some(mean_ms + (ms - mean_ms) * gain);
     }
 
     /// Records whether a request failed.
--- a/crates/decisions/src/dispatch/published.rs
+++ b/crates/decisions/src/dispatch/published.rs
@@ -23,7 +23,10 @@
                     known.replica = replica.clone();
                     known
                 }
-                None => self.new_upstream(now, replica),
+                None => {
+                    let is_restart = ids.binary_search(&replica.id).is_ok();
+                    self.new_upstream(now, replica, is_restart)
+                }
             };
             self.upstreams.push(upstream);
         }
@@ -38,18 +41,18 @@
 
     /// Adds a replica, or replaces what was published about it.
     pub fn update_replica(&mut self, now: Instant, replica: &Replica) {
-        let index = match self.find_index(&replica.id) {
+        let (index, is_restart) = match self.find_index(&replica.id) {
             Ok(index) if self.upstreams[index].replica.incarnation == replica.incarnation => {
                 self.upstreams[index].replica = replica.clone();
                 return;
             }
             Ok(index) => {
                 self.remove_at(now, index);
-                index
+                (index, true)
             }
-            Err(index) => index,
+            Err(index) => (index, false),
         };
-        let upstream = self.new_upstream(now, replica);
+        let upstream = self.new_upstream(now, replica, is_restart);
         self.upstreams.insert(index, upstream);
         for active in self.active.iter_mut().filter(|i| **i >= index) {
             *active += 1;
@@ -87,10 +90,12 @@
             .binary_search_by(|u| u.replica.id.cmp(replica))
     }
 
-    /// Creates the state of a replica that has just been published, possibly again.
-    fn new_upstream(&mut self, now: Instant, replica: &Replica) -> Upstream {
+    /// Creates the state of a replica that has just been published, possibly again; `is_restart` tells
+    /// whether it replaces another incarnation.
+    fn new_upstream(&mut self, now: Instant, replica: &Replica, is_restart: bool) -> Upstream {
         let cold_gate = ColdGate::new(now, self.is_designated(replica));
-        let mut upstream = Upstream::new(replica.clone(), cold_gate);
+        let warm_up = self.new_warm_up(now, replica, is_restart);
+        let mut upstream = Upstream::new(replica.clone(), cold_gate, warm_up);
         self.departed.restore(&mut upstream);
         let limit = &mut upstream.limit;
         limit.on_fleet_change(now, &replica.id, &self.fleet);
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -10,6 +10,7 @@
 use crate::id::{NameHash, RegionId, ServiceId, UpstreamId};
 use crate::replica_limit::ReplicaLimit;
 use crate::rest::Rest;
+use crate::warm_up::WarmUp;
 
 /// Batch steps within which a replica should send something for at least one of its requests: four
 /// times what an engine needs for a first token on top of the prompt, which is about 120 ms at 7 ms
@@ -125,6 +126,8 @@
     pub(super) prompt_started_at_once: bool,
     /// Extra time allowed for the first event because other requests are ahead of this one.
     pub(super) queueing_allowance: Duration,
+    /// Requests at the replica for each of its slots when this one was sent, at least 1.
+    pub(super) load_per_slot: f64,
 }
 
 /// A replica, the requests running there and what was learned from their responses.
@@ -158,10 +161,14 @@
     pub(super) said_leaving: bool,
     /// Time for which the replica wants no request of this instance.
     pub(super) rest: Rest,
+    /// Bound on the requests in flight after a start or a recovery.
+    pub(super) warm_up: WarmUp,
+    /// Times per token since the last sample of the speed for the warm-up, in milliseconds.
+    pub(super) recent_gaps_ms: Vec<f64>,
 }
 
 impl Upstream {
-    pub(super) fn new(replica: Replica, cold_gate: ColdGate) -> Self {
+    pub(super) fn new(replica: Replica, cold_gate: ColdGate, warm_up: WarmUp) -> Self {
         Self {
             replica,
             in_cell: true,
@@ -178,6 +185,8 @@
             limit: ReplicaLimit::default(),
             said_leaving: false,
             rest: Rest::default(),
+            warm_up,
+            recent_gaps_ms: Vec::new(),
         }
     }
 
@@ -210,6 +219,7 @@
             || self.connect_failures > 0
             || self.said_leaving
             || self.limit.own_report(now).is_some()
+            || self.warm_up.is_reported(now)
     }
 
     /// Requests of all instances that run at the replica.
@@ -224,7 +234,7 @@
         } else {
             self.replica.slots * PLAIN_REQUESTS_PER_SLOT
         };
-        self.running_total() < room
+        self.running_total() < room.min(self.warm_up.max_in_flight())
     }
 
     /// Whether it may get new requests: neither the directory nor the replica itself says otherwise.
@@ -274,18 +284,23 @@
             && !self.is_unresponsive(now)
             && self.limit.admits(now)
             && !self.rest.holds(now);
-        rested && may_try && self.is_usable() && self.has_room() && self.cold_limit_admits(now)
+        let is_permitted = self.cold_limit_admits(now) && self.pace_admits(now);
+        rested && may_try && self.is_usable() && self.has_room() && is_permitted
     }
 
     /// Records since when the replica has had room; returns whether it can accept another request
     /// now.
     pub(super) fn update_free_since(&mut self, now: Instant) -> bool {
+        self.warm_up.expire(now);
         if !self.has_room() {
             self.free_since = None;
             return false;
         }
         self.free_since.get_or_insert(now);
-        self.is_usable() && self.accepts_work(now) && self.cold_limit_admits(now)
+        self.is_usable()
+            && self.accepts_work(now)
+            && self.cold_limit_admits(now)
+            && self.pace_admits(now)
     }
 
     /// How long the replica has had room.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -43,4 +43,5 @@
 pub mod stream_records;
 pub mod upstream_retries;
 pub mod values;
+pub mod warm_up;
 pub mod work;
