Report, log and show the bounds of replicas that start or recover

Instances send each other the bounds with the digests that they send anyway; a change is sent as a change of load is. event=pace tells each change, kingcup_replica_pace the bound in force.

--- a/crates/decisions/src/dispatch/pacing.rs
+++ b/crates/decisions/src/dispatch/pacing.rs
@@ -248,10 +248,28 @@
         u.latency.failure_share(now) - lowest >= FAILING_SHARE
     }
 
+    /// Keeps the bound of a replica that has just started for the log.
+    pub(super) fn keep_new_pace(&mut self, replica: &UpstreamId, warm_up: &WarmUp) {
+        if let Some(bound) = warm_up.bound() {
+            let change = PaceChange {
+                bound: Some(bound),
+                reason: PaceReason::Started,
+                since: Duration::ZERO,
+            };
+            self.keep_for_log(replica.clone(), change);
+        }
+    }
+
     fn keep_pace_change(&mut self, index: usize, change: Option<PaceChange>) {
-        if let Some(change) = change.filter(|_| self.pace_changes.len() < MAX_CHANGES) {
+        if let Some(change) = change {
             let id = self.upstreams[index].replica.id.clone();
-            self.pace_changes.push((id, change));
+            self.keep_for_log(id, change);
+        }
+    }
+
+    fn keep_for_log(&mut self, replica: UpstreamId, change: PaceChange) {
+        if self.pace_changes.len() < MAX_CHANGES {
+            self.pace_changes.push((replica, change));
         }
     }
 }
--- a/crates/decisions/src/dispatch/published.rs
+++ b/crates/decisions/src/dispatch/published.rs
@@ -95,6 +95,7 @@
     fn new_upstream(&mut self, now: Instant, replica: &Replica, is_restart: bool) -> Upstream {
         let cold_gate = ColdGate::new(now, self.is_designated(replica));
         let warm_up = self.new_warm_up(now, replica, is_restart);
+        self.keep_new_pace(&replica.id, &warm_up);
         let mut upstream = Upstream::new(replica.clone(), cold_gate, warm_up);
         self.departed.restore(&mut upstream);
         let limit = &mut upstream.limit;
--- a/crates/decisions/src/warm_up.rs
+++ b/crates/decisions/src/warm_up.rs
@@ -54,6 +54,8 @@
 /// Why a bound was set or changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PaceReason {
+    /// The replica has just started.
+    Started,
     /// The replica answers again after its responses were slow.
     Slow,
     /// The replica answers again after it was unreachable or silent.
@@ -78,6 +80,7 @@
     /// Name of the reason in the log.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Started => "started",
             Self::Slow => "slow",
             Self::Silent => "silent",
             Self::Failing => "failing",
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -67,6 +67,7 @@
                 receiver::apply_waiting(&node);
                 node.dispatch.borrow_mut().update_room(Instant::now());
                 node.assign_slots();
+                node.log_pace_changes(format_args!(""));
                 sender.tick(&node);
                 streams.check(&node);
                 quarantines.check(&node);
--- a/crates/entry/src/gossip/local_state.rs
+++ b/crates/entry/src/gossip/local_state.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use crate::node::{Node, ProcessState};
+use crate::peers::ReplicaPaceReport;
 
 /// State whose changes are sent to the others at once.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -26,6 +27,8 @@
     pub(super) limits: Vec<(NameHash, Option<f64>)>,
     /// Replicas that have said that they shut down, with their start times in Unix milliseconds.
     pub(super) leaving_replicas: Vec<(NameHash, u64)>,
+    /// Bounds on the requests at replicas that have just started or recovered.
+    pub(super) paces: Vec<ReplicaPaceReport>,
     /// Whether this instance closes its connections to shut down.
     pub(super) leaving: bool,
 }
@@ -41,6 +44,7 @@
             || self.reads_store && self.upto != last_sent.upto
             || self.limits != last_sent.limits
             || self.leaving_replicas != last_sent.leaving_replicas
+            || self.paces != last_sent.paces
     }
 }
 
@@ -54,6 +58,7 @@
         zone_size: node.peers.borrow().zone_size() as u16,
         limits: named_limits(node),
         leaving_replicas: node.leaving_replicas(),
+        paces: node.own_pace_reports(),
         leaving: node.process_state() >= ProcessState::Closing,
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -64,6 +64,8 @@
     statements: IntCounterVec,
     /// Limit in force of each replica that named one, in requests per second.
     replica_limits: GaugeVec,
+    /// Bound in force of each replica that has just started or recovered.
+    replica_paces: GaugeVec,
     /// Version of the table in force.
     table_version: Gauge,
     /// Seconds since the last response of the store, and since the oldest of the peers' last reports.
@@ -105,6 +107,12 @@
                 "Limit of a replica in requests per second from all instances",
                 "replica",
             ),
+            replica_paces: gauges(
+                &registry,
+                "kingcup_replica_pace",
+                "Requests in flight that a replica which has just started or recovered may have from all instances",
+                "replica",
+            ),
             durations: durations(&registry),
             resumptions: counters(
                 &registry,
@@ -245,6 +253,12 @@
                 .with_label_values(&[&**replica])
                 .set(per_s);
         }
+        self.replica_paces.reset();
+        for (replica, bound) in dispatch.paces().take(MAX_REPLICAS) {
+            self.replica_paces
+                .with_label_values(&[&**replica])
+                .set(f64::from(bound));
+        }
         self.replica_slots.reset();
         for usage in dispatch.replica_usage().take(MAX_REPLICAS) {
             let set = |whose: &str, slots: u32| {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,5 +1,6 @@
 //! State of one entry instance, shared by its tasks.
 
+mod paces;
 mod replicas;
 mod slots;
 mod statements;
--- a/crates/entry/src/node/replicas.rs
+++ b/crates/entry/src/node/replicas.rs
@@ -115,6 +115,7 @@
             Err(index) => targets.insert(index, target),
         }
         drop(targets);
+        self.update_dispatcher_clock();
         self.dispatch.borrow_mut().update_replica(now, &replica);
         self.replicas_by_hash.borrow_mut().insert(id);
         self.services.borrow_mut().insert(&replica.service);
@@ -132,6 +133,7 @@
             .map(|t| self.dispatch_replica(&t.published))
             .collect();
         let now = Instant::now();
+        self.update_dispatcher_clock();
         self.dispatch.borrow_mut().update_replicas(now, &replicas);
     }
 
--- a/crates/entry/src/node/statements.rs
+++ b/crates/entry/src/node/statements.rs
@@ -17,7 +17,7 @@
 use crate::replica::PublishedReplica;
 
 /// Replicas of each kind of statement in one message to the other instances.
-const MAX_REPORTS: usize = 64;
+pub(super) const MAX_REPORTS: usize = 64;
 
 impl Node {
     /// The current time, including the time for which the machine was suspended. Only the difference of
@@ -114,6 +114,7 @@
         Reports {
             limits: self.own_limit_reports(),
             leaving,
+            paces: self.own_pace_reports(),
             ..Reports::default()
         }
     }
@@ -146,6 +147,7 @@
     /// Applies what another instance reports about replicas and organisations.
     pub fn on_peer_reports(&self, from: Ipv4Addr, reports: &Reports) {
         self.on_peer_limit_reports(from, &reports.limits);
+        self.on_peer_pace_reports(from, &reports.paces);
         for (name, start_unix_ms) in &reports.leaving {
             if let Some(id) = self.replica_by_name_hash(*name) {
                 self.on_said_leaving(&id, *start_unix_ms, format_args!("peer={from}"));
