Keep instances of other zones and cells from trying bounded replicas

They learn of a request up to a second late, so that each of a hundred of them would take a replica between two short trials for idle and send one of its own. They now stand in for the designated instance only after 5 to 10 s, and make no trials. The sequence of slow responses, the gaps of engines and replicas that are slow in periods have tests.

--- a/crates/decisions/src/dispatch/pacing.rs
+++ b/crates/decisions/src/dispatch/pacing.rs
@@ -92,7 +92,7 @@
     /// incarnation has just started, whatever its clock says.
     pub(super) fn new_warm_up(&self, now: Instant, replica: &Replica, is_restart: bool) -> WarmUp {
         let own: InstanceAddress = self.own_address;
-        let warm_up = WarmUp::new(own, &replica.id, replica.in_own_zone);
+        let warm_up = WarmUp::new(own, &replica.id);
         if self.options.warm_up.is_none() {
             return warm_up;
         }
@@ -118,7 +118,7 @@
     pub(super) fn reset_paces(&mut self) {
         let own = self.own_address;
         for u in &mut self.upstreams {
-            u.warm_up = WarmUp::new(own, &u.replica.id, u.replica.in_own_zone);
+            u.warm_up = WarmUp::new(own, &u.replica.id);
         }
         self.pace_changes.clear();
     }
@@ -327,6 +327,7 @@
             own: self.running.len() as u32,
             total: self.running_total(),
             free_for: self.free_duration(now),
+            is_known_late: !self.propagation_delay().is_zero(),
             is_designated: self.cold_gate.is_designated(),
         }
     }
--- a/crates/decisions/src/dispatch/published.rs
+++ b/crates/decisions/src/dispatch/published.rs
@@ -18,15 +18,14 @@
         for replica in replicas {
             let known = ids.binary_search(&replica.id).ok();
             let known = known.and_then(|i| old[i].take());
-            let upstream = match known.filter(|u| u.replica.incarnation == replica.incarnation) {
+            let is_restart = known.is_some();
+            let same = known.filter(|u| u.replica.incarnation == replica.incarnation);
+            let upstream = match same {
                 Some(mut known) => {
                     known.replica = replica.clone();
                     known
                 }
-                None => {
-                    let is_restart = ids.binary_search(&replica.id).is_ok();
-                    self.new_upstream(now, replica, is_restart)
-                }
+                None => self.new_upstream(now, replica, is_restart),
             };
             self.upstreams.push(upstream);
         }
--- a/crates/decisions/src/warm_up.rs
+++ b/crates/decisions/src/warm_up.rs
@@ -42,12 +42,17 @@
 const STAND_IN_DELAY: Duration = Duration::from_millis(300);
 const STAND_IN_SPREAD: Duration = Duration::from_millis(200);
 
-/// Factor of the two for instances of other zones, which learn of a request 100 to 400 ms late.
-const OTHER_ZONE_FACTOR: u32 = 2;
+/// The same for instances of other zones and cells, which learn of a request up to a second late and so
+/// miss short ones. So many of them would otherwise take an idle replica for untried.
+const LATE_STAND_IN_DELAY: Duration = Duration::from_secs(5);
+const LATE_STAND_IN_SPREAD: Duration = Duration::from_secs(5);
 
 /// Time for which a change is repeated in the messages to other instances.
 const REPORT_TIME: Duration = YOUNG_AGE;
 
+/// Smallest bound that means that a replica is settled, also if it has one slot.
+const MIN_SETTLED_BOUND: u32 = 2;
+
 /// Time after a bound in which new samples have more weight in the learned times.
 const QUICK_LEARNING_TIME: Duration = Duration::from_secs(2);
 
@@ -135,6 +140,8 @@
     pub total: u32,
     /// Time for which it has had room.
     pub free_for: Duration,
+    /// Whether the load is known late, because the replica is in another zone or cell.
+    pub is_known_late: bool,
     /// Whether this instance is the designated one of the replica.
     pub is_designated: bool,
 }
@@ -174,20 +181,18 @@
     last_report_at: Option<Instant>,
     reported_until: Option<Instant>,
     quick_until: Option<Instant>,
-    stand_in_delay: Duration,
+    /// Rank of this instance among those that stand in for the designated one, from 0 to 1.
+    stand_in_rank: f64,
     /// Work time that the replica stated last, in percent of the usual one.
     stated_percent: Option<u32>,
 }
 
 impl WarmUp {
     /// Creates the state of a replica without a bound.
-    pub fn new(own: InstanceAddress, replica: &UpstreamId, in_own_zone: bool) -> Self {
+    pub fn new(own: InstanceAddress, replica: &UpstreamId) -> Self {
         let rank = xxh3_64_with_seed(replica.as_bytes(), u64::from(own));
-        let spread_ms = (rank % STAND_IN_SPREAD.as_millis() as u64) as u32;
-        let delay = STAND_IN_DELAY + Duration::from_millis(spread_ms.into());
-        let factor = if in_own_zone { 1 } else { OTHER_ZONE_FACTOR };
         Self {
-            stand_in_delay: delay * factor,
+            stand_in_rank: rank as f64 / u64::MAX as f64,
             ..Self::default()
         }
     }
@@ -197,7 +202,7 @@
         if age < YOUNG_AGE {
             self.phase = Phase::Bounded(1);
             self.begun_at = Some(now);
-            self.young_until = Some(now + (YOUNG_AGE - age));
+            self.young_until = Some(now + YOUNG_AGE.saturating_sub(age));
         }
         self
     }
@@ -252,7 +257,7 @@
             Phase::Free => return false,
             Phase::Bounded(_) => (
                 TRIAL_INTERVAL,
-                load.is_designated || self.stands_in(now, load),
+                load.is_designated || !load.is_known_late && self.stands_in(now, load),
             ),
             Phase::Troubled(PaceReason::Failing) => (FAILING_TRIAL_INTERVAL, load.is_designated),
             Phase::Troubled(_) => (TRIAL_INTERVAL, load.is_designated),
@@ -271,10 +276,16 @@
 
     /// Whether this instance may use the last place in the stead of the designated one.
     fn stands_in(&self, now: Instant, load: InFlight) -> bool {
+        let (delay, spread) = if load.is_known_late {
+            (LATE_STAND_IN_DELAY, LATE_STAND_IN_SPREAD)
+        } else {
+            (STAND_IN_DELAY, STAND_IN_SPREAD)
+        };
+        let delay = delay + spread.mul_f64(self.stand_in_rank);
         let recently_changed = self
             .last_report_at
-            .is_some_and(|at| now.saturating_duration_since(at) < self.stand_in_delay);
-        load.free_for >= self.stand_in_delay && !recently_changed
+            .is_some_and(|at| now.saturating_duration_since(at) < delay);
+        load.free_for >= delay && !recently_changed
     }
 
     /// Records a request to the replica.
@@ -298,17 +309,16 @@
 
     /// Records that the replica fails or is silent here.
     pub fn on_trouble(&mut self, now: Instant, reason: PaceReason) -> Option<PaceChange> {
+        self.had_trouble = true;
         match self.phase {
             Phase::Free | Phase::Settled => {
                 self.phase = Phase::Troubled(reason);
                 None
             }
-            Phase::Bounded(bound) if bound > 1 => self.change_to(now, Phase::Bounded(1), reason),
-            Phase::Bounded(_) => {
-                self.had_trouble = true;
-                None
+            Phase::Bounded(bound) if bound > 1 => {
+                Some(self.change_to(now, Phase::Bounded(1), reason))
             }
-            Phase::Troubled(_) => None,
+            Phase::Bounded(_) | Phase::Troubled(_) => None,
         }
     }
 
@@ -328,7 +338,7 @@
     pub fn on_answer(&mut self, now: Instant) -> Option<PaceChange> {
         self.failures = 0;
         match self.phase {
-            Phase::Troubled(reason) => self.begin(now, reason),
+            Phase::Troubled(reason) => Some(self.begin(now, reason)),
             _ => None,
         }
     }
@@ -337,7 +347,7 @@
     pub fn on_refusal(&mut self, now: Instant) -> Option<PaceChange> {
         let bound = self.bound().filter(|bound| *bound > 1)?;
         self.had_trouble = true;
-        self.change_to(now, Phase::Bounded(bound / 2), PaceReason::Refused)
+        Some(self.change_to(now, Phase::Bounded(bound / 2), PaceReason::Refused))
     }
 
     /// Whether a response time needs to be compared with the peers. This is not so for most
@@ -355,10 +365,10 @@
         match self.phase {
             Phase::Bounded(bound) => self.on_bounded_sample(now, bound, ms, r),
             Phase::Settled if r.peers_ms.is_some_and(|peers| ms <= peers * r.slow_ratio) => {
-                self.change_to(now, Phase::Free, PaceReason::Normal)
+                Some(self.change_to(now, Phase::Free, PaceReason::Normal))
             }
             Phase::Free if r.peers_ms.is_some_and(|peers| ms > peers * r.slow_ratio) => {
-                self.begin(now, PaceReason::Slow)
+                Some(self.begin(now, PaceReason::Slow))
             }
             _ => None,
         }
@@ -387,9 +397,9 @@
             None => bound + 1,
         };
         if raised >= r.slots {
-            return self.change_to(now, Phase::Free, PaceReason::Normal);
+            return Some(self.change_to(now, Phase::Free, PaceReason::Normal));
         }
-        self.change_to(now, Phase::Bounded(raised), PaceReason::Normal)
+        Some(self.change_to(now, Phase::Bounded(raised), PaceReason::Normal))
     }
 
     fn on_slow_sample(&mut self, now: Instant, bound: u32, slots: u32) -> Option<PaceChange> {
@@ -400,30 +410,30 @@
             } else {
                 Phase::Bounded(bound + 1)
             };
-            return self.change_to(now, phase, PaceReason::Stable);
+            return Some(self.change_to(now, phase, PaceReason::Stable));
         }
         let lowered = (bound / 2).max(1);
         if lowered == bound && self.change > 0 {
             return None;
         }
-        self.change_to(now, Phase::Bounded(lowered), PaceReason::StillSlow)
+        Some(self.change_to(now, Phase::Bounded(lowered), PaceReason::StillSlow))
     }
 
     /// Begins a warm-up of a replica that answers again.
-    fn begin(&mut self, now: Instant, reason: PaceReason) -> Option<PaceChange> {
+    fn begin(&mut self, now: Instant, reason: PaceReason) -> PaceChange {
         self.begun_at = Some(now);
         self.had_trouble = true;
         self.progress = Progress::default();
         self.change_to(now, Phase::Bounded(1), reason)
     }
 
-    fn change_to(&mut self, now: Instant, phase: Phase, reason: PaceReason) -> Option<PaceChange> {
+    fn change_to(&mut self, now: Instant, phase: Phase, reason: PaceReason) -> PaceChange {
         self.change = self.change.saturating_add(1);
         self.is_author = true;
         self.enter(now, phase, reason)
     }
 
-    fn enter(&mut self, now: Instant, phase: Phase, reason: PaceReason) -> Option<PaceChange> {
+    fn enter(&mut self, now: Instant, phase: Phase, reason: PaceReason) -> PaceChange {
         self.phase = phase;
         self.reported_until = Some(now + REPORT_TIME);
         if self.bound().is_none() {
@@ -434,13 +444,13 @@
         if phase == Phase::Settled {
             self.usual.replace(self.progress.smoothed_ms());
         }
-        Some(PaceChange {
+        PaceChange {
             bound: self.bound(),
             reason,
             since: self
                 .begun_at
                 .map_or(Duration::ZERO, |at| now.saturating_duration_since(at)),
-        })
+        }
     }
 
     /// The bound for the other instances, if this one has to report it.
@@ -448,7 +458,7 @@
         let may_report = self.is_author || is_designated;
         let bound = match self.phase {
             Phase::Bounded(bound) => Some(bound),
-            Phase::Settled => Some(slots),
+            Phase::Settled => Some(slots.max(MIN_SETTLED_BOUND)),
             Phase::Free | Phase::Troubled(_) => None,
         };
         (may_report && self.is_reported(now)).then_some(PaceReport {
@@ -482,7 +492,7 @@
         }
         let phase = match report.bound {
             None => Phase::Free,
-            Some(bound) if bound >= slots.max(2) => Phase::Settled,
+            Some(bound) if bound >= slots.max(MIN_SETTLED_BOUND) => Phase::Settled,
             Some(bound) => Phase::Bounded(bound.max(1)),
         };
         let is_tie = report.change == self.change;
@@ -502,7 +512,7 @@
             self.progress = Progress::default();
         }
         self.had_trouble = true;
-        self.enter(now, phase, PaceReason::Reported)
+        Some(self.enter(now, phase, PaceReason::Reported))
     }
 }
 
--- a/crates/decisions/tests/warm_up.rs
+++ b/crates/decisions/tests/warm_up.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
-use kingcupfield_decisions::warm_up::{PaceReason, PaceReport, Reference, WarmUp};
+use kingcupfield_decisions::dispatch::{Dispatcher, Replica};
+use kingcupfield_decisions::scheduling::{SchedulingOptions, WarmUpOptions};
+use kingcupfield_decisions::warm_up::{InFlight, PaceReason, PaceReport, Reference, WarmUp};
 use tokio::time::Instant;
 use yare::parameterized;
 
@@ -21,7 +23,7 @@
 const FROM_MS: u64 = 10_000;
 const WELL_MS: u64 = 14_000;
 
-const SEEDS: [u64; 4] = [1, 2, 3, 4];
+const SEEDS: [u64; 6] = [1, 2, 3, 4, 5, 6];
 
 fn started(replica: usize, factor: f64) -> Fault {
     recovered(replica, Kind::Slow(factor), true)
@@ -141,6 +143,20 @@
     assert!(share >= 0.7, "share {share}");
 }
 
+/// Every replica is five times slower in a quarter of each 600 ms, because it shares its machine.
+fn slow_in_periods() -> Vec<Fault> {
+    let periods = (0..40).flat_map(|n| (0..6).map(move |r| (n, r)));
+    let fault = |(n, replica): (u64, usize)| {
+        let from_ms = n * 600 + replica as u64 * 100;
+        Fault {
+            from_ms,
+            to_ms: from_ms + 150,
+            ..recovered(replica, Kind::Slow(5.0), false)
+        }
+    };
+    periods.map(fault).collect()
+}
+
 struct Comparison {
     change: fn(&mut Plan),
     max_cost: f64,
@@ -154,6 +170,7 @@
     little_load = { Comparison { change: |p| p.requests_per_s = 6.0, max_cost: 0.01 } },
     full_load = { Comparison { change: |p| p.requests_per_s = 110.0, max_cost: 0.02 } },
     whole_zone = { Comparison { change: |p| p.faults = (0..6).map(|r| started(r, 6.0)).collect(), max_cost: 0.03 } },
+    shared_machines = { Comparison { change: |p| (p.faults, p.requests_per_s) = (slow_in_periods(), 35.0), max_cost: 0.01 } },
     whole_zone_at_full_speed = { Comparison { change: |p| p.faults = (0..6).map(|r| started(r, 1.0)).collect(), max_cost: 0.01 } },
 )]
 fn the_bound_costs_no_more_than_it_saves(case: Comparison) {
@@ -190,7 +207,7 @@
 )]
 fn the_newest_bound_holds(case: Ordered) {
     let now = Instant::now();
-    let mut warm_up = WarmUp::new(1, &"r".into(), true);
+    let mut warm_up = WarmUp::new(1, &"r".into());
     warm_up.on_report(now, case.known, 4);
     warm_up.on_report(now, case.report, 4);
     assert_eq!(warm_up.bound(), case.expected);
@@ -214,7 +231,7 @@
 )]
 fn responses_set_the_bound(case: Response) {
     let now = Instant::now();
-    let mut warm_up = WarmUp::new(1, &"r".into(), true).with_age(now, Duration::ZERO);
+    let mut warm_up = WarmUp::new(1, &"r".into()).with_age(now, Duration::ZERO);
     warm_up.on_stated_work_time(case.stated_percent);
     let reference = Reference {
         peers_ms: case.peers_ms,
@@ -228,3 +245,60 @@
     let failed = warm_up.on_trouble(now, PaceReason::Failed);
     assert!(failed.is_none_or(|c| c.bound == Some(1)));
 }
+
+struct StandIn {
+    is_known_late: bool,
+    free_ms: u64,
+    total: u32,
+    admits: bool,
+}
+
+/// A designated instance without requests would leave the replica idle. If all others tried it at once,
+/// a fleet would have a request of each instance there.
+#[parameterized(
+    at_once = { StandIn { is_known_late: false, free_ms: 0, total: 0, admits: false } },
+    after_a_while = { StandIn { is_known_late: false, free_ms: 500, total: 0, admits: true } },
+    of_another_zone = { StandIn { is_known_late: true, free_ms: 1000, total: 0, admits: false } },
+    of_another_zone_after_long = { StandIn { is_known_late: true, free_ms: 10_000, total: 0, admits: true } },
+    full = { StandIn { is_known_late: false, free_ms: 500, total: 1, admits: false } },
+)]
+fn others_leave_the_last_place_to_the_designated_instance(case: StandIn) {
+    let now = Instant::now();
+    let warm_up = WarmUp::new(1, &"r".into()).with_age(now, Duration::ZERO);
+    let load = InFlight {
+        own: 0,
+        total: case.total,
+        free_for: Duration::from_millis(case.free_ms),
+        is_known_late: case.is_known_late,
+        is_designated: false,
+    };
+    assert_eq!(warm_up.admits(now, load), case.admits);
+}
+
+/// The speed of an engine shows in the gaps of its streams, long before they end.
+#[test]
+fn the_gaps_of_an_engine_set_its_bound() {
+    let now = Instant::now();
+    let engine = |id, incarnation| Replica {
+        slots: 4,
+        is_engine: true,
+        ..plain_service::replica(id, incarnation)
+    };
+    let mut dispatcher = Dispatcher::new().with_address(1);
+    dispatcher.set_options(SchedulingOptions {
+        warm_up: Some(WarmUpOptions { slow_ratio: 2.0 }),
+        ..SchedulingOptions::default()
+    });
+    dispatcher.set_unix_time(now, 1_000_000);
+    dispatcher.update_replicas(now, &[engine("old", 0), engine("young", 999_000)]);
+    let mut bound_after = |id: &str, gap_ms| {
+        for _ in 0..5 {
+            dispatcher.on_events(now, &id.into(), 1, Duration::from_millis(gap_ms));
+        }
+        dispatcher.paces().map(|(_, bound)| bound).next()
+    };
+    assert_eq!(bound_after("old", 9), Some(1));
+    assert_eq!(bound_after("young", 54), Some(1));
+    assert_eq!(bound_after("young", 9), Some(2));
+    assert_eq!(bound_after("young", 9), None);
+}
