Let failures lower a bound only if others of the service fail less

In a trial with real processes, requests that fail at every replica kept young replicas at one request: 66 of 155 changes of a fleet had the reason failed. A failure now counts only if the share of failures here is above the lowest of the service, as for the cost of a replica.

--- a/crates/decisions/src/dispatch/pacing.rs
+++ b/crates/decisions/src/dispatch/pacing.rs
@@ -12,10 +12,6 @@
 /// Gaps between events of an engine's streams whose median is one sample of its speed.
 const GAPS_PER_SAMPLE: usize = 5;
 
-/// Failure share above the lowest of the service from which a replica fails and not the requests: three
-/// failures within three seconds.
-const FAILING_SHARE: f64 = 0.3;
-
 /// Changes that are kept until they are logged; more are dropped.
 const MAX_CHANGES: usize = 256;
 
@@ -136,12 +132,15 @@
         if self.options.warm_up.is_none() {
             return;
         }
-        let others_fail_less = outcome == Outcome::Failed && self.is_failing(now, index);
+        let share_above_lowest = match outcome {
+            Outcome::Failed => self.failure_share_above_lowest(now, index),
+            _ => 0.0,
+        };
         let warm_up = &mut self.upstreams[index].warm_up;
         let change = match outcome {
             Outcome::Unreachable => warm_up.on_trouble(now, PaceReason::Silent),
             _ if was_silent => warm_up.on_trouble(now, PaceReason::Silent),
-            Outcome::Failed => warm_up.on_failure(now, others_fail_less),
+            Outcome::Failed => warm_up.on_failure(now, share_above_lowest),
             Outcome::Full => warm_up.on_refusal(now),
             _ => None,
         };
@@ -241,11 +240,10 @@
         }
     }
 
-    /// Whether requests fail at this replica and not at others of its service.
-    fn is_failing(&self, now: Instant, index: usize) -> bool {
+    /// Failure share of a replica above the lowest of its service.
+    fn failure_share_above_lowest(&self, now: Instant, index: usize) -> f64 {
         let u = &self.upstreams[index];
-        let lowest = self.lowest_failure_share(now, &u.replica.service);
-        u.latency.failure_share(now) - lowest >= FAILING_SHARE
+        u.latency.failure_share(now) - self.lowest_failure_share(now, &u.replica.service)
     }
 
     /// Keeps the bound of a replica that has just started for the log.
--- a/crates/decisions/src/warm_up.rs
+++ b/crates/decisions/src/warm_up.rs
@@ -31,11 +31,16 @@
 /// The same for a replica whose requests fail: each trial costs its caller a failure.
 const FAILING_TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The same for a settled replica that is slower than its peers and may become well later.
+const SETTLED_TRIAL_INTERVAL: Duration = Duration::from_secs(3);
+
 /// Failures without a response in between, at one instance, from which a replica counts as failing.
 const MIN_FAILURES: u32 = 3;
 
-/// The same for a settled replica that is slower than its peers and may become well later.
-const SETTLED_TRIAL_INTERVAL: Duration = Duration::from_secs(3);
+/// Failure share above the lowest of the service from which the replica fails and not the requests:
+/// three failures within three seconds, or one during a warm-up.
+const FAILING_SHARE: f64 = 0.3;
+const FAILING_SHARE_IN_WARM_UP: f64 = 0.15;
 
 /// Time for which the last place below the bound must have been free until an instance of the zone
 /// that is not designated uses it, and the time that is added for its rank.
@@ -322,13 +327,17 @@
         }
     }
 
-    /// Records that a request failed, and whether others of the service fail less.
-    pub fn on_failure(&mut self, now: Instant, others_fail_less: bool) -> Option<PaceChange> {
+    /// Records that a request failed, and the failure share above the lowest of the service. Requests
+    /// that fail at all replicas don't show that this one is in trouble.
+    pub fn on_failure(&mut self, now: Instant, share_above_lowest: f64) -> Option<PaceChange> {
         self.failures = self.failures.saturating_add(1);
         if self.bound().is_some() {
-            return self.on_trouble(now, PaceReason::Failed);
+            let has_failed = share_above_lowest >= FAILING_SHARE_IN_WARM_UP;
+            return has_failed
+                .then(|| self.on_trouble(now, PaceReason::Failed))
+                .flatten();
         }
-        let is_failing = others_fail_less && self.failures >= MIN_FAILURES;
+        let is_failing = share_above_lowest >= FAILING_SHARE && self.failures >= MIN_FAILURES;
         is_failing
             .then(|| self.on_trouble(now, PaceReason::Failing))
             .flatten()
