End bounds that nobody confirms any more

A bound at a replica could outlive the messages that would end it: its designated author restarted, the last report was lost, more than 64 entries were due and always the same ones were sent, or a young replica could not be reached once. A bound now ends 5 s after the last change, report or request of this instance, equal reports renew it, holders repeat a newer state that an outdated report shows to be missed, entries are sent in turn, and a number of changes that could not be superseded is replaced.

--- a/crates/decisions/src/dispatch/pacing.rs
+++ b/crates/decisions/src/dispatch/pacing.rs
@@ -48,6 +48,24 @@
         })
     }
 
+    /// At most `max` of the own reports. If there are more, each second has the next ones, so that all
+    /// are sent in turn.
+    pub fn own_pace_reports_in_turn(
+        &self,
+        now: Instant,
+        max: usize,
+    ) -> Vec<(&UpstreamId, u64, PaceReport)> {
+        let mut reports: Vec<_> = self.own_pace_reports(now).collect();
+        if reports.len() > max {
+            let seconds = self.unix_ms(now).unwrap_or_default() / 1000;
+            let first = seconds as usize * max % reports.len();
+            reports.rotate_left(first);
+            reports.truncate(max);
+            reports.sort_unstable_by_key(|(id, ..)| *id);
+        }
+        reports
+    }
+
     /// Applies what another instance reports about the bound of a replica.
     pub fn on_peer_pace_report(
         &mut self,
@@ -105,9 +123,13 @@
 
     /// Time since a start in Unix milliseconds; `None` while the clock is unknown.
     fn age(&self, now: Instant, start_unix_ms: u64) -> Option<Duration> {
+        let unix_ms = self.unix_ms(now)?;
+        Some(Duration::from_millis(unix_ms.saturating_sub(start_unix_ms)))
+    }
+
+    fn unix_ms(&self, now: Instant) -> Option<u64> {
         let (at, unix_ms) = self.unix_time?;
-        let age_then = Duration::from_millis(unix_ms.saturating_sub(start_unix_ms));
-        Some(age_then + now.saturating_duration_since(at))
+        Some(unix_ms + now.saturating_duration_since(at).as_millis() as u64)
     }
 
     /// Discards all bounds when the option is switched off.
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -219,6 +219,7 @@
             || self.connect_failures > 0
             || self.said_leaving
             || self.limit.own_report(now).is_some()
+            || self.warm_up.bound().is_some()
             || self.warm_up.is_reported(now)
     }
 
@@ -291,6 +292,9 @@
     /// Records since when the replica has had room; returns whether it can accept another request
     /// now.
     pub(super) fn update_free_since(&mut self, now: Instant) -> bool {
+        if !self.running.is_empty() {
+            self.warm_up.confirm(now);
+        }
         self.warm_up.expire(now);
         if !self.has_room() {
             self.free_since = None;
--- a/crates/decisions/src/warm_up.rs
+++ b/crates/decisions/src/warm_up.rs
@@ -52,9 +52,26 @@
 const LATE_STAND_IN_DELAY: Duration = Duration::from_secs(5);
 const LATE_STAND_IN_SPREAD: Duration = Duration::from_secs(5);
 
-/// Time for which a change is repeated in the messages to other instances.
+/// Time for which the end of a bound is repeated in the messages to other instances.
 const REPORT_TIME: Duration = YOUNG_AGE;
 
+/// Time for which a bound is repeated after the last response or failure that it rests on. Together with
+/// [`UNCONFIRMED_BOUND_TIME`] it is below 10 s, so that two instances can't confirm each other's bound
+/// for longer.
+const BOUND_REPORT_TIME: Duration = Duration::from_secs(4);
+
+/// Time without a change or a report after which a bound ends. The report that would end it may be lost,
+/// or its author may have restarted. Digests from other regions may be some seconds apart.
+const UNCONFIRMED_BOUND_TIME: Duration = Duration::from_secs(5);
+
+/// Age of a change from which an older one that is reported is outdated, and not merely late.
+const OUTDATED_REPORT_DELAY: Duration = Duration::from_millis(1500);
+
+/// Largest number of changes that is taken from a report; a larger one, which no replica reaches, is
+/// replaced by [`REPLACED_CHANGE`], so that later changes can supersede it.
+const MAX_REPORTED_CHANGE: u32 = u32::MAX / 2;
+const REPLACED_CHANGE: u32 = MAX_REPORTED_CHANGE / 2;
+
 /// Smallest bound that means that a replica is settled, also if it has one slot.
 const MIN_SETTLED_BOUND: u32 = 2;
 
@@ -184,7 +201,12 @@
     progress: Progress,
     last_dispatch_at: Option<Instant>,
     last_report_at: Option<Instant>,
+    /// Time at which the bound was last changed, reported, or met by a request of this instance.
+    confirmed_at: Option<Instant>,
+    changed_at: Option<Instant>,
     reported_until: Option<Instant>,
+    /// End of the time in which this instance reports although it is neither author nor designated.
+    repeated_until: Option<Instant>,
     quick_until: Option<Instant>,
     /// Rank of this instance among those that stand in for the designated one, from 0 to 1.
     stand_in_rank: f64,
@@ -298,11 +320,27 @@
         self.last_dispatch_at = Some(now);
     }
 
-    /// Ends the bound of a replica that is not young any more and was never tried.
+    /// Ends a bound that nobody confirms, and that of an untried replica once it is not young any more.
     pub fn expire(&mut self, now: Instant) {
-        let is_over = self.young_until.is_some_and(|until| now >= until);
-        if is_over && self.change == 0 && !self.had_trouble && self.bound().is_some() {
+        let until = if self.change == 0 {
+            self.young_until
+        } else {
+            self.confirmed_at.map(|at| at + UNCONFIRMED_BOUND_TIME)
+        };
+        if self.bound().is_some() && until.is_none_or(|until| now >= until) {
             self.phase = Phase::Free;
+            self.had_trouble = false;
+            self.reported_until = None;
+            self.quick_until = Some(now + QUICK_LEARNING_TIME);
+            self.usual.end_streak();
+        }
+    }
+
+    /// Records that the bound rests on a request of this instance, which is in flight or has ended.
+    pub fn confirm(&mut self, now: Instant) {
+        if self.bound().is_some() {
+            self.confirmed_at = Some(now);
+            self.reported_until = Some(now + BOUND_REPORT_TIME);
         }
     }
 
@@ -323,7 +361,11 @@
             Phase::Bounded(bound) if bound > 1 => {
                 Some(self.change_to(now, Phase::Bounded(1), reason))
             }
-            Phase::Bounded(_) | Phase::Troubled(_) => None,
+            Phase::Bounded(_) => {
+                self.confirm(now);
+                None
+            }
+            Phase::Troubled(_) => None,
         }
     }
 
@@ -390,7 +432,7 @@
         ms: f64,
         r: &Reference,
     ) -> Option<PaceChange> {
-        self.reported_until = Some(now + REPORT_TIME);
+        self.confirm(now);
         self.progress.on_sample(now, ms);
         let states_slow = self
             .stated_percent
@@ -444,7 +486,9 @@
 
     fn enter(&mut self, now: Instant, phase: Phase, reason: PaceReason) -> PaceChange {
         self.phase = phase;
-        self.reported_until = Some(now + REPORT_TIME);
+        self.changed_at = Some(now);
+        self.confirmed_at = Some(now);
+        self.keep_reporting(now);
         if self.bound().is_none() {
             self.quick_until = Some(now + QUICK_LEARNING_TIME);
             self.usual.end_streak();
@@ -462,9 +506,19 @@
         }
     }
 
+    /// Continues to report the bound, or that there is none.
+    fn keep_reporting(&mut self, now: Instant) {
+        let time = match self.phase {
+            Phase::Bounded(_) => BOUND_REPORT_TIME,
+            _ => REPORT_TIME,
+        };
+        self.reported_until = Some(now + time);
+    }
+
     /// The bound for the other instances, if this one has to report it.
     pub fn report(&self, now: Instant, is_designated: bool, slots: u32) -> Option<PaceReport> {
-        let may_report = self.is_author || is_designated;
+        let repeats = self.repeated_until.is_some_and(|until| now < until);
+        let may_report = self.is_author || is_designated || repeats;
         let bound = match self.phase {
             Phase::Bounded(bound) => Some(bound),
             Phase::Settled => Some(slots.max(MIN_SETTLED_BOUND)),
@@ -483,7 +537,7 @@
 
     /// Whether a report replaces what is known, and tells that the replica is well.
     pub fn ends_with(&self, report: PaceReport) -> bool {
-        report.change > self.change && report.bound.is_none()
+        reported_change(report) > self.change && report.bound.is_none()
     }
 
     /// Applies the report of another instance. More changes replace fewer; at equal numbers the
@@ -494,9 +548,9 @@
         report: PaceReport,
         slots: u32,
     ) -> Option<PaceChange> {
-        if report.change < self.change {
-            // The sender missed a change, which is repeated.
-            self.reported_until = Some(now + REPORT_TIME);
+        let reported = reported_change(report);
+        if reported < self.change {
+            self.on_outdated_report(now);
             return None;
         }
         let phase = match report.bound {
@@ -504,15 +558,20 @@
             Some(bound) if bound >= slots.max(MIN_SETTLED_BOUND) => Phase::Settled,
             Some(bound) => Phase::Bounded(bound.max(1)),
         };
-        let is_tie = report.change == self.change;
-        if is_tie && (report.change == 0 || rank(phase) >= rank(self.phase)) {
+        let is_tie = reported == self.change;
+        if is_tie && phase == self.phase {
+            self.confirmed_at = Some(now);
+        }
+        if is_tie && (reported == 0 || rank(phase) >= rank(self.phase)) {
             return None;
         }
         self.last_report_at = Some(now);
-        self.reported_until = Some(now + REPORT_TIME);
-        self.change = report.change;
+        self.change = reported;
         self.is_author = false;
         if phase == self.phase {
+            self.changed_at = Some(now);
+            self.confirmed_at = Some(now);
+            self.keep_reporting(now);
             self.quick_until = Some(now + QUICK_LEARNING_TIME);
             return None;
         }
@@ -523,6 +582,25 @@
         self.had_trouble = true;
         Some(self.enter(now, phase, PaceReason::Reported))
     }
+
+    /// Repeats the own state, because the sender of an older one missed a change. Its author may have
+    /// restarted, so every holder does so.
+    fn on_outdated_report(&mut self, now: Instant) {
+        let is_late = |at| now.saturating_duration_since(at) < OUTDATED_REPORT_DELAY;
+        if !self.changed_at.is_some_and(is_late) {
+            self.repeated_until = Some(now + BOUND_REPORT_TIME);
+        }
+        self.keep_reporting(now);
+    }
+}
+
+/// Number of changes of a report, as far as it is plausible.
+fn reported_change(report: PaceReport) -> u32 {
+    if report.change > MAX_REPORTED_CHANGE {
+        REPLACED_CHANGE
+    } else {
+        report.change
+    }
 }
 
 /// Order of phases that were reached with the same number of changes; the lowest holds.
--- a/crates/decisions/tests/warm_up.rs
+++ b/crates/decisions/tests/warm_up.rs
@@ -8,7 +8,9 @@
 
 use kingcupfield_decisions::dispatch::{Dispatcher, Replica};
 use kingcupfield_decisions::scheduling::{SchedulingOptions, WarmUpOptions};
-use kingcupfield_decisions::warm_up::{InFlight, PaceReport, Reference, WarmUp};
+use kingcupfield_decisions::warm_up::{
+    InFlight, PaceReason, PaceReport, Reference, WarmUp, YOUNG_AGE,
+};
 use tokio::time::Instant;
 use yare::parameterized;
 
@@ -127,6 +129,20 @@
     assert!(late < case.max_late, "late {late}");
 }
 
+/// A replica that is no longer young recovers, and half of the instances restart during its warm-up:
+/// among them are authors of its bound, which the others would then keep for good.
+#[test]
+fn a_recovered_replica_gets_its_share_after_a_restart_of_instances() {
+    let faults = [0, 1].map(|r| recovered(r, Kind::Slow(6.0), false));
+    let plan = Plan {
+        half_restarts_at_ms: Some(13_500),
+        ..Plan::new(&faults)
+    };
+    let share = mean(&plan, |r| share(r, 2, WELL_MS + 2000));
+    println!("share {share:.2}");
+    assert!(share >= 0.7, "share {share}");
+}
+
 /// A third of the replicas is always 4.4 times slower. One that starts again must not stay bounded, as
 /// its slots are needed.
 #[test]
@@ -213,6 +229,124 @@
     assert_eq!(warm_up.bound(), case.expected);
 }
 
+/// Seconds within which a bound without news has to end.
+const MAX_UNCONFIRMED_S: u64 = 10;
+
+/// A bound whose end nobody reports would hold back the replica for good: the designated author of the
+/// bound has restarted, and the replica is no longer young.
+#[test]
+fn a_bound_ends_if_nobody_reports_it() {
+    let now = Instant::now();
+    let mut warm_up = WarmUp::new(1, &"r".into());
+    warm_up.on_report(now, pace(Some(1), 1), 4);
+    let later = |s| now + Duration::from_secs(s);
+    for s in 0..20 {
+        warm_up.on_report(later(s), pace(Some(1), 1), 4);
+        warm_up.expire(later(s));
+        assert_eq!(warm_up.bound(), Some(1), "reported until {s} s");
+    }
+    warm_up.expire(later(19 + MAX_UNCONFIRMED_S));
+    assert_eq!(warm_up.bound(), None);
+}
+
+/// A replica that could not be reached once would otherwise keep its bound for good.
+#[test]
+fn the_bound_of_a_young_replica_ends_after_a_failure_to_connect() {
+    let now = Instant::now();
+    let mut warm_up = WarmUp::new(1, &"r".into()).with_age(now, Duration::ZERO);
+    warm_up.on_trouble(now, PaceReason::Silent);
+    warm_up.expire(now + YOUNG_AGE);
+    assert_eq!(warm_up.bound(), None);
+}
+
+/// Two instances that miss the end of a bound would otherwise confirm it to each other for good.
+#[test]
+fn instances_behind_a_one_way_link_do_not_confirm_each_other() {
+    let now = Instant::now();
+    let mut author = WarmUp::new(1, &"r".into()).with_age(now, Duration::ZERO);
+    let reference = Reference {
+        peers_ms: Some(50.0),
+        slow_ratio: 2.0,
+        slots: 4,
+    };
+    author.on_sample(now, 300.0, &reference);
+    let mut designated = WarmUp::new(2, &"r".into());
+    for ms in (0..MAX_UNCONFIRMED_S * 1000).step_by(100) {
+        let at = now + Duration::from_millis(ms);
+        if let Some(report) = author.report(at, false, 4) {
+            designated.on_report(at, report, 4);
+        }
+        if let Some(report) = designated.report(at, true, 4) {
+            author.on_report(at, report, 4);
+        }
+        author.expire(at);
+        designated.expire(at);
+    }
+    assert_eq!((author.bound(), designated.bound()), (None, None));
+}
+
+/// A holder that is neither author nor designated is the only one that knows the newest state if the
+/// author restarts.
+#[test]
+fn a_holder_repeats_what_an_outdated_report_missed() {
+    let now = Instant::now();
+    let mut holder = WarmUp::new(1, &"r".into());
+    holder.on_report(now, pace(None, 3), 4);
+    assert_eq!(holder.report(now, false, 4), None);
+    let later = now + Duration::from_secs(40);
+    holder.on_report(later, pace(Some(1), 2), 4);
+    assert_eq!(holder.report(later, false, 4), Some(pace(None, 3)));
+}
+
+/// The largest number of changes could not be superseded by any other.
+#[test]
+fn the_largest_number_of_changes_is_superseded() {
+    let now = Instant::now();
+    let largest = pace(Some(1), u32::MAX);
+    let mut peers = [1, 2].map(|address| WarmUp::new(address, &"r".into()));
+    for peer in &mut peers {
+        peer.on_report(now, largest, 2);
+    }
+    let reference = Reference {
+        peers_ms: Some(50.0),
+        slow_ratio: 2.0,
+        slots: 2,
+    };
+    peers[0].on_sample(now, 50.0, &reference);
+    let report = peers[0].report(now, false, 2);
+    peers[1].on_report(now, report.expect("a report of its author"), 2);
+    peers[1].on_report(now, largest, 2);
+    assert_eq!(peers.map(|p| p.bound()), [None, None]);
+}
+
+/// A message has 64 entries. If they were always the same ones, the bounds of the other replicas would
+/// end without a reason, or not be known.
+#[test]
+fn a_hundred_bounds_are_reported_in_turn() {
+    let now = Instant::now();
+    let mut dispatcher = Dispatcher::new().with_address(1);
+    dispatcher.set_options(SchedulingOptions {
+        warm_up: Some(WarmUpOptions { slow_ratio: 2.0 }),
+        ..SchedulingOptions::default()
+    });
+    dispatcher.set_unix_time(now, 1_000_000);
+    dispatcher.update_members(now, Some(vec![1]));
+    let replicas: Vec<Replica> = (0..100)
+        .map(|r| plain_service::replica(&format!("r-{r}"), 0))
+        .collect();
+    dispatcher.update_replicas(now, &replicas);
+    for r in &replicas {
+        dispatcher.on_peer_pace_report(now, &r.id, 0, pace(Some(1), 1));
+    }
+    let mut reported: Vec<_> = (0..3)
+        .flat_map(|s| dispatcher.own_pace_reports_in_turn(now + Duration::from_secs(s), 64))
+        .map(|(id, ..)| id)
+        .collect();
+    reported.sort_unstable();
+    reported.dedup();
+    assert_eq!(reported.len(), 100);
+}
+
 struct Response {
     peers_ms: Option<f64>,
     stated_percent: Option<u32>,
--- a/crates/entry/src/node/paces.rs
+++ b/crates/entry/src/node/paces.rs
@@ -15,16 +15,18 @@
     /// Bounds that this instance reports to the others; at most [`MAX_REPORTS`].
     pub fn own_pace_reports(&self) -> Vec<ReplicaPaceReport> {
         let dispatch = self.dispatch.borrow();
-        let reports = dispatch.own_pace_reports(Instant::now());
-        let reports = reports.map(|(id, incarnation, report)| ReplicaPaceReport {
-            replica: name_hash(id),
-            incarnation,
-            bound: report
-                .bound
-                .map(|bound| u16::try_from(bound).unwrap_or(u16::MAX)),
-            change: report.change,
-        });
-        reports.take(MAX_REPORTS).collect()
+        let reports = dispatch.own_pace_reports_in_turn(Instant::now(), MAX_REPORTS);
+        let reports = reports
+            .into_iter()
+            .map(|(id, incarnation, report)| ReplicaPaceReport {
+                replica: name_hash(id),
+                incarnation,
+                bound: report
+                    .bound
+                    .map(|bound| u16::try_from(bound).unwrap_or(u16::MAX)),
+                change: report.change,
+            });
+        reports.collect()
     }
 
     /// Applies the bounds that another instance reports.
