Let one instance of another zone try a bounded replica after a second

A replica whose own zone has no requests idled for 5 to 10 s at the instances of other zones, which made no trials at all. They now wait 1 to 1.5 s for the last place below the bound, and the one with the lowest rank of each zone makes trials.

--- a/crates/decisions/src/dispatch/pacing.rs
+++ b/crates/decisions/src/dispatch/pacing.rs
@@ -7,7 +7,7 @@
 use super::upstream::{Replica, Upstream};
 use super::{Dispatcher, JobId, Outcome};
 use crate::id::{InstanceAddress, UpstreamId};
-use crate::warm_up::{InFlight, PaceChange, PaceReason, PaceReport, Reference, WarmUp};
+use crate::warm_up::{self, InFlight, PaceChange, PaceReason, PaceReport, Reference, WarmUp};
 
 /// Gaps between events of an engine's streams whose median is one sample of its speed.
 const GAPS_PER_SAMPLE: usize = 5;
@@ -121,6 +121,14 @@
         }
     }
 
+    /// Whether this instance is the first of its zone to stand in for the designated one of a replica.
+    pub(super) fn is_first_stand_in(&self, replica: &UpstreamId) -> bool {
+        let own = warm_up::stand_in_rank(self.own_address, replica);
+        let members = self.members.as_deref().unwrap_or_default();
+        let mut ranks = members.iter().map(|m| warm_up::stand_in_rank(*m, replica));
+        ranks.all(|rank| rank >= own)
+    }
+
     /// Time since a start in Unix milliseconds; `None` while the clock is unknown.
     fn age(&self, now: Instant, start_unix_ms: u64) -> Option<Duration> {
         let unix_ms = self.unix_ms(now)?;
@@ -349,6 +357,7 @@
             free_for: self.free_duration(now),
             is_known_late: !self.propagation_delay().is_zero(),
             is_designated: self.cold_gate.is_designated(),
+            is_first_stand_in: self.is_first_stand_in,
         }
     }
 
--- a/crates/decisions/src/dispatch/published.rs
+++ b/crates/decisions/src/dispatch/published.rs
@@ -96,6 +96,7 @@
         let warm_up = self.new_warm_up(now, replica, is_restart);
         self.keep_new_pace(&replica.id, &warm_up);
         let mut upstream = Upstream::new(replica.clone(), cold_gate, warm_up);
+        upstream.is_first_stand_in = self.is_first_stand_in(&replica.id);
         self.departed.restore(&mut upstream);
         let limit = &mut upstream.limit;
         limit.on_fleet_change(now, &replica.id, &self.fleet);
@@ -115,8 +116,15 @@
             .iter()
             .map(|u| self.is_designated(&u.replica))
             .collect();
-        for (u, designated) in self.upstreams.iter_mut().zip(designated) {
+        let first: Vec<bool> = self
+            .upstreams
+            .iter()
+            .map(|u| self.is_first_stand_in(&u.replica.id))
+            .collect();
+        let roles = designated.into_iter().zip(first);
+        for (u, (designated, first)) in self.upstreams.iter_mut().zip(roles) {
             u.cold_gate.set_designated(now, designated);
+            u.is_first_stand_in = first;
         }
     }
 
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -161,6 +161,8 @@
     pub(super) said_leaving: bool,
     /// Time for which the replica wants no request of this instance.
     pub(super) rest: Rest,
+    /// Whether this instance is the first of its zone to stand in for the designated one.
+    pub(super) is_first_stand_in: bool,
     /// Bound on the requests in flight after a start or a recovery.
     pub(super) warm_up: WarmUp,
     /// Times per token since the last sample of the speed for the warm-up, in milliseconds.
@@ -185,6 +187,7 @@
             limit: ReplicaLimit::default(),
             said_leaving: false,
             rest: Rest::default(),
+            is_first_stand_in: false,
             warm_up,
             recent_gaps_ms: Vec::new(),
         }
--- a/crates/decisions/src/warm_up.rs
+++ b/crates/decisions/src/warm_up.rs
@@ -48,9 +48,10 @@
 const STAND_IN_SPREAD: Duration = Duration::from_millis(200);
 
 /// The same for instances of other zones and cells, which learn of a request up to a second late and so
-/// miss short ones. So many of them would otherwise take an idle replica for untried.
-const LATE_STAND_IN_DELAY: Duration = Duration::from_secs(5);
-const LATE_STAND_IN_SPREAD: Duration = Duration::from_secs(5);
+/// miss short ones. One instance of each zone makes trials: all of them would take an idle replica for
+/// untried.
+const LATE_STAND_IN_DELAY: Duration = Duration::from_secs(1);
+const LATE_STAND_IN_SPREAD: Duration = Duration::from_millis(500);
 
 /// Time for which the end of a bound is repeated in the messages to other instances.
 const REPORT_TIME: Duration = YOUNG_AGE;
@@ -166,6 +167,8 @@
     pub is_known_late: bool,
     /// Whether this instance is the designated one of the replica.
     pub is_designated: bool,
+    /// Whether this instance is the first of its zone to stand in for the designated one.
+    pub is_first_stand_in: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -217,9 +220,8 @@
 impl WarmUp {
     /// Creates the state of a replica without a bound.
     pub fn new(own: InstanceAddress, replica: &UpstreamId) -> Self {
-        let rank = xxh3_64_with_seed(replica.as_bytes(), u64::from(own));
         Self {
-            stand_in_rank: rank as f64 / u64::MAX as f64,
+            stand_in_rank: stand_in_rank(own, replica) as f64 / u64::MAX as f64,
             ..Self::default()
         }
     }
@@ -284,7 +286,8 @@
             Phase::Free => return false,
             Phase::Bounded(_) => (
                 TRIAL_INTERVAL,
-                load.is_designated || !load.is_known_late && self.stands_in(now, load),
+                load.is_designated
+                    || (load.is_first_stand_in || !load.is_known_late) && self.stands_in(now, load),
             ),
             Phase::Troubled(PaceReason::Failing) => (FAILING_TRIAL_INTERVAL, load.is_designated),
             Phase::Troubled(_) => (TRIAL_INTERVAL, load.is_designated),
@@ -594,6 +597,11 @@
     }
 }
 
+/// Rank of an instance among those that stand in for the designated one of a replica.
+pub fn stand_in_rank(instance: InstanceAddress, replica: &UpstreamId) -> u64 {
+    xxh3_64_with_seed(replica.as_bytes(), u64::from(instance))
+}
+
 /// Number of changes of a report, as far as it is plausible.
 fn reported_change(report: PaceReport) -> u32 {
     if report.change > MAX_REPORTED_CHANGE {
