Keep the order between instances in trials, and use the least urgent request

A trial took the most urgent request at no cost, also if another instance had a more urgent one, and requests that may not be repeated were sent to replicas that failed or were silent. A trial now skips the free time and the sample of the choice only, uses the last waiting request of the service that may be, and one that may be repeated if the replica's last requests failed.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -295,7 +295,7 @@
                 resorts => resorts,
             };
             let candidates = || accepting.iter().chain(resorts).copied();
-            match self.choose_replica(now, w, candidates, &is_connected) {
+            match self.choose_replica(now, w, &self.waiting[i + 1..], candidates, &is_connected) {
                 Some((index, details)) => {
                     let job = self.waiting.remove(i).job;
                     assignments.push(self.start(now, &job, index, details));
--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -109,12 +109,14 @@
 
     /// Chooses the candidate with the lowest cost, as an index; `None` if the request has to wait.
     ///
-    /// If the zone is divided, all replicas of the region are considered once the cell and the
+    /// `later` are the waiting requests of a lower class, or of the same one that arrived later. If the
+    /// zone is divided, all replicas of the region are considered once the cell and the
     /// samples have none with room.
     pub(super) fn choose_replica<F, C, W>(
         &self,
         now: Instant,
         w: &Waiting,
+        later: &[Waiting],
         candidates: F,
         is_connected: &W,
     ) -> Option<(usize, ChoiceDetails)>
@@ -123,18 +125,49 @@
         C: Iterator<Item = usize>,
         W: Fn(&UpstreamId) -> bool,
     {
-        let sampled = self.cheapest(now, w, candidates(), is_connected, Search::Sampled);
+        let trials = self.trials_for(now, w, later, candidates());
+        let sampled = self.cheapest(now, w, &trials, candidates(), is_connected, Search::Sampled);
         if sampled.is_some() || self.cell.is_whole_zone() {
             return sampled;
         }
-        self.cheapest(now, w, candidates(), is_connected, Search::Region)
+        self.cheapest(now, w, &trials, candidates(), is_connected, Search::Region)
     }
 
-    /// The candidate with the lowest cost among those that `search` considers.
+    /// The candidates that need a trial for which the request is used: the last one that waits here and
+    /// may be. A trial may be late, so the most urgent request is not used if there is another.
+    fn trials_for<C>(
+        &self,
+        now: Instant,
+        w: &Waiting,
+        later: &[Waiting],
+        candidates: C,
+    ) -> Vec<usize>
+    where
+        C: Iterator<Item = usize>,
+    {
+        let is_trial = |index: &usize| {
+            let u = &self.upstreams[*index];
+            u.needs_pace_trial(now)
+                && self.may_try(now, u, w)
+                && !later.iter().rev().any(|l| self.may_try(now, u, l))
+        };
+        candidates.filter(is_trial).collect()
+    }
+
+    /// Whether a request may be used for a trial of the replica: no other instance has a more urgent one,
+    /// and its caller does not get the failure of a replica that may fail.
+    fn may_try(&self, now: Instant, u: &Upstream, w: &Waiting) -> bool {
+        is_candidate(u, &w.job)
+            && (w.job.may_repeat || !u.may_fail_trial())
+            && self.required_free_time(now, u, w).is_some()
+    }
+
+    /// The candidate with the lowest cost among those that `search` considers, and the `trials`.
     fn cheapest<C, W>(
         &self,
         now: Instant,
         w: &Waiting,
+        trials: &[usize],
         candidates: C,
         is_connected: &W,
         search: Search,
@@ -156,7 +189,7 @@
             if !is_candidate(u, job) {
                 continue;
             }
-            let is_trial = u.needs_pace_trial(now);
+            let is_trial = trials.contains(&index);
             let may_be_late = is_trial && !u.warm_up.is_free();
             let is_considered =
                 || self.may_claim_slot(now, u, w) && samples.contains(index, self.group(now, u));
@@ -266,16 +299,21 @@
     /// Whether this instance may use the replica's free slot for the request, or must leave it to
     /// another.
     fn may_claim_slot(&self, now: Instant, u: &Upstream, w: &Waiting) -> bool {
-        let id = &u.replica.id;
-        let required = priority::required_free_time(
+        let required = self.required_free_time(now, u, w);
+        required.is_some_and(|p| u.free_duration(now) >= p)
+    }
+
+    /// How long a slot must have been free before the request may use it; `None` if it is left to
+    /// another instance.
+    fn required_free_time(&self, now: Instant, u: &Upstream, w: &Waiting) -> Option<Duration> {
+        priority::required_free_time(
             now,
             w,
             self.own_address,
             &self.competitors,
-            id,
+            &u.replica.id,
             u.propagation_delay(),
-        );
-        required.is_some_and(|p| u.free_duration(now) >= p)
+        )
     }
 
     /// Lowest failure share among the replicas of a service: the share caused by the requests
--- a/crates/decisions/src/dispatch/job.rs
+++ b/crates/decisions/src/dispatch/job.rs
@@ -37,6 +37,8 @@
     pub max_event_gap: Duration,
     /// Replicas it was already sent to, which are not chosen again.
     pub tried_replicas: Vec<UpstreamId>,
+    /// Whether it may be sent to another replica after it has failed.
+    pub may_repeat: bool,
     /// Random number that varies the sample of distant replicas from request to request.
     pub salt: u64,
 }
--- a/crates/decisions/src/dispatch/pacing.rs
+++ b/crates/decisions/src/dispatch/pacing.rs
@@ -366,6 +366,11 @@
         self.warm_up.is_free() || self.warm_up.admits(now, self.in_flight(now))
     }
 
+    /// Whether the last requests failed, so that a trial may fail as well.
+    pub(super) fn may_fail_trial(&self) -> bool {
+        self.connect_failures > 0 || self.warm_up.may_fail()
+    }
+
     /// Whether the next request should try the replica, whatever its learned times are.
     pub(super) fn needs_pace_trial(&self, now: Instant) -> bool {
         self.warm_up.needs_trial(now, self.in_flight(now))
--- a/crates/decisions/src/warm_up.rs
+++ b/crates/decisions/src/warm_up.rs
@@ -304,6 +304,13 @@
         is_due && may_try && in_flight == 0
     }
 
+    /// Whether the replica failed or was silent, and has not answered since.
+    pub fn may_fail(&self) -> bool {
+        let reasons = [PaceReason::Failing, PaceReason::Silent];
+        let is_troubled = matches!(self.phase, Phase::Troubled(r) if reasons.contains(&r));
+        is_troubled || self.failures > 0
+    }
+
     /// Whether this instance may use the last place in the stead of the designated one.
     fn stands_in(&self, now: Instant, load: InFlight) -> bool {
         let (delay, spread) = if load.is_known_late {
--- a/crates/decisions/tests/warm_up.rs
+++ b/crates/decisions/tests/warm_up.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
-use kingcupfield_decisions::dispatch::{Dispatcher, Outcome, Replica};
+use kingcupfield_decisions::dispatch::{
+    Competitor, Dispatcher, Job, JobId, Outcome, PriorityClass, Replica,
+};
 use kingcupfield_decisions::scheduling::{SchedulingOptions, WarmUpOptions};
 use kingcupfield_decisions::warm_up::{
     InFlight, PaceReason, PaceReport, Reference, WarmUp, YOUNG_AGE,
@@ -471,6 +473,73 @@
     assert!(tried_by[0].0 >= 1000);
 }
 
+/// A designated instance with a usual replica and a distant one that needs a trial, which gets requests
+/// only for that.
+fn with_trial(now: Instant) -> Dispatcher {
+    let mut d = dispatcher(now, 1, &[1]);
+    let young = Replica {
+        weighted_round_trip: Duration::from_secs(1),
+        ..plain_service::replica("young", 999_000)
+    };
+    d.update_replicas(now, &[plain_service::replica("old", 0), young]);
+    d
+}
+
+/// The request for which the trial is used, if any.
+fn tried(d: &mut Dispatcher, now: Instant) -> Option<JobId> {
+    let assigned = d.assign(now);
+    let trial = assigned.iter().find(|a| a.upstream == "young".into());
+    trial.map(|a| a.job)
+}
+
+/// A trial may be late. The most urgent request must not pay for it while another one waits.
+#[test]
+fn the_least_urgent_request_is_used_for_a_trial() {
+    let now = Instant::now();
+    let mut d = with_trial(now);
+    for (id, tier) in [(1, 1), (2, 3), (3, 2)] {
+        d.enqueue(Job {
+            priority: (1, tier),
+            ..plain_service::job(id, now)
+        });
+    }
+    assert_eq!(tried(&mut d, now), Some(2));
+    assert_eq!(d.waiting_count(), 0);
+}
+
+/// A trial would otherwise get ahead of a more urgent request at another instance.
+#[parameterized(more_urgent = { (0, 0), None }, less_urgent = { (9, 9), Some(1) })]
+fn a_trial_keeps_the_order_between_instances(class: PriorityClass, expected: Option<JobId>) {
+    let now = Instant::now();
+    let mut d = with_trial(now);
+    d.update_competitors(vec![Competitor {
+        service: "drafting".into(),
+        address: 2,
+        class,
+    }]);
+    d.enqueue(Job {
+        salt: 500,
+        ..plain_service::job(1, now)
+    });
+    assert_eq!(tried(&mut d, now), expected);
+}
+
+/// The caller would get the failure of a replica that was known to fail.
+#[parameterized(repeatable = { true, Some(2) }, not_repeatable = { false, None })]
+fn only_a_repeatable_request_tries_a_failing_replica(may_repeat: bool, expected: Option<JobId>) {
+    let now = Instant::now();
+    let mut d = with_trial(now);
+    d.enqueue(plain_service::job(1, now));
+    assert_eq!(tried(&mut d, now), Some(1));
+    d.on_end(now, &"young".into(), 1, Outcome::Failed);
+    let later = now + Duration::from_secs(2);
+    d.enqueue(Job {
+        may_repeat,
+        ..plain_service::job(2, later)
+    });
+    assert_eq!(tried(&mut d, later), expected);
+}
+
 /// The speed of an engine shows in the gaps of its streams, long before they end.
 #[test]
 fn the_gaps_of_an_engine_set_its_bound() {
--- a/crates/entry/src/request/slot_request.rs
+++ b/crates/entry/src/request/slot_request.rs
@@ -119,6 +119,7 @@
                 Duration::ZERO
             },
             tried_replicas: self.tried.clone(),
+            may_repeat: self.route.kind.is_retryable() && self.runs + 1 < self.route.max_attempts,
             salt: rand::rng().random(),
         }
     }
