Raise the bound of an engine whose streams have few gaps

The speed of an engine shows in the gaps of its streams only, so that plain calls and streams of one event never ended its bound. A complete response with fewer than five gaps since its dispatch raises the bound by one.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -449,11 +449,11 @@
             .unqueued_ms(now, job)
             .filter(|_| outcome == Outcome::Served);
         let learns_quickly = u.warm_up.learns_quickly(now);
-        let dispatched_at = u
-            .running
-            .iter()
-            .find(|r| r.job == job)
-            .map(|r| r.dispatched_at);
+        let request = u.running.iter().find(|r| r.job == job);
+        let dispatched_at = request.map(|r| r.dispatched_at);
+        let gaps = request
+            .filter(|_| u.replica.is_engine && outcome == Outcome::Served)
+            .map(|r| u.gap_count - r.gaps_before);
         u.running.retain(|r| r.job != job);
         match outcome {
             Outcome::Served => {
@@ -476,7 +476,7 @@
             Outcome::Full => u.back_off_full(now),
             Outcome::Unknown => {}
         }
-        self.pace_on_end(now, index, outcome, was_silent, service_ms);
+        self.pace_on_end(now, index, outcome, was_silent, service_ms, gaps);
     }
 
     /// Whether the replica has sent nothing for so long that it is likely dead.
@@ -506,6 +506,7 @@
         let load_per_slot = u.load_per_slot_with_another();
         u.running.push(Running {
             job: job.id,
+            gaps_before: u.gap_count,
             pending_prompt_tokens: if u.replica.is_engine {
                 job.prompt_tokens
             } else {
--- a/crates/decisions/src/dispatch/pacing.rs
+++ b/crates/decisions/src/dispatch/pacing.rs
@@ -150,7 +150,8 @@
     }
 
     /// Applies the outcome of a request; `was_silent` tells whether the replica had not answered for
-    /// too long, and `ms` is the time of a complete response.
+    /// too long, `ms` is the time of a complete response of a plain service, and `gaps` the number of gaps
+    /// at an engine since the dispatch of a complete response.
     pub(super) fn pace_on_end(
         &mut self,
         now: Instant,
@@ -158,6 +159,7 @@
         outcome: Outcome,
         was_silent: bool,
         ms: Option<f64>,
+        gaps: Option<u64>,
     ) {
         if self.options.warm_up.is_none() {
             return;
@@ -179,6 +181,11 @@
         if let Some(ms) = ms.filter(|_| !begins) {
             self.pace_on_sample(now, index, ms);
         }
+        if gaps.is_some_and(|gaps| !begins && gaps < GAPS_PER_SAMPLE as u64) {
+            let u = &mut self.upstreams[index];
+            let change = u.warm_up.on_unmeasured_response(now, u.replica.slots);
+            self.keep_pace_change(index, change);
+        }
     }
 
     /// Records the first event of a response. One that was late for all requests, or that ends a
@@ -210,6 +217,7 @@
         if self.options.warm_up.is_none() {
             return;
         }
+        self.upstreams[index].gap_count += 1;
         let gaps = &mut self.upstreams[index].recent_gaps_ms;
         gaps.push(per_token.as_secs_f64() * 1e3);
         if gaps.len() >= GAPS_PER_SAMPLE {
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -126,6 +126,8 @@
     pub(super) prompt_started_at_once: bool,
     /// Extra time allowed for the first event because other requests are ahead of this one.
     pub(super) queueing_allowance: Duration,
+    /// Gaps of all streams of the replica until this request was sent.
+    pub(super) gaps_before: u64,
     /// Requests at the replica for each of its slots when this one was sent, at least 1.
     pub(super) load_per_slot: f64,
 }
@@ -167,6 +169,8 @@
     pub(super) warm_up: WarmUp,
     /// Times per token since the last sample of the speed for the warm-up, in milliseconds.
     pub(super) recent_gaps_ms: Vec<f64>,
+    /// Gaps between events of its streams since it was published.
+    pub(super) gap_count: u64,
 }
 
 impl Upstream {
@@ -190,6 +194,7 @@
             is_first_stand_in: false,
             warm_up,
             recent_gaps_ms: Vec::new(),
+            gap_count: 0,
         }
     }
 
--- a/crates/decisions/src/warm_up.rs
+++ b/crates/decisions/src/warm_up.rs
@@ -463,6 +463,18 @@
         Some(self.change_to(now, Phase::Bounded(raised), PaceReason::Normal))
     }
 
+    /// Records a complete response that tells nothing about the speed. An engine whose streams have few
+    /// gaps would otherwise never lose its bound.
+    pub fn on_unmeasured_response(&mut self, now: Instant, slots: u32) -> Option<PaceChange> {
+        let raised = self.bound()?.saturating_add(1);
+        let phase = if raised >= slots {
+            Phase::Free
+        } else {
+            Phase::Bounded(raised)
+        };
+        Some(self.change_to(now, phase, PaceReason::Normal))
+    }
+
     fn on_slow_sample(&mut self, now: Instant, bound: u32, slots: u32) -> Option<PaceChange> {
         self.had_trouble = true;
         if self.progress.is_stable(now) {
--- a/crates/decisions/tests/warm_up.rs
+++ b/crates/decisions/tests/warm_up.rs
@@ -473,6 +473,32 @@
     assert!(tried_by[0].0 >= 1000);
 }
 
+/// Plain calls to an engine, and streams of one event, have no gaps to measure. Its bound would never end.
+#[parameterized(none = { 0, None }, few = { 4, None }, many = { 5, Some(1) })]
+fn an_engine_with_few_gaps_loses_its_bound(gaps: u32, expected: Option<u32>) {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now, 1, &[1]);
+    let engine = Replica {
+        slots: 3,
+        is_engine: true,
+        ..plain_service::replica("young", 999_000)
+    };
+    dispatcher.update_replicas(now, &[engine]);
+    for job in 0..2 {
+        let at = now + Duration::from_millis(job * 400);
+        dispatcher.enqueue(plain_service::job(job, at));
+        assert_eq!(dispatcher.assign(at).len(), 1);
+        for gap in 0..u64::from(gaps) {
+            // Slower from gap to gap, so that no sample raises the bound.
+            let gap = Duration::from_millis((job * 5 + gap + 1) * 100);
+            dispatcher.on_events(at, &"young".into(), 1, gap);
+        }
+        dispatcher.on_end(at, &"young".into(), job, Outcome::Served);
+    }
+    let bound = dispatcher.paces().map(|(_, bound)| bound).next();
+    assert_eq!(bound, expected);
+}
+
 /// A designated instance with a usual replica and a distant one that needs a trial, which gets requests
 /// only for that.
 fn with_trial(now: Instant) -> Dispatcher {
