Try and compare settled replicas less

A replica that is permanently slower was tried every 3 s for good, and each of its responses sorted the times of all replicas of the service.

--- a/crates/decisions/src/warm_up.rs
+++ b/crates/decisions/src/warm_up.rs
@@ -31,8 +31,8 @@
 /// The same for a replica whose requests fail: each trial costs its caller a failure.
 const FAILING_TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The same for a settled replica that is slower than its peers and may become well later.
-const SETTLED_TRIAL_INTERVAL: Duration = Duration::from_secs(3);
+/// The same for a settled replica, which is likely to stay slower than its peers: each trial may be late.
+const SETTLED_TRIAL_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Failures without a response in between, at one instance, from which a replica counts as failing.
 const MIN_FAILURES: u32 = 3;
@@ -416,7 +416,8 @@
     pub fn needs_reference(&mut self, now: Instant, ms: f64, slow_ratio: f64) -> bool {
         match self.phase {
             Phase::Free => self.usual.is_slowed_down_by(now, ms, slow_ratio),
-            Phase::Settled | Phase::Bounded(_) => true,
+            Phase::Settled => self.usual.is_improved_by(ms),
+            Phase::Bounded(_) => true,
             Phase::Troubled(_) => false,
         }
     }
@@ -517,6 +518,7 @@
             self.had_trouble = false;
         }
         if phase == Phase::Settled {
+            self.usual = UsualTime::default();
             self.usual.replace(self.progress.smoothed_ms());
         }
         PaceChange {
--- a/crates/decisions/src/warm_up/times.rs
+++ b/crates/decisions/src/warm_up/times.rs
@@ -66,6 +66,14 @@
         self.slow_samples >= MIN_SLOW_SAMPLES && slow_time >= MIN_SLOW_TIME
     }
 
+    /// Records a response time of a settled replica; returns whether it is better than usual, so that the
+    /// replica may be well.
+    pub(super) fn is_improved_by(&mut self, ms: f64) -> bool {
+        let is_improved = self.ms().is_none_or(|usual| ms <= usual * IMPROVEMENT);
+        self.learn(ms);
+        is_improved
+    }
+
     /// Whether the last response was slow.
     pub(super) fn is_in_doubt(&self) -> bool {
         self.slow_samples > 0
--- a/crates/decisions/tests/warm_up.rs
+++ b/crates/decisions/tests/warm_up.rs
@@ -374,6 +374,39 @@
     }
 }
 
+/// A settled replica that is compared with its peers at each response costs a sort of their times. One
+/// that is not compared when it is well would be taken for slow for good.
+#[test]
+fn a_settled_replica_is_compared_only_if_it_is_faster() {
+    let now = Instant::now();
+    let mut warm_up = WarmUp::new(1, &"r".into());
+    warm_up.on_report(now, pace(Some(4), 1), 4);
+    for _ in 0..10 {
+        warm_up.needs_reference(now, 300.0, 2.0);
+    }
+    let needed = [300.0, 280.0, 400.0, 60.0].map(|ms| warm_up.needs_reference(now, ms, 2.0));
+    assert_eq!(needed, [false, false, false, true]);
+}
+
+/// The trials of replicas that are permanently slower would be late for good.
+#[test]
+fn a_settled_replica_is_rarely_tried() {
+    let now = Instant::now();
+    let mut warm_up = WarmUp::new(1, &"r".into());
+    warm_up.on_report(now, pace(Some(4), 1), 4);
+    warm_up.on_dispatch(now);
+    let load = InFlight {
+        own: 0,
+        total: 0,
+        free_for: Duration::from_secs(1),
+        is_known_late: false,
+        is_designated: true,
+        is_first_stand_in: false,
+    };
+    let after = |s| warm_up.needs_trial(now + Duration::from_secs(s), load);
+    assert_eq!([10, 59, 60].map(after), [false, false, true]);
+}
+
 struct Failure {
     share_above_lowest: f64,
     bound: Option<u32>,
