Compare plain services without the wait for a slot

A sample of a plain service is free of the network and of the wait for a slot, but the times of its peers included the wait, so that a replica three times slower could count as normal beside busy peers. Both are now without it.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -460,9 +460,9 @@
                 u.last_response_at = Some(now);
                 u.connect_failures = 0;
                 u.latency.on_outcome(now, false);
-                if let Some(dispatched_at) = dispatched_at.filter(|_| !u.replica.is_engine) {
+                if let Some((dispatched_at, unqueued_ms)) = dispatched_at.zip(service_ms) {
                     let elapsed = now.saturating_duration_since(dispatched_at);
-                    u.latency.on_completed(elapsed, learns_quickly);
+                    u.latency.on_completed(elapsed, unqueued_ms, learns_quickly);
                 }
             }
             Outcome::Failed => u.latency.on_outcome(now, true),
--- a/crates/decisions/src/dispatch/latency.rs
+++ b/crates/decisions/src/dispatch/latency.rs
@@ -43,6 +43,8 @@
     step_ms: Option<f64>,
     /// Moving average of the processing time at a plain service.
     service_ms: Option<f64>,
+    /// The same without the network and without the wait for a slot.
+    unqueued_ms: Option<f64>,
     /// Share of failures as of the last outcome, from 0 to 1.
     recorded_failure_share: f64,
     last_outcome_at: Option<Instant>,
@@ -94,21 +96,23 @@
         }
     }
 
-    /// Milliseconds that a plain service takes for a request, if measured.
-    pub fn learned_service_ms(&self) -> Option<f64> {
-        self.service_ms
+    /// Milliseconds that a plain service takes for a request without the network and without the wait for
+    /// a slot, if measured.
+    pub fn unqueued_ms(&self) -> Option<f64> {
+        self.unqueued_ms
     }
 
-    /// Replaces what was learned, after a sudden change of the speed: the step time of an engine, or
-    /// the processing time of a plain service.
-    pub fn replace(&mut self, ms: f64, is_engine: bool) {
-        if is_engine {
-            self.gaps_ms.clear();
-            self.next_index = 0;
-            self.step_ms = Some(ms.max(MIN_STEP_MS));
-        } else {
-            self.service_ms = Some(ms);
-        }
+    /// Replaces the step time of an engine after a sudden change of its speed.
+    pub fn replace_step(&mut self, ms: f64) {
+        self.gaps_ms.clear();
+        self.next_index = 0;
+        self.step_ms = Some(ms.max(MIN_STEP_MS));
+    }
+
+    /// Replaces the processing time of a plain service after a sudden change of its speed.
+    pub fn replace_service(&mut self, unqueued_ms: f64, round_trip_ms: f64) {
+        self.service_ms = Some(unqueued_ms + round_trip_ms);
+        self.unqueued_ms = Some(unqueued_ms);
     }
 
     /// Forgets failures of a replica that is well again.
@@ -116,9 +120,9 @@
         self.recorded_failure_share = 0.0;
     }
 
-    /// Records the processing time of a complete response from a plain service. New samples have more
-    /// weight if it `changes_quickly`.
-    pub fn on_completed(&mut self, elapsed: Duration, changes_quickly: bool) {
+    /// Records the processing time of a complete response from a plain service, and that without the
+    /// network and the wait for a slot. New samples have more weight if it `changes_quickly`.
+    pub fn on_completed(&mut self, elapsed: Duration, unqueued_ms: f64, changes_quickly: bool) {
         let gain = if changes_quickly {
             QUICK_SERVICE_TIME_GAIN
         } else {
@@ -127,6 +131,8 @@
         let ms = elapsed.as_secs_f64() * 1000.0;
         let mean_ms = self.service_ms.unwrap_or(ms);
         self.service_ms = Some(mean_ms + (ms - mean_ms) * gain);
+        let mean_ms = self.unqueued_ms.unwrap_or(unqueued_ms);
+        self.unqueued_ms = Some(mean_ms + (unqueued_ms - mean_ms) * gain);
     }
 
     /// Records whether a request failed.
--- a/crates/decisions/src/dispatch/pacing.rs
+++ b/crates/decisions/src/dispatch/pacing.rs
@@ -311,26 +311,24 @@
 }
 
 impl Upstream {
-    /// Learned response time without the network, in milliseconds: for a step of an engine, or for a
-    /// request to a plain service.
+    /// Learned response time in milliseconds, comparable with a sample: for a step of an engine, or for a
+    /// request to a plain service without the network and without the wait for a slot.
     fn learned_ms(&self) -> Option<f64> {
         if self.replica.is_engine {
-            return self.latency.learned_step_ms();
+            self.latency.learned_step_ms()
+        } else {
+            self.latency.unqueued_ms()
         }
-        let round_trip_ms = self.replica.network_round_trip.as_secs_f64() * 1e3;
-        let learned = self.latency.learned_service_ms()?;
-        Some((learned - round_trip_ms).max(1.0))
     }
 
-    /// Replaces the learned response time by one without the network.
+    /// Replaces the learned response time by one that is comparable with a sample.
     fn replace_learned(&mut self, ms: f64) {
-        let round_trip_ms = if self.replica.is_engine {
-            0.0
+        if self.replica.is_engine {
+            self.latency.replace_step(ms);
         } else {
-            self.replica.network_round_trip.as_secs_f64() * 1e3
-        };
-        self.latency
-            .replace(ms + round_trip_ms, self.replica.is_engine);
+            let round_trip_ms = self.replica.network_round_trip.as_secs_f64() * 1e3;
+            self.latency.replace_service(ms, round_trip_ms);
+        }
     }
 
     /// Requests for each slot once another one has been sent, at least 1.
--- a/crates/decisions/tests/warm_up.rs
+++ b/crates/decisions/tests/warm_up.rs
@@ -407,6 +407,38 @@
     assert_eq!([10, 59, 60].map(after), [false, false, true]);
 }
 
+/// A sample that includes no wait for a slot, compared with peers whose times do, would count as normal
+/// though the replica is three times slower.
+#[test]
+fn peers_with_a_queue_are_compared_without_it() {
+    let now = Instant::now();
+    let mut d = dispatcher(now, 1, &[1]);
+    let replica = |id, incarnation| Replica {
+        slots: 1,
+        ..plain_service::replica(id, incarnation)
+    };
+    d.update_replicas(now, &[replica("old", 0)]);
+    for round in 0..20 {
+        let at = now + Duration::from_secs(round);
+        for job in [2 * round, 2 * round + 1] {
+            d.enqueue(plain_service::job(job, at));
+        }
+        assert_eq!(d.assign(at).len(), 2);
+        for (job, ms) in [(2 * round, 100), (2 * round + 1, 200)] {
+            let end = at + Duration::from_millis(ms);
+            d.on_end(end, &"old".into(), job, Outcome::Served);
+        }
+    }
+    let at = now + Duration::from_secs(20);
+    let start = 1_000_000 + 20_000;
+    d.update_replicas(at, &[replica("old", 0), replica("young", start)]);
+    d.enqueue(plain_service::job(100, at));
+    assert_eq!(d.assign(at)[0].upstream, "young".into());
+    let end = at + Duration::from_millis(290);
+    d.on_end(end, &"young".into(), 100, Outcome::Served);
+    assert_eq!(d.paces().count(), 1);
+}
+
 struct Failure {
     share_above_lowest: f64,
     bound: Option<u32>,
