Check each replica that warms up, and let a stated work time expire

The checks took the mean of the two replicas, and the margins of full load and of a whole zone were set after the figures were seen. Each replica is checked now, the margin is the 0.03 that the users state for what may not fall, and slow replicas are compared with the run without a bound instead of 0.1.

A work time that a replica stated held until the next statement; it now holds for a second.

--- a/crates/decisions/src/dispatch/pacing.rs
+++ b/crates/decisions/src/dispatch/pacing.rs
@@ -93,12 +93,14 @@
     /// Records the work time that a replica stated in a response, in percent of the usual one.
     pub fn on_stated_work_time(
         &mut self,
+        now: Instant,
         upstream: &UpstreamId,
         incarnation: u64,
         percent: Option<u32>,
     ) {
         if let Some(index) = self.index_of_incarnation(upstream, incarnation) {
-            self.upstreams[index].warm_up.on_stated_work_time(percent);
+            let u = &mut self.upstreams[index];
+            u.warm_up.on_stated_work_time(now, percent);
         }
     }
 
--- a/crates/decisions/src/warm_up.rs
+++ b/crates/decisions/src/warm_up.rs
@@ -32,7 +32,7 @@
 const FAILING_TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The same for a settled replica, which is likely to stay slower than its peers: each trial may be late.
-const SETTLED_TRIAL_INTERVAL: Duration = Duration::from_secs(60);
+const SETTLED_TRIAL_INTERVAL: Duration = Duration::from_mins(1);
 
 /// Failures without a response in between, at one instance, from which a replica counts as failing.
 const MIN_FAILURES: u32 = 3;
@@ -76,6 +76,9 @@
 /// Smallest bound that means that a replica is settled, also if it has one slot.
 const MIN_SETTLED_BOUND: u32 = 2;
 
+/// Time for which a stated work time holds: a replica warms up within a few seconds.
+const STATED_TIME: Duration = Duration::from_secs(1);
+
 /// Time after a bound in which new samples have more weight in the learned times.
 const QUICK_LEARNING_TIME: Duration = Duration::from_secs(2);
 
@@ -214,7 +217,7 @@
     /// Rank of this instance among those that stand in for the designated one, from 0 to 1.
     stand_in_rank: f64,
     /// Work time that the replica stated last, in percent of the usual one.
-    stated_percent: Option<u32>,
+    stated_percent: Option<(u32, Instant)>,
 }
 
 impl WarmUp {
@@ -356,8 +359,8 @@
 
     /// Records the work time that the replica stated, in percent of the usual one. A response that
     /// comes in time from a replica that says that it is slow is no normal one.
-    pub fn on_stated_work_time(&mut self, percent: Option<u32>) {
-        self.stated_percent = percent;
+    pub fn on_stated_work_time(&mut self, now: Instant, percent: Option<u32>) {
+        self.stated_percent = percent.map(|percent| (percent, now));
     }
 
     /// Records that the replica fails or is silent here.
@@ -447,7 +450,8 @@
         self.progress.on_sample(now, ms);
         let states_slow = self
             .stated_percent
-            .is_some_and(|p| f64::from(p) > r.slow_ratio * 100.0);
+            .filter(|(_, at)| now.saturating_duration_since(*at) < STATED_TIME)
+            .is_some_and(|(percent, _)| f64::from(percent) > r.slow_ratio * 100.0);
         let reference_ms = r.peers_ms.map(|p| self.usual.ms().unwrap_or(p).max(p));
         let limit_ms = reference_ms.unwrap_or(self.progress.best_ms()) * r.slow_ratio;
         if ms > limit_ms || states_slow {
--- a/crates/decisions/tests/warm_up.rs
+++ b/crates/decisions/tests/warm_up.rs
@@ -52,18 +52,34 @@
 where
     F: Fn(&Record) -> f64,
 {
-    let runs = SEEDS.map(|seed| figure(&Fleet::run(plan, seed, 26_000)));
-    runs.iter().sum::<f64>() / runs.len() as f64
+    mean_of(plan, &SEEDS, figure)
 }
 
-/// Work of the first replicas relative to the last four within two seconds from `from_ms`.
-fn share(r: &Record, first: usize, from_ms: u64) -> f64 {
+fn mean_of<F>(plan: &Plan, seeds: &[u64], figure: F) -> f64
+where
+    F: Fn(&Record) -> f64,
+{
+    let runs = seeds.iter();
+    let runs = runs.map(|seed| figure(&Fleet::run(plan, *seed, 26_000)));
+    runs.sum::<f64>() / seeds.len() as f64
+}
+
+/// Work of a replica relative to the last four within two seconds from `from_ms`.
+fn share(r: &Record, replica: usize, from_ms: u64) -> f64 {
     let work = |i| r.work(i, from_ms, from_ms + 2000);
-    let mean = |of: std::ops::Range<usize>| {
-        let count = of.len() as f64;
-        of.map(work).sum::<f64>() / count
-    };
-    mean(0..first) / mean(2..6).max(1.0)
+    work(replica) / ((2..6).map(work).sum::<f64>() / 4.0).max(1.0)
+}
+
+/// The lowest share of the first two replicas, each over the seeds.
+fn lowest_share(plan: &Plan, from_ms: u64) -> f64 {
+    let shares = [0, 1].map(|replica| mean(plan, |r| share(r, replica, from_ms)));
+    shares[0].min(shares[1])
+}
+
+/// The largest share of the time in which one of the first two replicas exceeds a bound of 1.
+fn largest_exceeded(plan: &Plan) -> f64 {
+    let exceeded = |replica| mean(plan, |r| r.exceeded(replica, 1, FROM_MS, WELL_MS));
+    exceeded(0).max(exceeded(1))
 }
 
 struct Warming {
@@ -88,8 +104,8 @@
     let mut plan = two_started(6.0);
     (case.change)(&mut plan);
     let late = mean(&plan, |r| r.late(FROM_MS, WELL_MS));
-    let share = mean(&plan, |r| share(r, 2, WELL_MS + 2000));
-    let exceeded = mean(&plan, |r| r.exceeded(0, 1, FROM_MS, WELL_MS));
+    let share = lowest_share(&plan, WELL_MS + 2000);
+    let exceeded = largest_exceeded(&plan);
     println!("late {late:.3}, share {share:.2}, exceeded {exceeded:.3}");
     assert!(late < case.max_late, "late {late}");
     assert!(share >= case.min_share, "share {share}");
@@ -101,7 +117,10 @@
 fn a_replica_at_full_speed_loses_nothing() {
     let plan = two_started(1.0);
     let late = mean(&plan, |r| r.late(FROM_MS, WELL_MS));
-    let share = mean(&plan, |r| share(r, 2, FROM_MS + 500));
+    // A replica has 20 requests in 2 s, of which 6 seeds give a mean that is off by up to 0.13.
+    let seeds: Vec<u64> = (1..=48).collect();
+    let of = |replica| mean_of(&plan, &seeds, |r| share(r, replica, FROM_MS + 500));
+    let share = of(0).min(of(1));
     println!("late {late:.3}, share {share:.2}");
     assert!(late < 0.01, "late {late}");
     assert!(share >= 0.9, "share {share}");
@@ -109,26 +128,40 @@
 
 struct Recovery {
     kind: Kind,
-    max_late: f64,
+    max_late: MaxLate,
+}
+
+enum MaxLate {
+    Share(f64),
+    /// As many as without the bound, and this share.
+    AboveNoBound(f64),
 }
 
 /// The times and failures that were learned of a replica in trouble are only renewed by requests, so
-/// that it would stay idle after it is well. Nobody knows at first that a replica has become slow, so a
-/// tenth of the requests is late then, as without a bound.
+/// that it would stay idle after it is well. Nobody knows at first that a replica has become slow, so as
+/// many requests are late then as without a bound.
 #[parameterized(
-    slow = { Recovery { kind: Kind::Slow(6.0), max_late: 0.1 } },
-    failing = { Recovery { kind: Kind::Failing, max_late: 0.08 } },
-    silent = { Recovery { kind: Kind::Silent, max_late: 0.08 } },
-    unreachable = { Recovery { kind: Kind::Unreachable, max_late: 0.08 } },
+    slow = { Recovery { kind: Kind::Slow(6.0), max_late: MaxLate::AboveNoBound(0.01) } },
+    failing = { Recovery { kind: Kind::Failing, max_late: MaxLate::Share(0.08) } },
+    silent = { Recovery { kind: Kind::Silent, max_late: MaxLate::Share(0.08) } },
+    unreachable = { Recovery { kind: Kind::Unreachable, max_late: MaxLate::Share(0.08) } },
 )]
 fn a_recovered_replica_gets_its_share(case: Recovery) {
     let faults = [0, 1].map(|r| recovered(r, case.kind, false));
     let plan = Plan::new(&faults);
     let late = mean(&plan, |r| r.late(FROM_MS, WELL_MS));
-    let share = mean(&plan, |r| share(r, 2, WELL_MS + 2000));
-    println!("late {late:.3}, share {share:.2}");
+    let share = lowest_share(&plan, WELL_MS + 2000);
+    let max_late = match case.max_late {
+        MaxLate::Share(max) => max,
+        MaxLate::AboveNoBound(max) => {
+            let warm_up = false;
+            let without = Plan { warm_up, ..plan };
+            mean(&without, |r| r.late(FROM_MS, WELL_MS)) + max
+        }
+    };
+    println!("late {late:.3} of {max_late:.3}, share {share:.2}");
     assert!(share >= 0.7, "share {share}");
-    assert!(late < case.max_late, "late {late}");
+    assert!(late < max_late, "late {late}");
 }
 
 /// A replica that is no longer young recovers, and half of the instances restart during its warm-up:
@@ -140,7 +173,7 @@
         half_restarts_at_ms: Some(13_500),
         ..Plan::new(&faults)
     };
-    let share = mean(&plan, |r| share(r, 2, WELL_MS + 2000));
+    let share = lowest_share(&plan, WELL_MS + 2000);
     println!("share {share:.2}");
     assert!(share >= 0.7, "share {share}");
 }
@@ -175,6 +208,9 @@
     periods.map(fault).collect()
 }
 
+/// What may not fall may be lower by this share, according to the users.
+const MAX_FALL: f64 = 0.03;
+
 struct Comparison {
     change: fn(&mut Plan),
     max_cost: f64,
@@ -186,8 +222,8 @@
 /// or while a slow replica has one request: they could have served 13 to 18 of 480 to 880 requests.
 #[parameterized(
     little_load = { Comparison { change: |p| p.requests_per_s = 6.0, max_cost: 0.01 } },
-    full_load = { Comparison { change: |p| p.requests_per_s = 110.0, max_cost: 0.02 } },
-    whole_zone = { Comparison { change: |p| p.faults = (0..6).map(|r| started(r, 6.0)).collect(), max_cost: 0.03 } },
+    full_load = { Comparison { change: |p| p.requests_per_s = 110.0, max_cost: MAX_FALL } },
+    whole_zone = { Comparison { change: |p| p.faults = (0..6).map(|r| started(r, 6.0)).collect(), max_cost: MAX_FALL } },
     shared_machines = { Comparison { change: |p| (p.faults, p.requests_per_s) = (slow_in_periods(), 35.0), max_cost: 0.01 } },
     whole_zone_at_full_speed = { Comparison { change: |p| p.faults = (0..6).map(|r| started(r, 1.0)).collect(), max_cost: 0.01 } },
 )]
@@ -362,7 +398,7 @@
 fn responses_set_the_bound(case: Response) {
     let now = Instant::now();
     let mut warm_up = WarmUp::new(1, &"r".into()).with_age(now, Duration::ZERO);
-    warm_up.on_stated_work_time(case.stated_percent);
+    warm_up.on_stated_work_time(now, case.stated_percent);
     let reference = Reference {
         peers_ms: case.peers_ms,
         slow_ratio: 2.0,
@@ -439,6 +475,21 @@
     assert_eq!(d.paces().count(), 1);
 }
 
+/// A work time that is stated once would hold back the replica for good.
+#[parameterized(recent = { 999, Some(1) }, outdated = { 1000, None })]
+fn a_stated_work_time_holds_for_a_second(age_ms: u64, expected: Option<u32>) {
+    let now = Instant::now();
+    let mut warm_up = WarmUp::new(1, &"r".into()).with_age(now, Duration::ZERO);
+    warm_up.on_stated_work_time(now, Some(600));
+    let reference = Reference {
+        peers_ms: Some(50.0),
+        slow_ratio: 2.0,
+        slots: 4,
+    };
+    warm_up.on_sample(now + Duration::from_millis(age_ms), 60.0, &reference);
+    assert_eq!(warm_up.bound(), expected);
+}
+
 struct Failure {
     share_above_lowest: f64,
     bound: Option<u32>,
