--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -14,6 +14,7 @@
 mod departed;
 mod job;
 mod latency;
+mod pacing;
 mod priority;
 mod published;
 mod size;
@@ -30,6 +31,7 @@
 use crate::regions::Regions;
 use crate::replica_limit::FleetMembers;
 use crate::scheduling::SchedulingOptions;
+use crate::warm_up::PaceChange;
 
 use departed::Departed;
 use priority::Waiting;
@@ -71,6 +73,10 @@
     departed: Departed,
     /// Optional parts that are on.
     options: SchedulingOptions,
+    /// A time and the Unix milliseconds at it, for the age of replicas.
+    unix_time: Option<(Instant, u64)>,
+    /// Changes of bounds at replicas that have not been logged yet.
+    pace_changes: Vec<(UpstreamId, PaceChange)>,
 }
 
 impl Dispatcher {
@@ -88,6 +94,9 @@
 
     /// Switches optional parts on or off.
     pub fn set_options(&mut self, options: SchedulingOptions) {
+        if options.warm_up.is_none() && self.options.warm_up.is_some() {
+            self.reset_paces();
+        }
         self.options = options;
         self.apply_load_option();
     }
@@ -288,7 +297,7 @@
                 resorts => resorts,
             };
             let candidates = || accepting.iter().chain(resorts).copied();
-            match self.choose_replica(now, w, candidates, &is_connected) {
+            match self.choose_replica(now, w, &self.waiting[i + 1..], candidates, &is_connected) {
                 Some((index, details)) => {
                     let job = self.waiting.remove(i).job;
                     assignments.push(self.start(now, &job, index, details));
@@ -390,6 +399,7 @@
 
     /// Records the first event of a response.
     pub fn on_first_event(&mut self, now: Instant, upstream: &UpstreamId, job: JobId) {
+        self.pace_on_first_event(now, upstream);
         let Some(u) = self.find(upstream) else {
             return;
         };
@@ -418,46 +428,62 @@
 
     /// Records `events` of a stream that arrived together, `gap` after the previous event.
     pub fn on_events(&mut self, now: Instant, upstream: &UpstreamId, events: u32, gap: Duration) {
-        if let Some(u) = self.find(upstream) {
-            u.last_response_at = Some(now);
-            let tokens = events.max(1) * u.replica.tokens_per_event.max(1);
-            let learned_ms = u.latency.learned_step_ms();
-            let gap = u.speed.usual_time(now, gap / tokens, learned_ms);
-            u.latency.on_gap(gap);
-        }
+        let Some(index) = self.index_of(upstream) else {
+            return;
+        };
+        self.activate(index);
+        let u = &mut self.upstreams[index];
+        u.last_response_at = Some(now);
+        let tokens = events.max(1) * u.replica.tokens_per_event.max(1);
+        let learned_ms = u.latency.learned_step_ms();
+        let usual_gap = u.speed.usual_time(now, gap / tokens, learned_ms);
+        u.latency.on_gap(usual_gap);
+        self.pace_on_gap(now, index, gap / tokens);
     }
 
     /// Releases the slot of a request and updates the replica's statistics from the outcome.
     pub fn on_end(&mut self, now: Instant, upstream: &UpstreamId, job: JobId, outcome: Outcome) {
-        let Some(u) = self.find(upstream) else {
+        let Some(index) = self.index_of(upstream) else {
             return;
         };
-        let dispatched_at = u
-            .running
-            .iter()
-            .find(|r| r.job == job)
-            .map(|r| r.dispatched_at);
+        self.activate(index);
+        let paces = self.options.warm_up.is_some();
+        let u = &mut self.upstreams[index];
+        let was_silent = paces && u.is_unresponsive(now);
+        let service_ms = u
+            .unqueued_ms(now, job)
+            .filter(|_| outcome == Outcome::Served);
+        let learns_quickly = u.warm_up.learns_quickly(now);
+        let request = u.running.iter().find(|r| r.job == job);
+        let dispatched_at = request.map(|r| r.dispatched_at);
+        let gaps = request
+            .filter(|_| u.replica.is_engine && outcome == Outcome::Served)
+            .map(|r| u.gap_count - r.gaps_before);
         u.running.retain(|r| r.job != job);
         match outcome {
             Outcome::Served => {
                 u.last_response_at = Some(now);
                 u.connect_failures = 0;
                 u.latency.on_outcome(now, false);
-                if let Some(dispatched_at) = dispatched_at.filter(|_| !u.replica.is_engine) {
+                if let Some((dispatched_at, unqueued_ms)) = dispatched_at.zip(service_ms) {
                     let elapsed = now.saturating_duration_since(dispatched_at);
                     let learned_ms = u.latency.learned_service_ms();
-                    u.latency
-                        .on_completed(u.speed.usual_time(now, elapsed, learned_ms));
+                    let usual_time = u.speed.usual_time(now, elapsed, learned_ms);
+                    u.latency.on_completed(usual_time, unqueued_ms, learns_quickly);
                 }
             }
             Outcome::Failed => u.latency.on_outcome(now, true),
             Outcome::Unreachable => {
                 u.latency.on_outcome(now, true);
                 u.back_off_unreachable(now);
+                if paces {
+                    u.shorten_designated_backoff(now);
+                }
             }
             Outcome::Full => u.back_off_full(now),
             Outcome::Unknown => {}
         }
+        self.pace_on_end(now, index, outcome, was_silent, service_ms, gaps);
     }
 
     /// Whether the replica has sent nothing for so long that it is likely dead.
@@ -483,8 +509,11 @@
         let prompt_started_at_once = u.replica.is_engine && u.starts_prompt_at_once();
         u.cold_gate.on_dispatch(now);
         u.limit.on_dispatch(now);
+        u.warm_up.on_dispatch(now);
+        let load_per_slot = u.load_per_slot_with_another();
         u.running.push(Running {
             job: job.id,
+            gaps_before: u.gap_count,
             pending_prompt_tokens: if u.replica.is_engine {
                 job.prompt_tokens
             } else {
@@ -494,6 +523,7 @@
             has_responded: false,
             prompt_started_at_once,
             queueing_allowance,
+            load_per_slot,
         });
         Assignment {
             job: job.id,
--- a/crates/decisions/src/dispatch/published.rs
+++ b/crates/decisions/src/dispatch/published.rs
@@ -18,12 +18,14 @@
         for replica in replicas {
             let known = ids.binary_search(&replica.id).ok();
             let known = known.and_then(|i| old[i].take());
-            let upstream = match known.filter(|u| u.replica.incarnation == replica.incarnation) {
+            let is_restart = known.is_some();
+            let same = known.filter(|u| u.replica.incarnation == replica.incarnation);
+            let upstream = match same {
                 Some(mut known) => {
                     known.replica = replica.clone();
                     known
                 }
-                None => self.new_upstream(now, replica),
+                None => self.new_upstream(now, replica, is_restart),
             };
             self.upstreams.push(upstream);
         }
@@ -38,18 +40,18 @@
 
     /// Adds a replica, or replaces what was published about it.
     pub fn update_replica(&mut self, now: Instant, replica: &Replica) {
-        let index = match self.find_index(&replica.id) {
+        let (index, is_restart) = match self.find_index(&replica.id) {
             Ok(index) if self.upstreams[index].replica.incarnation == replica.incarnation => {
                 self.upstreams[index].replica = replica.clone();
                 return;
             }
             Ok(index) => {
                 self.remove_at(now, index);
-                index
+                (index, true)
             }
-            Err(index) => index,
+            Err(index) => (index, false),
         };
-        let upstream = self.new_upstream(now, replica);
+        let upstream = self.new_upstream(now, replica, is_restart);
         self.upstreams.insert(index, upstream);
         for active in self.active.iter_mut().filter(|i| **i >= index) {
             *active += 1;
@@ -87,10 +89,14 @@
             .binary_search_by(|u| u.replica.id.cmp(replica))
     }
 
-    /// Creates the state of a replica that has just been published, possibly again.
-    fn new_upstream(&mut self, now: Instant, replica: &Replica) -> Upstream {
+    /// Creates the state of a replica that has just been published, possibly again; `is_restart` tells
+    /// whether it replaces another incarnation.
+    fn new_upstream(&mut self, now: Instant, replica: &Replica, is_restart: bool) -> Upstream {
         let cold_gate = ColdGate::new(now, self.is_designated(replica));
-        let mut upstream = Upstream::new(replica.clone(), cold_gate);
+        let warm_up = self.new_warm_up(now, replica, is_restart);
+        self.keep_new_pace(&replica.id, &warm_up);
+        let mut upstream = Upstream::new(replica.clone(), cold_gate, warm_up);
+        upstream.is_first_stand_in = self.is_first_stand_in(&replica.id);
         self.departed.restore(&mut upstream);
         let half_life = self.options.load_reports.map(|o| o.half_life);
         upstream.speed.set_half_life(half_life);
@@ -112,8 +118,15 @@
             .iter()
             .map(|u| self.is_designated(&u.replica))
             .collect();
-        for (u, designated) in self.upstreams.iter_mut().zip(designated) {
+        let first: Vec<bool> = self
+            .upstreams
+            .iter()
+            .map(|u| self.is_first_stand_in(&u.replica.id))
+            .collect();
+        let roles = designated.into_iter().zip(first);
+        for (u, (designated, first)) in self.upstreams.iter_mut().zip(roles) {
             u.cold_gate.set_designated(now, designated);
+            u.is_first_stand_in = first;
         }
     }
 
--- a/crates/decisions/src/dispatch/speeds.rs
+++ b/crates/decisions/src/dispatch/speeds.rs
@@ -48,6 +48,8 @@
         if let Some(percent) = figures.work_time_percent {
             self.speed.on_own_figure(now, percent);
         }
+        self.warm_up
+            .on_stated_work_time(now, figures.work_time_percent);
         // Limits the cost that a false count adds.
         let total = figures.running.saturating_add(figures.waiting);
         let others = total.saturating_sub(self.running.len() as u32);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,6 +1,7 @@
 //! State of one entry instance, shared by its tasks.
 
 mod load_figures;
+mod paces;
 mod replicas;
 mod slots;
 mod statements;
