Order requests of a class by the usage of their organisations

Cause: all instances order by rank, tier, size and arrival. One organisation that sends 150 requests a second where 120 can be served makes four others that send 8 each late in the same proportion.

Change: where scheduling.fair_order is set, requests of the same rank and tier class are ordered by the recent usage of their organisation relative to its share, in steps of the square root of 2, then by arrival. Without the option a class has no step.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -19,12 +19,14 @@
 mod size;
 mod statements;
 mod upstream;
+mod usage;
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::cells::OwnCell;
+use crate::fair_order::{FairOrder, UsageStep};
 use crate::id::{InstanceAddress, NameHash, ServiceId, UpstreamId};
 use crate::regions::Regions;
 use crate::replica_limit::FleetMembers;
@@ -70,6 +72,10 @@
     departed: Departed,
     /// Optional parts that are on.
     options: SchedulingOptions,
+    /// Usage of the organisations, by which requests are ordered.
+    fair_order: FairOrder,
+    /// Step of the last request that was sent, by service; sorted.
+    served_steps: Vec<(ServiceId, UsageStep)>,
 }
 
 impl Dispatcher {
@@ -88,6 +94,7 @@
     /// Switches optional parts on or off.
     pub fn set_options(&mut self, options: SchedulingOptions) {
         self.options = options;
+        self.apply_fair_order();
     }
 
     /// The optional parts that are on.
@@ -105,14 +112,15 @@
 
     /// Updates the highest priorities that wait at the other instances of the cell.
     pub fn update_competitors(&mut self, competitors: Vec<Competitor>) {
-        self.competitors = competitors;
+        self.competitors = self.comparable(competitors);
     }
 
-    /// Highest priority waiting at this instance for each service, sorted by service.
+    /// Highest priority waiting at this instance for each service, sorted by service, with the step of
+    /// usage if requests are ordered by it.
     pub fn highest_waiting_priorities(&self, now: Instant) -> Vec<(ServiceId, PriorityClass)> {
         let mut highest: Vec<(ServiceId, PriorityClass)> = Vec::new();
         for w in &self.waiting {
-            let class = w.class(now);
+            let class = w.claim(now);
             match highest.binary_search_by(|(s, _)| s.cmp(&w.job.service)) {
                 Ok(i) => highest[i].1 = highest[i].1.min(class),
                 Err(i) => highest.insert(i, (w.job.service.clone(), class)),
@@ -217,7 +225,11 @@
             let size_stats = self.size_stats_mut(&job.service);
             size_stats.on_request(job.prompt_tokens, job.expected_output_tokens, slots)
         });
-        self.waiting.push(Waiting { job, size_demotion });
+        self.waiting.push(Waiting {
+            job,
+            size_demotion,
+            step: None,
+        });
     }
 
     /// Removes a request whose caller disconnected.
@@ -275,8 +287,8 @@
         }
         let mut accepting = self.accepting_replicas(now);
         let mut last_resorts = self.last_resorts(now);
-        self.waiting
-            .sort_by_key(|w| (w.class(now), w.job.received_at));
+        self.refresh_steps(now);
+        self.waiting.sort_by_key(|w| w.order(now));
         let mut i = 0;
         while i < self.waiting.len() && !(accepting.is_empty() && last_resorts.is_empty()) {
             let w = &self.waiting[i];
@@ -287,8 +299,10 @@
             };
             let candidates = || accepting.iter().chain(resorts).copied();
             match self.choose_replica(now, w, candidates, &is_connected) {
-                Some((index, details)) => {
+                Some((index, mut details)) => {
                     let job = self.waiting.remove(i).job;
+                    details.usage = job.usage.and_then(|u| self.standing(now, &u));
+                    self.on_work_sent(now, &job, i);
                     assignments.push(self.start(now, &job, index, details));
                     if !self.upstreams[index].update_free_since(now) {
                         accepting.retain(|i| *i != index);
--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -198,6 +198,7 @@
             remote_running: u.remote_running,
             is_cold: u.is_cold(now),
             limit_per_s: u.limit.per_s(now),
+            usage: None,
         }
     }
 
--- a/crates/decisions/src/dispatch/job.rs
+++ b/crates/decisions/src/dispatch/job.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use super::JobId;
+use crate::fair_order::{JobUsage, Standing};
 use crate::id::{NameHash, ServiceId, UpstreamId};
 use crate::regions::Regions;
 
@@ -37,6 +38,8 @@
     pub max_event_gap: Duration,
     /// Replicas it was already sent to, which are not chosen again.
     pub tried_replicas: Vec<UpstreamId>,
+    /// What it counts for its organisation; `None` if it counts for none.
+    pub usage: Option<JobUsage>,
     /// Random number that varies the sample of distant replicas from request to request.
     pub salt: u64,
 }
@@ -67,6 +70,8 @@
     pub is_cold: bool,
     /// Limit of the chosen replica in requests per second, if it named one.
     pub limit_per_s: Option<f64>,
+    /// Usage of the request's organisation, if requests are ordered by it.
+    pub usage: Option<Standing>,
 }
 
 /// Slots of a replica and the requests that occupy them.
--- a/crates/decisions/src/dispatch/priority.rs
+++ b/crates/decisions/src/dispatch/priority.rs
@@ -20,6 +20,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::dispatch::Job;
+use crate::fair_order::{self, UsageStep};
 use crate::id::{ServiceId, UpstreamId};
 
 /// Usual time from dispatch to the first event. A request with less time left to its objective is
@@ -47,6 +48,8 @@
     pub(super) job: Job,
     /// Demotion for the size of the request, in half tiers.
     pub(super) size_demotion: u32,
+    /// Step of its organisation's usage; `None` if requests aren't ordered by it.
+    pub(super) step: Option<UsageStep>,
 }
 
 impl Waiting {
@@ -60,6 +63,19 @@
             job.priority.1 * 2 + self.size_demotion + late_demotion,
         )
     }
+
+    /// Current priority as it is compared with those of other instances: the class, and the step if
+    /// requests are ordered by it.
+    pub(super) fn claim(&self, now: Instant) -> PriorityClass {
+        let class = self.class(now);
+        self.step
+            .map_or(class, |step| fair_order::with_step(class, step))
+    }
+
+    /// Position in the queue.
+    pub(super) fn order(&self, now: Instant) -> (PriorityClass, Instant) {
+        (self.claim(now), self.job.received_at)
+    }
 }
 
 /// How long a free slot is left to the instance that is entitled to it: twice the time that its
@@ -73,7 +89,8 @@
     pub service: ServiceId,
     /// Address of the other instance.
     pub address: u32,
-    /// Highest priority among these requests.
+    /// Highest priority among these requests, as the instance reported it: with the step of usage if
+    /// it orders by it.
     pub class: PriorityClass,
 }
 
@@ -90,7 +107,7 @@
     replica: &UpstreamId,
     propagation_delay: Duration,
 ) -> Option<Duration> {
-    let class = w.class(now);
+    let class = w.claim(now);
     let others = || competitors.iter().filter(|c| c.service == w.job.service);
     if others().any(|c| c.class < class) && !ignores_competitors(now, &w.job) {
         return None;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod dispatch;
 pub mod drain;
 pub mod drained_zones;
+pub mod fair_order;
 pub mod fairness;
 pub mod fanout;
 pub mod fingerprint;
--- a/crates/decisions/tests/dispatch.rs
+++ b/crates/decisions/tests/dispatch.rs
@@ -45,6 +45,7 @@
         expected_output_tokens: 120.0,
         max_event_gap: Duration::from_millis(300),
         tried_replicas: Vec::new(),
+        usage: None,
         salt: id,
     }
 }
--- /dev/null
+++ b/crates/decisions/tests/fair_order.rs
@@ -0,0 +1,350 @@
+//! Order between organisations over seven instances, whose messages arrive late or not at all.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use kingcupfield_decisions::dispatch::{
+    Competitor, Dispatcher, Job, Outcome, PriorityClass, Replica,
+};
+use kingcupfield_decisions::fair_order::{FairOrder, JobUsage, with_step, without_step};
+use kingcupfield_decisions::id::{NameHash, ServiceId, UpstreamId};
+use kingcupfield_decisions::scheduling::{FairOrderOptions, SchedulingOptions};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+use yare::parameterized;
+
+#[path = "support/plain_service.rs"]
+mod plain_service;
+
+const INSTANCES: usize = 7;
+const REPLICAS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+const SLOTS: usize = 2;
+/// Time for which a request occupies a slot: 100 ms on average, so that twelve slots serve 120 a second.
+const SERVICE_MS: std::ops::Range<u64> = 60..141;
+/// Time within which callers need their response.
+const OBJECTIVE_MS: u64 = 1000;
+const END_MS: u64 = 24_000;
+/// Requests before this are not counted: the queues have yet to fill.
+const COUNTED_FROM_MS: u64 = 4_000;
+/// Time without a message after which what an instance reported is dropped.
+const SILENCE_MS: u64 = 2_500;
+/// Time at which half of the instances restart, or a link is cut for the time after.
+const FAULT_MS: u64 = 8_000;
+const CUT_END_MS: u64 = 16_000;
+
+/// Lowest share of requests on time of the organisations that send little.
+const ON_TIME_SHARE: f64 = 0.9;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fault {
+    None,
+    /// Half of the instances lose their state.
+    Restarts,
+    /// Half of the instances hear nothing of the others.
+    OneWayCut,
+    /// Messages take up to 400 ms, and three in ten are lost.
+    LateAndLost,
+}
+
+#[derive(Debug, Clone)]
+struct Case {
+    /// Requests per second of each organisation.
+    demands: Vec<f64>,
+    /// Whether all requests of the first organisation go to one instance.
+    one_instance: bool,
+    fault: Fault,
+}
+
+/// What an instance reports in each message.
+#[derive(Debug, Clone, Default, PartialEq)]
+struct State {
+    loads: [u32; REPLICAS.len()],
+    waiting: Vec<(ServiceId, PriorityClass)>,
+}
+
+struct Message {
+    due_ms: u64,
+    from: usize,
+    to: usize,
+    state: State,
+    usage: Vec<(NameHash, f32)>,
+}
+
+struct Instance {
+    dispatcher: Dispatcher,
+    /// Last state of the others, and when it arrived.
+    heard: Vec<(State, u64)>,
+    sent: State,
+    sent_ms: u64,
+    usage_ms: u64,
+}
+
+impl Instance {
+    fn new(now: Instant, index: usize, fair: bool) -> Self {
+        let replica = |id: &&str| Replica {
+            slots: SLOTS as u32,
+            ..plain_service::replica(id, 1)
+        };
+        let mut dispatcher = Dispatcher::new().with_address(index as u32);
+        dispatcher.update_replicas(now, &REPLICAS.iter().map(replica).collect::<Vec<_>>());
+        let half_life = Duration::from_secs(2);
+        dispatcher.set_options(SchedulingOptions {
+            fair_order: fair.then_some(FairOrderOptions { half_life }),
+            ..SchedulingOptions::default()
+        });
+        Self {
+            dispatcher,
+            heard: vec![(State::default(), 0); INSTANCES],
+            sent: State::default(),
+            sent_ms: 0,
+            usage_ms: 0,
+        }
+    }
+
+    /// Passes what is known of the others to the dispatcher.
+    fn apply_heard(&mut self, ms: u64) {
+        for (from, heard) in self.heard.iter_mut().enumerate() {
+            if ms.saturating_sub(heard.1) > SILENCE_MS {
+                heard.0 = State::default();
+                self.dispatcher.remove_peer_usage(from as u32);
+            }
+        }
+        for (i, id) in REPLICAS.iter().enumerate() {
+            let running = self.heard.iter().map(|h| h.0.loads[i]).sum();
+            self.dispatcher
+                .update_remote_load(&UpstreamId::from(*id), running, 0.0);
+        }
+        let waiting = self.heard.iter().enumerate();
+        let competitors = waiting.flat_map(|(from, h)| {
+            h.0.waiting.iter().map(move |(service, class)| Competitor {
+                service: service.clone(),
+                address: from as u32,
+                class: *class,
+            })
+        });
+        let competitors = competitors.collect();
+        self.dispatcher.update_competitors(competitors);
+    }
+}
+
+/// Shares of requests on time by organisation, and the number of all requests on time.
+fn run(case: &Case, fair: bool, seed: u64) -> (Vec<f64>, usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let start = Instant::now();
+    let new = |now, i| Instance::new(now, i, fair);
+    let mut instances: Vec<Instance> = (0..INSTANCES).map(|i| new(start, i)).collect();
+    let mut messages: Vec<Message> = Vec::new();
+    // Organisation, arrival, instance and end of each request.
+    let mut jobs: Vec<(usize, u64, usize, Option<u64>)> = Vec::new();
+    let mut queues = vec![VecDeque::<usize>::new(); REPLICAS.len()];
+    let mut running: Vec<(usize, usize, u64)> = Vec::new();
+    for ms in 0..END_MS {
+        let now = start + Duration::from_millis(ms);
+        let mut touched = [ms % 100 == 0; INSTANCES];
+        for (organisation, per_s) in case.demands.iter().enumerate() {
+            if rng.random_bool(per_s / 1000.0) {
+                let is_fixed = case.one_instance && organisation == 0;
+                let at = if is_fixed {
+                    0
+                } else {
+                    rng.random_range(0..INSTANCES)
+                };
+                let usage = JobUsage {
+                    organisation: organisation as u32,
+                    share: 1.0,
+                    work: 1.0,
+                };
+                instances[at].dispatcher.enqueue(Job {
+                    queue_deadline: now + Duration::from_millis(1500),
+                    usage: Some(usage),
+                    salt: rng.random(),
+                    ..plain_service::job(jobs.len() as u64, now)
+                });
+                jobs.push((organisation, ms, at, None));
+                touched[at] = true;
+            }
+        }
+        for (replica, job, _) in running.extract_if(.., |r| r.2 <= ms) {
+            let (_, _, at, end) = &mut jobs[job];
+            *end = Some(ms);
+            let id = REPLICAS[replica].into();
+            instances[*at]
+                .dispatcher
+                .on_end(now, &id, job as u64, Outcome::Served);
+            touched[*at] = true;
+        }
+        let mut due: Vec<Message> = messages.extract_if(.., |m| m.due_ms <= ms).collect();
+        due.sort_by_key(|m| m.due_ms);
+        for m in due {
+            let to = &mut instances[m.to];
+            to.heard[m.from] = (m.state, ms);
+            to.dispatcher.on_peer_usage(now, m.from as u32, &m.usage);
+            touched[m.to] = true;
+        }
+        for (index, instance) in instances
+            .iter_mut()
+            .enumerate()
+            .filter(|(i, _)| touched[*i])
+        {
+            if ms == FAULT_MS && case.fault == Fault::Restarts && index < INSTANCES / 2 {
+                *instance = new(now, index);
+            }
+            instance.apply_heard(ms);
+            instance.dispatcher.update_room(now);
+            instance.dispatcher.take_timed_out(now);
+            for assignment in instance.dispatcher.assign(now) {
+                let replica = REPLICAS.iter().position(|id| **id == *assignment.upstream);
+                queues[replica.unwrap()].push_back(assignment.job as usize);
+            }
+            let mut state = State::default();
+            for (id, own, _) in instance.dispatcher.own_load() {
+                state.loads[REPLICAS.iter().position(|r| **r == **id).unwrap()] = own;
+            }
+            state.waiting = instance.dispatcher.highest_waiting_priorities(now);
+            if ms < instance.sent_ms + 4 || state == instance.sent && ms < instance.sent_ms + 1000 {
+                continue;
+            }
+            let mut usage = Vec::new();
+            if ms >= instance.usage_ms + 1000 {
+                instance.usage_ms = ms;
+                usage = instance.dispatcher.own_usage(now, INSTANCES);
+            }
+            (instance.sent, instance.sent_ms) = (state.clone(), ms);
+            let (late, lost) = match case.fault {
+                Fault::LateAndLost => (400, 0.3),
+                _ => (10, 0.0),
+            };
+            for to in (0..INSTANCES).filter(|to| *to != index) {
+                let is_cut = case.fault == Fault::OneWayCut
+                    && (FAULT_MS..CUT_END_MS).contains(&ms)
+                    && index >= INSTANCES / 2
+                    && to < INSTANCES / 2;
+                if !is_cut && !rng.random_bool(lost) {
+                    messages.push(Message {
+                        due_ms: ms + rng.random_range(2..late),
+                        from: index,
+                        to,
+                        state: state.clone(),
+                        usage: usage.clone(),
+                    });
+                }
+            }
+        }
+        for (replica, queue) in queues.iter_mut().enumerate() {
+            while running.iter().filter(|r| r.0 == replica).count() < SLOTS {
+                let Some(job) = queue.pop_front() else { break };
+                running.push((replica, job, ms + rng.random_range(SERVICE_MS)));
+            }
+        }
+    }
+    let counted = |j: &&(usize, u64, usize, Option<u64>)| {
+        (COUNTED_FROM_MS..END_MS - 2 * OBJECTIVE_MS).contains(&j.1)
+    };
+    let on_time =
+        |j: &&(usize, u64, usize, Option<u64>)| j.3.is_some_and(|end| end <= j.1 + OBJECTIVE_MS);
+    let shares = (0..case.demands.len()).map(|organisation| {
+        let of = || jobs.iter().filter(counted).filter(|j| j.0 == organisation);
+        of().filter(on_time).count() as f64 / of().count() as f64
+    });
+    (
+        shares.collect(),
+        jobs.iter().filter(counted).filter(on_time).count(),
+    )
+}
+
+/// One organisation sends 150 requests a second, more than the replicas serve, and the others send
+/// little. Without the order between organisations all of them are late in the same proportion. Nine
+/// in ten of the others must be on time, and no capacity may stay unused for it.
+#[parameterized(
+    through_all_instances = { Case { demands: vec![150.0, 8.0, 8.0, 8.0, 8.0], one_instance: false, fault: Fault::None } },
+    through_one_instance = { Case { demands: vec![150.0, 8.0, 8.0, 8.0, 8.0], one_instance: true, fault: Fault::None } },
+    fifteen_others = { Case { demands: [vec![300.0], vec![2.0; 15]].concat(), one_instance: false, fault: Fault::None } },
+    half_restart = { Case { demands: vec![150.0, 8.0, 8.0, 8.0, 8.0], one_instance: false, fault: Fault::Restarts } },
+    one_way_cut = { Case { demands: vec![150.0, 8.0, 8.0, 8.0, 8.0], one_instance: false, fault: Fault::OneWayCut } },
+    late_and_lost = { Case { demands: vec![150.0, 8.0, 8.0, 8.0, 8.0], one_instance: false, fault: Fault::LateAndLost } },
+)]
+fn a_flood_does_not_make_the_others_late(case: Case) {
+    let (fair, on_time) = run(&case, true, 1);
+    let (unfair, on_time_before) = run(&case, false, 1);
+    println!("{fair:.2?} {on_time}, without {unfair:.2?} {on_time_before}");
+    assert!(
+        fair[1..].iter().all(|share| *share >= ON_TIME_SHARE),
+        "{fair:?}"
+    );
+    assert!(on_time as f64 >= 0.97 * on_time_before as f64);
+}
+
+/// All organisations send the same and together more than the replicas serve. If the order preferred
+/// some of them, or its steps lagged behind, these would be served at the expense of the others.
+#[test]
+fn equal_demand_is_served_alike() {
+    let case = Case {
+        demands: vec![40.0; 5],
+        one_instance: false,
+        fault: Fault::None,
+    };
+    let (fair, on_time) = run(&case, true, 2);
+    println!("{fair:.2?} {on_time}, without {:.2?}", run(&case, false, 2));
+    let mean = fair.iter().sum::<f64>() / fair.len() as f64;
+    assert!(
+        fair.iter().all(|share| (share / mean - 1.0).abs() <= 0.1),
+        "{fair:?}"
+    );
+}
+
+/// Reports are repeated, decay, contain values that make no sense, and end with their instance. If a
+/// total drifted, an organisation would go first or last for good.
+#[test]
+fn a_report_replaces_the_one_before() {
+    let start = Instant::now();
+    let mut order = FairOrder::default();
+    let usage = JobUsage {
+        organisation: 7,
+        share: 1.0,
+        work: 1.0,
+    };
+    assert_eq!(order.standing(start, &usage), None);
+    order.set_half_life(Some(Duration::from_secs(1)));
+    let mut at = |seconds: u64, report: &[(NameHash, f32)]| {
+        let now = start + Duration::from_secs(seconds);
+        order.on_peer_usage(now, 1, report);
+        order.standing(now, &usage).unwrap().usage_per_s.round() as u32
+    };
+    assert_eq!(at(0, &[(7, 800.0), (8, f32::NAN), (9, -1.0)]), 800);
+    assert_eq!(at(1, &[]), 400);
+    assert_eq!(at(1, &[(7, 100.0)]), 100);
+    assert_eq!(at(60, &[]), 0);
+    assert_eq!(at(60, &[(7, 100.0)]), 100);
+    assert_eq!(at(61, &[(8, 100.0)]), 0);
+    order.remove_peer(1);
+    let left = order.usage(start + Duration::from_secs(61));
+    assert!(left.map(|(_, usage)| usage).sum::<f64>().abs() < 1e-6);
+}
+
+/// Instances apply a change of the option one after the other, and earlier versions know no steps. A
+/// step must neither move a request to another class nor reach an instance that has the option off,
+/// which sends the same classes as before.
+#[test]
+fn steps_order_requests_within_their_class() {
+    let classes = [(0, 0), (0, 1), (1, 0), (1, 9)].map(|c| (c, [0, 1, 127]));
+    let claims = classes.map(|(class, steps)| steps.map(|step| with_step(class, step)));
+    assert!(claims.as_flattened().is_sorted());
+    for ((class, _), claims) in classes.iter().zip(claims) {
+        assert!(claims.iter().all(|claim| without_step(*claim) == *class));
+        assert!(claims.iter().all(|claim| with_step(*claim, 3) == *claim));
+    }
+    let now = Instant::now();
+    for fair in [false, true] {
+        let mut instance = Instance::new(now, 1, fair);
+        instance.dispatcher.enqueue(plain_service::job(1, now));
+        for id in REPLICAS {
+            instance.dispatcher.update_remote_load(&id.into(), 4, 0.0);
+        }
+        instance.dispatcher.assign(now);
+        let class = (1, 2);
+        let expected = if fair { with_step(class, 0) } else { class };
+        let waiting = instance.dispatcher.highest_waiting_priorities(now);
+        assert_eq!(waiting, [("drafting".into(), expected)]);
+    }
+}
--- a/crates/decisions/tests/support/plain_service.rs
+++ b/crates/decisions/tests/support/plain_service.rs
@@ -43,6 +43,7 @@
         expected_output_tokens: 0.0,
         max_event_gap: Duration::ZERO,
         tried_replicas: Vec::new(),
+        usage: None,
         salt: id,
     }
 }
--- a/crates/entry/src/request/slot_request.rs
+++ b/crates/entry/src/request/slot_request.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::dispatch::Job;
+use kingcupfield_decisions::fair_order::{JobUsage, OUTPUT_TOKEN_WORK};
+use kingcupfield_decisions::id::{NameHash, name_hash};
 use kingcupfield_decisions::regions::Regions;
 use rand::RngExt as _;
 use tokio::time::Instant;
@@ -36,6 +38,9 @@
 /// ends. It is below 1 so that the end of the stream reaches the caller while it still waits.
 const MAX_RESUME_WAIT_FRACTION: f64 = 0.8;
 
+/// Counts the usage of all requests without an organisation.
+const NO_ORGANISATION: NameHash = 0;
+
 impl RequestContext {
     /// Returns the replica of an assigned slot, or `None` if the replica is gone, leaves or rests, or
     /// the request may no longer be served in its region.
@@ -119,10 +124,27 @@
                 Duration::ZERO
             },
             tried_replicas: self.tried.clone(),
+            usage: self.usage(node),
             salt: rand::rng().random(),
         }
     }
 
+    /// What the request counts for its organisation; `None` while requests aren't ordered by usage.
+    /// Requests without an organisation count together.
+    pub(super) fn usage(&self, node: &Node) -> Option<JobUsage> {
+        node.settings().scheduling.fair_order?;
+        let organisation = self.organisation.as_deref();
+        let output_tokens = self.meta.estimated_output_tokens();
+        let tokens = f64::from(self.meta.prompt_tokens.unwrap_or(0));
+        let work = tokens + OUTPUT_TOKEN_WORK * output_tokens;
+        let default_work = organisation.map_or(1.0, |o| f64::from(o.default_tokens.max(1)));
+        Some(JobUsage {
+            organisation: organisation.map_or(NO_ORGANISATION, |o| name_hash(&o.name)),
+            share: node.table().map_or(1.0, |t| t.share(organisation)),
+            work: if work > 0.0 { work } else { default_work },
+        })
+    }
+
     /// Checks a request that has waited against the table in force: its API key or route may have
     /// been removed, or too little time may be left before the process ends. A request that no
     /// replica has run is refunded if the check fails.
--- a/crates/entry/src/table.rs
+++ b/crates/entry/src/table.rs
@@ -116,6 +116,20 @@
     pub regions: Regions,
 }
 
+impl Organisation {
+    /// Its limit in tokens per second, which is its share of the capacity; `None` without a limit.
+    fn share(&self) -> Option<f64> {
+        let limit = self.limit?;
+        let tokens_per_unit = if self.limit_in_tokens {
+            1.0
+        } else {
+            f64::from(self.default_tokens.max(1))
+        };
+        let share = limit.rate * tokens_per_unit;
+        (share > 0.0 && share.is_finite()).then_some(share)
+    }
+}
+
 /// Regions in which a request of the organisation may be served on the route: those that both
 /// allow.
 pub fn allowed_regions(route: &Route, organisation: Option<&Organisation>) -> Regions {
@@ -157,6 +171,8 @@
     sharing_services: Vec<NameHash>,
     /// Whether requests need a key, except on public routes.
     requires_key: bool,
+    /// Largest share of an organisation; `None` if none has a limit.
+    largest_share: Option<f64>,
 }
 
 impl Table {
@@ -190,6 +206,8 @@
         }
         keys.sort_by(|a, b| a.0.cmp(&b.0));
         organisations_by_hash.sort_by_key(|(hash, _)| *hash);
+        let shares = organisations_by_hash.iter().filter_map(|(_, o)| o.share());
+        let largest_share = shares.reduce(f64::max);
         let sharing_services = sharing_services(&routes);
         Self {
             version,
@@ -200,6 +218,7 @@
             organisations_by_hash,
             sharing_services,
             requires_key,
+            largest_share,
         }
     }
 
@@ -257,6 +276,13 @@
         Some(&self.organisations_by_hash[index].1)
     }
 
+    /// Share of an organisation in tokens per second, by which its usage is divided: its limit, else the
+    /// largest limit of the table, else 1.
+    pub fn share(&self, organisation: Option<&Organisation>) -> f64 {
+        let own = organisation.and_then(Organisation::share);
+        own.or(self.largest_share).unwrap_or(1.0)
+    }
+
     /// Whether requests need a key.
     pub fn requires_key(&self) -> bool {
         self.requires_key
