Report usage between the instances, and show it in logs and metrics

Cause: the order between organisations holds across instances only if each knows the usage through the others, and operators have to see why a request was behind another one.

Reports of silent and leaving instances are dropped. event=sent and the refusal for lack of capacity include usage, share and step, a refusal also the step that was served instead; gauge kingcup_organisation_use for the 100 organisations with the most usage.

--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -40,6 +40,10 @@
 /// Interval of messages that include the speed of the replicas, which changes slowly.
 const FULL_STATE_INTERVAL: Duration = Duration::from_secs(8);
 
+/// Shortest time between two messages that include the usage of organisations: in each message it
+/// would take most of a link of 10 Mbit/s, and a second is short against the half-life of usage.
+const USAGE_INTERVAL: Duration = HEARTBEAT;
+
 /// Longest time between two messages of a relay to its zone, also if it has nothing to forward.
 const RELAY_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -129,6 +133,8 @@
     news_sent_at: Option<Instant>,
     /// When the step times and the clock were last included.
     full_state_sent_at: Option<Instant>,
+    /// When the usage of organisations was last included.
+    usage_sent_at: Option<Instant>,
     /// When greetings were last sent to the configured contacts.
     contacts_sent_at: Option<Instant>,
     /// When collected digests were last sent to the zone.
@@ -155,6 +161,7 @@
             last_news: LocalState::default(),
             news_sent_at: None,
             full_state_sent_at: None,
+            usage_sent_at: None,
             contacts_sent_at: None,
             own_zone_sent_at: now,
             near_zones_sent_at: now,
@@ -229,7 +236,12 @@
             (true, true) => ForwardScope::AllZones,
             (true, false) => ForwardScope::OtherZones,
         };
-        let digest = self.build_digest(node, state, kind);
+        let mut digest = self.build_digest(node, state, kind);
+        let sent_at = self.usage_sent_at;
+        if is_news && sent_at.is_none_or(|at| now.saturating_duration_since(at) >= USAGE_INTERVAL) {
+            self.usage_sent_at = Some(now);
+            digest.reports.usage = node.own_usage(now);
+        }
         self.send_digest(node, digest, receivers, scope);
     }
 
@@ -404,6 +416,7 @@
             digest.greeting = true;
             digest.members = live_members(node);
             digest.settled = node.peers.borrow().is_settled(now);
+            digest.reports.usage = node.own_usage(now);
         }
         digest
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -46,6 +46,9 @@
 /// them.
 const MAX_REPLICAS: usize = 200;
 
+/// Largest number of organisations with metrics of their own, those with the most usage.
+const MAX_ORGANISATIONS: usize = 100;
+
 /// Metrics of one instance. Outcomes come from closed lists, which bounds the number of label values.
 #[derive(Debug)]
 pub struct Metrics {
@@ -64,6 +67,8 @@
     statements: IntCounterVec,
     /// Limit in force of each replica that named one, in requests per second.
     replica_limits: GaugeVec,
+    /// Usage of organisations through all instances, in tokens per second.
+    organisation_use: GaugeVec,
     /// Version of the table in force.
     table_version: Gauge,
     /// Seconds since the last response of the store, and since the oldest of the peers' last reports.
@@ -105,6 +110,12 @@
                 "Limit of a replica in requests per second from all instances",
                 "replica",
             ),
+            organisation_use: gauges(
+                &registry,
+                "kingcup_organisation_use",
+                "Recent work of an organisation at replicas through all instances, in tokens per second",
+                "organisation",
+            ),
             durations: durations(&registry),
             resumptions: counters(
                 &registry,
@@ -245,6 +256,12 @@
                 .with_label_values(&[&**replica])
                 .set(per_s);
         }
+        self.organisation_use.reset();
+        for (organisation, usage) in node.largest_usage(now, MAX_ORGANISATIONS) {
+            self.organisation_use
+                .with_label_values(&[&*organisation])
+                .set(usage);
+        }
         self.replica_slots.reset();
         for usage in dispatch.replica_usage().take(MAX_REPLICAS) {
             let set = |whose: &str, slots: u32| {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -3,6 +3,7 @@
 mod replicas;
 mod slots;
 mod statements;
+mod usage;
 mod versions;
 
 use std::cell::{Cell, RefCell};
--- a/crates/entry/src/outbox.rs
+++ b/crates/entry/src/outbox.rs
@@ -77,6 +77,9 @@
                 digest.steps = std::mem::take(&mut previous.steps);
                 digest.time_ms = digest.time_ms.or(previous.time_ms);
             }
+            if digest.reports.usage.is_empty() && previous.incarnation == digest.incarnation {
+                digest.reports.usage = std::mem::take(&mut previous.reports.usage);
+            }
             *previous = digest;
         }
         Err(index) => batch.insert(index, (from, digest)),
--- a/crates/entry/src/receiver.rs
+++ b/crates/entry/src/receiver.rs
@@ -94,9 +94,10 @@
     let steps = digest.steps.clone();
     let unreachable = digest.unreachable.clone();
     let time_ms = digest.time_ms;
+    let is_leaving = digest.leaving;
     let reports = digest.reports.clone();
     let effects = node.peers.borrow_mut().on_digest(now, from, digest);
-    log_silent(node, &effects.silent);
+    on_silent(node, &effects.silent);
     if effects.is_list_full {
         node.log.line(
             Priority::High,
@@ -117,6 +118,9 @@
     apply_step_times(node, &steps);
     apply_unreachable(node, &unreachable);
     node.on_peer_reports(from, &reports);
+    if is_leaving {
+        node.remove_peer_usage(&[from]);
+    }
     if upto > directory::known_up_to(node) {
         directory::schedule_peer_sync(node, sync_delay(node, from));
     }
@@ -150,12 +154,13 @@
 pub fn expire_silent(node: &Node) {
     let now = Instant::now();
     let silent = node.peers.borrow_mut().drop_silent(now);
-    log_silent(node, &silent);
+    on_silent(node, &silent);
     node.peers.borrow_mut().remove_gone(now);
 }
 
-/// Logs instances that have fallen silent.
-fn log_silent(node: &Node, silent: &[Ipv4Addr]) {
+/// Drops what instances reported that have fallen silent, and logs them.
+fn on_silent(node: &Node, silent: &[Ipv4Addr]) {
+    node.remove_peer_usage(silent);
     for peer in silent {
         node.log.line(
             Priority::High,
--- a/crates/entry/src/request/refusals.rs
+++ b/crates/entry/src/request/refusals.rs
@@ -94,11 +94,30 @@
             availability.waiting,
             node.drained_zones.borrow().all().join(","),
         );
+        let reason = reason + &self.usage_reason(node);
         Refusal::new(RefusalKind::Shed)
             .with_message(reason)
             .with_retry_after(random_retry_delay())
     }
 
+    /// Usage of the organisation, and the step that was served instead, for the refusal of a request that
+    /// was assigned no slot; empty while requests aren't ordered by usage.
+    fn usage_reason(&self, node: &Node) -> String {
+        let dispatch = node.dispatch.borrow();
+        let usage = self.usage(node);
+        let Some(standing) = usage.and_then(|u| dispatch.standing(Instant::now(), &u)) else {
+            return String::new();
+        };
+        let served_step = dispatch.last_served_step(&self.service);
+        format!(
+            "; usage {:.0} of share {:.0} tokens per second, step {}, served instead step {}",
+            standing.usage_per_s,
+            standing.share,
+            standing.step,
+            served_step.map_or_else(|| "-".to_owned(), |step| step.to_string()),
+        )
+    }
+
     /// Builds the refusal of a request that has reached its timeout or the end of the process.
     pub(super) fn expiry_refusal(&self, node: &Node, expiry: Expiry) -> Refusal {
         match expiry {
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use kingcupfield_decisions::fair_order::Standing;
 use kingcupfield_decisions::id::UpstreamId;
 use tokio::time::Instant;
 
@@ -25,7 +26,7 @@
     node.log.line(
         Priority::Low,
         format_args!(
-            "event=sent id={} replica={} service={} version={} resumes={} last_event={:?} route={} organisation={organisation} table={} wait_ms={} try={} cost_ms={:.0} with_room={} own={} elsewhere={} elsewhere_age_ms={} cold={} limit={} credit_ms={} keeper={}",
+            "event=sent id={} replica={} service={} version={} resumes={} last_event={:?} route={} organisation={organisation} table={} wait_ms={} try={} cost_ms={:.0} with_room={} own={} elsewhere={} elsewhere_age_ms={} cold={} limit={} credit_ms={} keeper={}{}",
             ctx.meta.attempt_id,
             slot.upstream,
             ctx.service,
@@ -45,10 +46,19 @@
             selection.limit_per_s.map_or("-".to_owned(), |l| l.to_string()),
             ctx.charge.waited.as_millis(),
             ctx.charge.coordinator.map_or("-".to_owned(), |k| k.to_string()),
+            selection.usage.map_or_else(String::new, usage_fields),
         ),
     );
 }
 
+/// Fields of a log line about the usage of the request's organisation.
+fn usage_fields(standing: Standing) -> String {
+    format!(
+        " usage={:.0} share={:.0} step={}",
+        standing.usage_per_s, standing.share, standing.step
+    )
+}
+
 /// Logs an attempt that ended without a response from the replica.
 pub fn log_send_failed(
     node: &Node,
--- a/crates/entry/tests/outbox.rs
+++ b/crates/entry/tests/outbox.rs
@@ -26,13 +26,14 @@
 }
 
 /// An instance changes several times before its relay sends. The relay must send only the latest
-/// digest, but keep the step times, which only some digests contain.
+/// digest, but keep the step times and the usage, which only some digests contain.
 #[test]
 fn only_the_latest_digest_of_an_instance_is_sent() {
     let mut outbox = Outbox::default();
     let mut full = digest(1, 1);
     full.steps = vec![(9, 7000)];
     full.time_ms = Some(5);
+    full.reports.usage = vec![(7, 250.0)];
     outbox.add_for_all_zones(address(1), full);
     outbox.add_for_all_zones(address(1), digest(2, 3));
     for batch in [
@@ -48,6 +49,7 @@
             (&latest.steps[..], latest.time_ms),
             (&[(9, 7000)][..], Some(5))
         );
+        assert_eq!(latest.reports.usage, [(7, 250.0)]);
     }
     assert!(!outbox.has_own_zone());
 }
