Waive the demotion for size of organisations with little usage

Cause: the demotion for size belongs to the class, which comes before the step.

Change: half a tier of the demotion is waived for each doubling by which an organisation has used less than the one with the largest step that waits for the service. No request rises above its own tier.

--- a/crates/decisions/src/fair_order.rs
+++ b/crates/decisions/src/fair_order.rs
@@ -35,6 +35,9 @@
 /// Steps for each doubling of usage relative to share.
 const STEPS_PER_DOUBLING: f64 = 2.0;
 
+/// Steps by which an organisation has to be ahead for half a tier of its demotion for size: a doubling.
+const STEPS_PER_HALF_TIER: u32 = 2;
+
 /// Step of an organisation whose usage equals its share; 24 steps below it usage counts as none.
 const STEP_AT_SHARE: f64 = 24.0;
 
@@ -222,14 +225,15 @@
         organisations.map(move |a| (a.organisation, a.total * per_amount))
     }
 
-    /// Whether the steps of all waiting requests are to be computed now.
-    pub fn take_steps_due(&mut self, now: Instant) -> bool {
-        let is_fresh = |at: Instant| now.saturating_duration_since(at) < STEP_INTERVAL;
-        if !self.is_on() || self.steps_at.is_some_and(is_fresh) {
-            return false;
-        }
+    /// Whether the steps of the waiting requests need not be computed again now.
+    pub fn are_steps_fresh(&self, now: Instant) -> bool {
+        self.steps_at
+            .is_some_and(|at| now.saturating_duration_since(at) < STEP_INTERVAL)
+    }
+
+    /// Records that the steps of all waiting requests have been computed.
+    pub fn set_steps_fresh(&mut self, now: Instant) {
         self.steps_at = Some(now);
-        true
     }
 
     fn find(&self, organisation: NameHash) -> Option<&Amounts> {
@@ -294,6 +298,16 @@
     }
 }
 
+/// Half tiers of the demotion for size that are waived for a request of step `step`, while requests of
+/// step `top` wait: one for each doubling of usage, as the demotion is one for each doubling of size.
+///
+/// Without it, an organisation that floods a service with small requests precedes all larger ones of the
+/// others. With one for each step, or with the size after the step, up to a tenth fewer requests of mixed
+/// sizes are on time under overload.
+pub fn waived_demotion(step: UsageStep, top: UsageStep) -> u32 {
+    u32::from(top.saturating_sub(step)) / STEPS_PER_HALF_TIER
+}
+
 /// Number of organisations that one of `instances` reports.
 fn reported_count(instances: usize) -> usize {
     let count = MAX_REPORTED * FULL_REPORT_INSTANCES / instances.max(1);
@@ -317,6 +331,11 @@
     (class.0, STEP_FLAG | tier_class | u32::from(step))
 }
 
+/// The step of a class, if it has one.
+pub fn step_in(class: PriorityClass) -> Option<UsageStep> {
+    (class.1 & STEP_FLAG != 0).then_some((class.1 as UsageStep) & MAX_STEP)
+}
+
 /// Removes the step from a class, if it has one.
 pub fn without_step(class: PriorityClass) -> PriorityClass {
     if class.1 & STEP_FLAG == 0 {
--- a/crates/decisions/tests/fair_order.rs
+++ b/crates/decisions/tests/fair_order.rs
@@ -348,3 +348,39 @@
         assert_eq!(waiting, [("drafting".into(), expected)]);
     }
 }
+
+/// An organisation floods an engine with small requests, which precede larger ones of their tier. A
+/// larger request of an organisation that has used little would wait until the flood ends.
+#[parameterized(off = { false, 1 }, on = { true, 2 })]
+fn a_flood_of_small_requests_does_not_delay_a_larger_one(fair: bool, first: NameHash) {
+    let now = Instant::now();
+    let mut dispatcher = Instance::new(now, 1, fair).dispatcher;
+    let engine = Replica {
+        slots: 1,
+        is_engine: true,
+        ..plain_service::replica("g", 1)
+    };
+    dispatcher.update_replicas(now, &[engine]);
+    dispatcher.update_remote_load(&"g".into(), 2, 0.0);
+    dispatcher.on_peer_usage(now, 5, &[(1, 90_000.0), (2, 4_000.0)]);
+    let mut job = |organisation, id, size: f64| {
+        let usage = JobUsage {
+            organisation,
+            share: 1000.0,
+            work: 400.0 * size,
+        };
+        dispatcher.enqueue(Job {
+            usage: Some(usage),
+            prompt_tokens: 200.0 * size,
+            expected_output_tokens: 20.0 * size,
+            ..plain_service::job(id, now)
+        });
+    };
+    (0..20).for_each(|id| job(1, id, 1.0));
+    job(2, 20, 8.0);
+    dispatcher.update_remote_load(&"g".into(), 1, 0.0);
+    let assigned = dispatcher.assign(now);
+    assert_eq!(assigned.len(), 1);
+    let organisation = if assigned[0].job == 20 { 2 } else { 1 };
+    assert_eq!(organisation, first);
+}
