Remove the waiver of the demotion for size

Cause: the waiver was subtracted within the tier class, which is compared across tiers. Of two requests of one size, that of a lower tier could go first because its organisation had used less.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -76,8 +76,6 @@
     fair_order: FairOrder,
     /// Step of the last request that was sent, by service; sorted.
     served_steps: Vec<(ServiceId, UsageStep)>,
-    /// Largest step that waits here or at another instance of the cell, by service; sorted.
-    top_steps: Vec<(ServiceId, UsageStep)>,
 }
 
 impl Dispatcher {
@@ -231,7 +229,6 @@
             job,
             size_demotion,
             step: None,
-            waived_demotion: 0,
         });
     }
 
--- a/crates/decisions/src/dispatch/priority.rs
+++ b/crates/decisions/src/dispatch/priority.rs
@@ -50,8 +50,6 @@
     pub(super) size_demotion: u32,
     /// Step of its organisation's usage; `None` if requests aren't ordered by it.
     pub(super) step: Option<UsageStep>,
-    /// Part of the demotion for size that is waived, in half tiers.
-    pub(super) waived_demotion: u32,
 }
 
 impl Waiting {
@@ -62,9 +60,7 @@
             LATE_DEMOTION * u32::from(now + EXPECTED_FIRST_EVENT >= job.slo_deadline);
         (
             job.priority.0,
-            job.priority.1 * 2
-                + self.size_demotion.saturating_sub(self.waived_demotion)
-                + late_demotion,
+            job.priority.1 * 2 + self.size_demotion + late_demotion,
         )
     }
 
--- a/crates/decisions/src/dispatch/usage.rs
+++ b/crates/decisions/src/dispatch/usage.rs
@@ -7,17 +7,6 @@
 use crate::fair_order::{self, JobUsage, Standing, UsageStep};
 use crate::id::{InstanceAddress, NameHash, ServiceId};
 
-impl Waiting {
-    /// Determines the part of its demotion for size that is waived, from the largest steps that wait.
-    fn waive_demotion(&mut self, top_steps: &[(ServiceId, UsageStep)]) {
-        let found = top_steps.binary_search_by(|(s, _)| s.cmp(&self.job.service));
-        let top = found.map_or(0, |index| top_steps[index].1);
-        self.waived_demotion = self
-            .step
-            .map_or(0, |step| fair_order::waived_demotion(step, top));
-    }
-}
-
 impl Dispatcher {
     /// Applies the option of the order between organisations.
     pub(super) fn apply_fair_order(&mut self) {
@@ -26,10 +15,8 @@
         if half_life.is_none() {
             for w in &mut self.waiting {
                 w.step = None;
-                w.waived_demotion = 0;
             }
             self.served_steps.clear();
-            self.top_steps.clear();
         }
     }
 
@@ -46,7 +33,6 @@
         if order.are_steps_fresh(now) {
             for w in self.waiting.iter_mut().filter(|w| w.step.is_none()) {
                 w.step = step(w);
-                w.waive_demotion(&self.top_steps);
             }
             return;
         }
@@ -54,25 +40,6 @@
             w.step = step(w);
         }
         self.fair_order.set_steps_fresh(now);
-        self.update_top_steps();
-        for w in &mut self.waiting {
-            w.waive_demotion(&self.top_steps);
-        }
-    }
-
-    /// Determines the largest step that waits for each service, here and at the others of the cell.
-    fn update_top_steps(&mut self) {
-        self.top_steps.clear();
-        let own = self.waiting.iter().map(|w| (&w.job.service, w.step));
-        let others = self.competitors.iter();
-        let others = others.map(|c| (&c.service, fair_order::step_in(c.class)));
-        for (service, step) in own.chain(others) {
-            let step = step.unwrap_or_default();
-            match self.top_steps.binary_search_by(|(s, _)| s.cmp(service)) {
-                Ok(index) => self.top_steps[index].1 = self.top_steps[index].1.max(step),
-                Err(index) => self.top_steps.insert(index, (service.clone(), step)),
-            }
-        }
     }
 
     /// Records a request that is sent to a replica, and moves the waiting ones of its organisation,
@@ -93,7 +60,6 @@
                 .is_some_and(|u| u.organisation == usage.organisation);
             if is_same && w.step != step {
                 w.step = step;
-                w.waive_demotion(&self.top_steps);
                 is_changed = true;
             }
         }
--- a/crates/decisions/src/fair_order.rs
+++ b/crates/decisions/src/fair_order.rs
@@ -35,9 +35,6 @@
 /// Steps for each doubling of usage relative to share.
 const STEPS_PER_DOUBLING: f64 = 2.0;
 
-/// Steps by which an organisation has to be ahead for half a tier of its demotion for size: a doubling.
-const STEPS_PER_HALF_TIER: u32 = 2;
-
 /// Step of an organisation whose usage equals its share; 24 steps below it usage counts as none.
 const STEP_AT_SHARE: f64 = 24.0;
 
@@ -298,16 +295,6 @@
     }
 }
 
-/// Half tiers of the demotion for size that are waived for a request of step `step`, while requests of
-/// step `top` wait: one for each doubling of usage, as the demotion is one for each doubling of size.
-///
-/// Without it, an organisation that floods a service with small requests precedes all larger ones of the
-/// others. With one for each step, or with the size after the step, up to a tenth fewer requests of mixed
-/// sizes are on time under overload.
-pub fn waived_demotion(step: UsageStep, top: UsageStep) -> u32 {
-    u32::from(top.saturating_sub(step)) / STEPS_PER_HALF_TIER
-}
-
 /// Number of organisations that one of `instances` reports.
 fn reported_count(instances: usize) -> usize {
     let count = MAX_REPORTED * FULL_REPORT_INSTANCES / instances.max(1);
