Leave a slot for 15 ms to a lower step, not for as long as it is reported

Cause: the step was part of the class by which a request leaves a slot to another instance without an end. A competitor with a lower step that couldn't use the replica kept its slot unused for four fifths of each second. Steps were also compared across ranks and tiers.

Change: a request leaves a slot without an end to more urgent classes only, as before the order by usage. For a lower step of its class, or a more urgent class in the fifth of the time in which it ignores the others, it leaves the slot for 15 ms. Without steps nothing changes.

--- a/crates/decisions/src/dispatch/priority.rs
+++ b/crates/decisions/src/dispatch/priority.rs
@@ -107,16 +107,23 @@
     replica: &UpstreamId,
     propagation_delay: Duration,
 ) -> Option<Duration> {
-    let class = w.claim(now);
+    let claim = w.claim(now);
+    // A competitor may be unable to use this replica, so a lower step alone never blocks a request.
+    let class = fair_order::without_step(claim);
     let others = || competitors.iter().filter(|c| c.service == w.job.service);
-    if others().any(|c| c.class < class) && !ignores_competitors(now, &w.job) {
+    let is_less_urgent = others().any(|c| fair_order::without_step(c.class) < class);
+    if is_less_urgent && !ignores_competitors(now, &w.job) {
         return None;
     }
     let own_rank = claim_rank(own_address, replica);
+    // With steps, a request that ignores the other instances still leaves the slot to them for a
+    // moment. Otherwise an instance at which many requests of one organisation wait would pass each of
+    // its slots on to the next of these.
     let yields_to = |c: &Competitor| {
-        fair_order::has_lower_step(c.class, class) || claim_rank(c.address, replica) > own_rank
+        let is_lower_by_step = w.step.is_some() && c.class < claim;
+        is_lower_by_step || c.class <= claim && claim_rank(c.address, replica) > own_rank
     };
-    let is_first = others().all(|c| c.class > class || !yields_to(c));
+    let is_first = !others().any(yields_to);
     Some(if is_first {
         propagation_delay
     } else {
--- a/crates/decisions/src/fair_order.rs
+++ b/crates/decisions/src/fair_order.rs
@@ -318,21 +318,6 @@
     (class.0, STEP_FLAG | tier_class | u32::from(step))
 }
 
-/// The step of a class, if it has one.
-pub fn step_in(class: PriorityClass) -> Option<UsageStep> {
-    (class.1 & STEP_FLAG != 0).then_some((class.1 as UsageStep) & MAX_STEP)
-}
-
-/// Whether both classes have a step and that of `class` is lower.
-///
-/// A request that ignores the other instances for a moment, so that less urgent ones are served as well,
-/// still leaves a slot for a moment to those of organisations that used less. Otherwise an instance at
-/// which many requests of one organisation wait would pass each of its slots on to the next of these.
-pub fn has_lower_step(class: PriorityClass, than: PriorityClass) -> bool {
-    let steps = step_in(class).zip(step_in(than));
-    steps.is_some_and(|(step, than)| step < than)
-}
-
 /// Removes the step from a class, if it has one.
 pub fn without_step(class: PriorityClass) -> PriorityClass {
     if class.1 & STEP_FLAG == 0 {
--- a/crates/decisions/tests/fair_order.rs
+++ b/crates/decisions/tests/fair_order.rs
@@ -437,3 +437,55 @@
     assert_eq!(lower.assign(now).len(), 0);
     assert_eq!(higher.assign(now).len(), 1);
 }
+
+/// A competitor, and the milliseconds after which a request of tier 1 whose organisation has used much
+/// takes a free slot beside it; `None` if it leaves the slot to the competitor.
+struct Claim {
+    competitor: PriorityClass,
+    ignores_others: bool,
+    expected_ms: Option<u64>,
+}
+
+/// The competitor can't use the free replica, for example because it is of a region that its request
+/// may not be served in. If the request left the slot to it because of usage, the slot would stay unused.
+/// If it took the slot at once, the order between organisations would hold within one instance only.
+#[parameterized(
+    lower_step = { Claim { competitor: with_step((1, 2), 0), ignores_others: false, expected_ms: Some(15) } },
+    lower_step_ignored = { Claim { competitor: with_step((1, 2), 0), ignores_others: true, expected_ms: Some(15) } },
+    higher_step = { Claim { competitor: with_step((1, 2), 127), ignores_others: false, expected_ms: Some(0) } },
+    higher_tier = { Claim { competitor: with_step((1, 1), 127), ignores_others: false, expected_ms: None } },
+    higher_tier_ignored = { Claim { competitor: with_step((1, 1), 127), ignores_others: true, expected_ms: Some(15) } },
+    lower_tier = { Claim { competitor: with_step((1, 3), 0), ignores_others: false, expected_ms: Some(0) } },
+)]
+fn usage_keeps_no_slot_free_for_long(case: Claim) {
+    let start = Instant::now();
+    for address in 2..12 {
+        let mut dispatcher = Instance::new(start, 1, true).dispatcher;
+        let replica = Replica {
+            slots: 1,
+            ..plain_service::replica("a", 1)
+        };
+        dispatcher.update_replicas(start, &[replica]);
+        dispatcher.on_peer_usage(start, 5, &[(1, 90_000.0)]);
+        // Each request ignores the other instances in a fifth of each second, which its salt selects.
+        dispatcher.enqueue(Job {
+            salt: if case.ignores_others { 0 } else { 500 },
+            ..sized_job(start, 1, 1, (1, 1), 1.0)
+        });
+        dispatcher.update_competitors(vec![Competitor {
+            service: "drafting".into(),
+            address,
+            class: case.competitor,
+        }]);
+        let mut is_taken_at = |ms: &u64| {
+            !dispatcher
+                .assign(start + Duration::from_millis(*ms))
+                .is_empty()
+        };
+        assert_eq!(
+            (0..100).find(&mut is_taken_at),
+            case.expected_ms,
+            "{address}"
+        );
+    }
+}
