--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -242,6 +242,7 @@
                 let age = now.saturating_duration_since(f.stated_at);
                 (f.percent, age)
             }),
+            usage: None,
         }
     }
 
--- a/crates/decisions/src/dispatch/job.rs
+++ b/crates/decisions/src/dispatch/job.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use super::JobId;
+use crate::fair_order::{JobUsage, Standing};
 use crate::id::{NameHash, ServiceId, UpstreamId};
 use crate::regions::Regions;
 
@@ -39,6 +40,8 @@
     pub tried_replicas: Vec<UpstreamId>,
     /// Whether it may be sent to another replica after it has failed.
     pub may_repeat: bool,
+    /// What it counts for its organisation; `None` if it counts for none.
+    pub usage: Option<JobUsage>,
     /// Random number that varies the sample of distant replicas from request to request.
     pub salt: u64,
 }
@@ -72,6 +75,8 @@
     /// Newest known figure of how long work takes at the chosen replica, in percent of the usual time,
     /// and its age.
     pub work_time: Option<(u32, Duration)>,
+    /// Usage of the request's organisation, if requests are ordered by it.
+    pub usage: Option<Standing>,
 }
 
 /// Slots of a replica and the requests that occupy them.
--- a/crates/decisions/src/dispatch/priority.rs
+++ b/crates/decisions/src/dispatch/priority.rs
@@ -20,6 +20,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::dispatch::Job;
+use crate::fair_order::{self, UsageStep};
 use crate::id::{ServiceId, UpstreamId};
 
 /// Usual time from dispatch to the first event. A request with less time left to its objective is
@@ -47,6 +48,8 @@
     pub(super) job: Job,
     /// Demotion for the size of the request, in half tiers.
     pub(super) size_demotion: u32,
+    /// Step of its organisation's usage; `None` if requests aren't ordered by it.
+    pub(super) step: Option<UsageStep>,
 }
 
 impl Waiting {
@@ -60,6 +63,19 @@
             job.priority.1 * 2 + self.size_demotion + late_demotion,
         )
     }
+
+    /// Current priority as it is compared with those of other instances: the class, and the step if
+    /// requests are ordered by it.
+    pub(super) fn claim(&self, now: Instant) -> PriorityClass {
+        let class = self.class(now);
+        self.step
+            .map_or(class, |step| fair_order::with_step(class, step))
+    }
+
+    /// Position in the queue.
+    pub(super) fn order(&self, now: Instant) -> (PriorityClass, Instant) {
+        (self.claim(now), self.job.received_at)
+    }
 }
 
 /// How long a free slot is left to the instance that is entitled to it: twice the time that its
@@ -73,7 +89,8 @@
     pub service: ServiceId,
     /// Address of the other instance.
     pub address: u32,
-    /// Highest priority among these requests.
+    /// Highest priority among these requests, as the instance reported it: with the step of usage if
+    /// it orders by it.
     pub class: PriorityClass,
 }
 
@@ -90,13 +107,23 @@
     replica: &UpstreamId,
     propagation_delay: Duration,
 ) -> Option<Duration> {
-    let class = w.class(now);
+    let claim = w.claim(now);
+    // A competitor may be unable to use this replica, so a lower step alone never blocks a request.
+    let class = fair_order::without_step(claim);
     let others = || competitors.iter().filter(|c| c.service == w.job.service);
-    if others().any(|c| c.class < class) && !ignores_competitors(now, &w.job) {
+    let is_less_urgent = others().any(|c| fair_order::without_step(c.class) < class);
+    if is_less_urgent && !ignores_competitors(now, &w.job) {
         return None;
     }
     let own_rank = claim_rank(own_address, replica);
-    let is_first = others().all(|c| c.class > class || claim_rank(c.address, replica) <= own_rank);
+    // With steps, a request that ignores the other instances still leaves the slot to them for a
+    // moment. Otherwise an instance at which many requests of one organisation wait would pass each of
+    // its slots on to the next of these.
+    let yields_to = |c: &Competitor| {
+        let is_lower_by_step = w.step.is_some() && c.class < claim;
+        is_lower_by_step || c.class <= claim && claim_rank(c.address, replica) > own_rank
+    };
+    let is_first = !others().any(yields_to);
     Some(if is_first {
         propagation_delay
     } else {
--- a/crates/decisions/tests/dispatch.rs
+++ b/crates/decisions/tests/dispatch.rs
@@ -46,6 +46,7 @@
         max_event_gap: Duration::from_millis(300),
         tried_replicas: Vec::new(),
         may_repeat: true,
+        usage: None,
         salt: id,
     }
 }
--- a/crates/decisions/tests/support/plain_service.rs
+++ b/crates/decisions/tests/support/plain_service.rs
@@ -44,6 +44,7 @@
         max_event_gap: Duration::ZERO,
         tried_replicas: Vec::new(),
         may_repeat: true,
+        usage: None,
         salt: id,
     }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -5,6 +5,7 @@
 mod replicas;
 mod slots;
 mod statements;
+mod usage;
 mod versions;
 
 use std::cell::{Cell, RefCell};
--- a/crates/entry/src/outbox.rs
+++ b/crates/entry/src/outbox.rs
@@ -84,6 +84,9 @@
             if previous.incarnation == digest.incarnation {
                 let earlier = std::mem::take(&mut previous.reports.speeds);
                 keep_speeds(&mut digest.reports.speeds, earlier);
+                if digest.reports.usage.is_empty() {
+                    digest.reports.usage = std::mem::take(&mut previous.reports.usage);
+                }
             }
             *previous = digest;
         }
