Keep figures of speeds for the messages that reach the cell

A greeting goes to few instances, but took the figures that were not reported yet, so that the others never got them. Greetings carry none now and leave them. Tests of the decisions and of the entry pass; no test covers the greeting itself.

--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -439,6 +439,10 @@
             digest.greeting = true;
             digest.members = live_members(node);
             digest.settled = node.peers.borrow().is_settled(now);
+        } else {
+            // Each figure is reported once. A greeting reaches few instances and would take it from
+            // the others.
+            digest.reports.speeds = node.take_speed_reports();
         }
         digest
     }
--- a/crates/entry/src/node/load_figures.rs
+++ b/crates/entry/src/node/load_figures.rs
@@ -54,7 +54,7 @@
 
     /// Figures that the other instances have not been told of; at most [`MAX_SPEED_REPORTS`], the
     /// latest first.
-    pub(super) fn take_speed_reports(&self) -> Vec<ReplicaSpeedReport> {
+    pub fn take_speed_reports(&self) -> Vec<ReplicaSpeedReport> {
         let now = Instant::now();
         let mut figures = self.dispatch.borrow_mut().take_unreported_work_times(now);
         figures.sort_by_key(|(_, _, figure)| now.saturating_duration_since(figure.stated_at));
--- a/crates/entry/src/node/statements.rs
+++ b/crates/entry/src/node/statements.rs
@@ -108,14 +108,14 @@
         );
     }
 
-    /// What this instance reports about replicas and organisations to the others.
+    /// What this instance reports about replicas and organisations to the others, except for the
+    /// speeds, which are reported once ([`Node::take_speed_reports`]).
     pub fn reports(&self) -> Reports {
         let mut leaving = self.leaving_replicas();
         leaving.truncate(MAX_REPORTS);
         Reports {
             limits: self.own_limit_reports(),
             leaving,
-            speeds: self.take_speed_reports(),
             ..Reports::default()
         }
     }
