Correct the gap between events by the speed in all of it

The gap was divided by its tokens first, so that the factor was that of the last few milliseconds. The measured gap itself stays available in on_events.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -421,9 +421,11 @@
         if let Some(u) = self.find(upstream) {
             u.last_response_at = Some(now);
             let tokens = events.max(1) * u.replica.tokens_per_event.max(1);
+            // The factor is that of the whole gap, in which the speed may have changed.
             let learned_ms = u.latency.learned_step_ms();
-            let gap = u.speed.usual_time(now, gap / tokens, learned_ms);
-            u.latency.on_gap(gap);
+            let learned_gap_ms = learned_ms.map(|ms| ms * f64::from(tokens));
+            let usual_gap = u.speed.usual_time(now, gap, learned_gap_ms);
+            u.latency.on_gap(usual_gap / tokens);
         }
     }
 
--- a/crates/decisions/tests/momentary_speed.rs
+++ b/crates/decisions/tests/momentary_speed.rs
@@ -587,3 +587,31 @@
     // Uncorrected, the median is 10 ms; the mean over all periods is 20 ms.
     assert!(step_ms[0] > 14.0 && step_ms[0] < 24.0, "{step_ms:?}");
 }
+
+/// Events of 40 tokens arrive 400 ms apart, and the engine becomes slow just before they do. By the speed
+/// at their end alone, their tokens would be learned as having taken less than their usual time.
+#[test]
+fn a_long_gap_is_corrected_by_the_speed_in_all_of_it() {
+    let start = Instant::now();
+    let engine = Replica {
+        is_engine: true,
+        tokens_per_event: 40,
+        ..plain_service::replica("a", 1)
+    };
+    let mut dispatcher = Dispatcher::new();
+    dispatcher.set_options(options());
+    dispatcher.update_replicas(start, &[engine]);
+    let figure = |percent, stated_at| WorkTime { percent, stated_at };
+    for gap in 0..100 {
+        let begin = start + Duration::from_millis(400) * gap;
+        for (ms, percent) in [(0, 100), (100, 100), (200, 100), (300, 100), (390, 500)] {
+            let at = begin + Duration::from_millis(ms);
+            dispatcher.on_peer_work_time(&"a".into(), 1, figure(percent, at));
+        }
+        let end = begin + Duration::from_millis(400);
+        dispatcher.on_events(end, &"a".into(), 1, Duration::from_millis(400));
+    }
+    let step_ms: Vec<f64> = dispatcher.own_step_times().map(|(_, ms)| ms).collect();
+    println!("step {step_ms:?}");
+    assert!((step_ms[0] - 10.0).abs() < 1.0, "{step_ms:?}");
+}
