--- a/crates/decisions/src/dispatch/speeds.rs
+++ b/crates/decisions/src/dispatch/speeds.rs
@@ -8,7 +8,7 @@
 use super::upstream::Upstream;
 use crate::digest_timing::MIN_COLLECT_TIME;
 use crate::id::UpstreamId;
-use crate::load_figures::LoadFigures;
+use crate::load_figures::{LoadFigures, WORK_TIME_PERCENTS};
 use crate::momentary_speed::WorkTime;
 
 /// Age up to which the newest figure of a replica is shown to operators.
@@ -85,8 +85,11 @@
         })
     }
 
-    /// Applies a figure that another instance reported.
+    /// Applies a figure that another instance reported; one out of range is ignored.
     pub fn on_peer_work_time(&mut self, upstream: &UpstreamId, incarnation: u64, figure: WorkTime) {
+        if !WORK_TIME_PERCENTS.contains(&figure.percent) {
+            return;
+        }
         if let Some(index) = self.index_of_incarnation(upstream, incarnation) {
             self.upstreams[index].speed.on_peer_figure(figure);
         }
--- a/crates/decisions/src/load_figures.rs
+++ b/crates/decisions/src/load_figures.rs
@@ -1,5 +1,11 @@
 //! Load that a replica states about itself in its responses.
 
+use std::ops::RangeInclusive;
+
+/// Valid work times in percent, of replicas and in reports of other instances: work takes some time,
+/// and at most a hundred times the usual one.
+pub const WORK_TIME_PERCENTS: RangeInclusive<u32> = 1..=10_000;
+
 /// Load of a replica at the moment of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadFigures {
--- a/crates/decisions/tests/momentary_speed.rs
+++ b/crates/decisions/tests/momentary_speed.rs
@@ -588,6 +588,23 @@
     assert!(step_ms[0] > 14.0 && step_ms[0] < 24.0, "{step_ms:?}");
 }
 
+/// Figures of another instance that no replica can state would replace valid ones.
+#[parameterized(
+    zero = { 0, false },
+    least = { 1, true },
+    greatest = { 10_000, true },
+    above = { 10_001, false },
+)]
+fn reports_out_of_range_are_ignored(percent: u32, is_valid: bool) {
+    let now = Instant::now();
+    let mut dispatcher = Dispatcher::new();
+    dispatcher.set_options(options());
+    dispatcher.update_replicas(now, &[plain_service::replica("a", 1)]);
+    let stated_at = now;
+    dispatcher.on_peer_work_time(&"a".into(), 1, WorkTime { percent, stated_at });
+    assert_eq!(dispatcher.work_times(now).count(), usize::from(is_valid));
+}
+
 /// Events of 40 tokens arrive 400 ms apart, and the engine becomes slow just before they do. By the speed
 /// at their end alone, their tokens would be learned as having taken less than their usual time.
 #[test]
