--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -449,9 +449,11 @@
         let u = &mut self.upstreams[index];
         u.last_response_at = Some(now);
         let tokens = events.max(1) * u.replica.tokens_per_event.max(1);
+        // The factor is that of the whole gap, in which the speed may have changed.
         let learned_ms = u.latency.learned_step_ms();
-        let usual_gap = u.speed.usual_time(now, gap / tokens, learned_ms);
-        u.latency.on_gap(usual_gap);
+        let learned_gap_ms = learned_ms.map(|ms| ms * f64::from(tokens));
+        let usual_gap = u.speed.usual_time(now, gap, learned_gap_ms);
+        u.latency.on_gap(usual_gap / tokens);
         self.pace_on_gap(now, index, gap / tokens);
     }
 
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -453,6 +453,10 @@
             digest.members = live_members(node);
             digest.settled = node.peers.borrow().is_settled(now);
             digest.reports.usage = node.own_usage(now);
+        } else {
+            // Each figure is reported once. A greeting reaches few instances and would take it from
+            // the others.
+            digest.reports.speeds = node.take_speed_reports();
         }
         digest
     }
