Show settled replicas and those held back by a bound alike everywhere

A settled replica had a bound of its slots in the reports, and none in the log and the gauge; it now has its slots in all three. Refusals counted replicas held back by their bound as full or not at all; they are warming_up.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -373,8 +373,10 @@
                 availability.limited += 1;
             } else if !u.accepts_work(now) {
                 availability.ejected += 1;
-            } else if !u.has_room() {
+            } else if !u.has_slots() {
                 availability.full += 1;
+            } else if !u.has_room() || !u.pace_admits(now) {
+                availability.warming_up += 1;
             }
         }
         let waiting = self.waiting.iter().filter(|w| w.job.service == *service);
--- a/crates/decisions/src/dispatch/job.rs
+++ b/crates/decisions/src/dispatch/job.rs
@@ -105,7 +105,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ServiceAvailability {
     /// Replicas that are neither shutting down nor in a drained zone. Each of them is in at most
-    /// one of the next six counts.
+    /// one of the next seven counts.
     pub usable: u32,
     /// Replicas in a region where the request may not be processed.
     pub region_not_allowed: u32,
@@ -119,6 +119,8 @@
     pub resting: u32,
     /// Replicas without room for another request.
     pub full: u32,
+    /// Replicas whose in-flight bound after a start or a recovery permits no other request.
+    pub warming_up: u32,
     /// Requests for the service in this instance's queue.
     pub waiting: u32,
 }
--- a/crates/decisions/src/dispatch/pacing.rs
+++ b/crates/decisions/src/dispatch/pacing.rs
@@ -30,10 +30,10 @@
         std::mem::take(&mut self.pace_changes)
     }
 
-    /// The bounds in force.
+    /// The bounds in force, and those of settled replicas.
     pub fn paces(&self) -> impl Iterator<Item = (&UpstreamId, u32)> {
         let upstreams = self.upstreams.iter();
-        upstreams.filter_map(|u| Some((&u.replica.id, u.warm_up.bound()?)))
+        upstreams.filter_map(|u| Some((&u.replica.id, u.warm_up.shown_bound()?)))
     }
 
     /// What this instance reports about bounds: the replica, its incarnation and the report.
@@ -43,7 +43,7 @@
     ) -> impl Iterator<Item = (&UpstreamId, u64, PaceReport)> {
         self.active_upstreams().filter_map(move |u| {
             let is_designated = u.cold_gate.is_designated();
-            let report = u.warm_up.report(now, is_designated, u.replica.slots)?;
+            let report = u.warm_up.report(now, is_designated)?;
             Some((&u.replica.id, u.replica.incarnation, report))
         })
     }
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -236,14 +236,20 @@
         self.running.len() as u32 + self.remote_running
     }
 
-    /// Whether another request fits into the slots and the permitted queue of the replica.
+    /// Whether another request fits into the slots and the permitted queue of the replica, and below its
+    /// in-flight bound.
     pub(super) fn has_room(&self) -> bool {
+        self.has_slots() && self.running_total() < self.warm_up.max_in_flight()
+    }
+
+    /// Whether another request fits into the slots and the permitted queue of the replica.
+    pub(super) fn has_slots(&self) -> bool {
         let room = if self.replica.is_engine {
             self.replica.slots + ENGINE_EXTRA_REQUESTS
         } else {
             self.replica.slots * PLAIN_REQUESTS_PER_SLOT
         };
-        self.running_total() < room.min(self.warm_up.max_in_flight())
+        self.running_total() < room
     }
 
     /// Whether it may get new requests: neither the directory nor the replica itself says otherwise.
--- a/crates/decisions/src/warm_up.rs
+++ b/crates/decisions/src/warm_up.rs
@@ -128,7 +128,8 @@
 /// A change of a bound.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PaceChange {
-    /// Requests in flight that are permitted now; `None` if there is no bound any more.
+    /// Requests in flight that are permitted now, all slots if the replica is settled; `None` if there is
+    /// no bound any more.
     pub bound: Option<u32>,
     /// Why it changed.
     pub reason: PaceReason,
@@ -183,8 +184,9 @@
     Troubled(PaceReason),
     /// At most this many requests in flight.
     Bounded(u32),
-    /// Permanently slower than its peers, and not bounded.
-    Settled,
+    /// Permanently slower than its peers, and not held back. The bound of all slots, or more, that is
+    /// reported and shown tells this from a replica that is well.
+    Settled(u32),
 }
 
 /// State of the warm-up of one incarnation of a replica, at one instance.
@@ -247,9 +249,17 @@
         }
     }
 
+    /// The bound for the log, the gauge and the reports: also that of a settled replica.
+    pub fn shown_bound(&self) -> Option<u32> {
+        match self.phase {
+            Phase::Settled(bound) => Some(bound),
+            _ => self.bound(),
+        }
+    }
+
     /// Whether the replica has no bound and its times are comparable with those of others.
     pub fn is_free(&self) -> bool {
-        matches!(self.phase, Phase::Free | Phase::Settled)
+        matches!(self.phase, Phase::Free | Phase::Settled(_))
     }
 
     /// Requests in flight from all instances up to which the replica has room.
@@ -271,7 +281,7 @@
     /// instance, until it has been free for a while.
     pub fn admits(&self, now: Instant, load: InFlight) -> bool {
         match self.phase {
-            Phase::Free | Phase::Settled => true,
+            Phase::Free | Phase::Settled(_) => true,
             Phase::Troubled(_) => load.own == 0,
             Phase::Bounded(bound) => {
                 let more_than_one = load.total + 1 < bound;
@@ -294,13 +304,13 @@
             ),
             Phase::Troubled(PaceReason::Failing) => (FAILING_TRIAL_INTERVAL, load.is_designated),
             Phase::Troubled(_) => (TRIAL_INTERVAL, load.is_designated),
-            Phase::Settled => (SETTLED_TRIAL_INTERVAL, load.is_designated),
+            Phase::Settled(_) => (SETTLED_TRIAL_INTERVAL, load.is_designated),
         };
         let is_due = self
             .last_dispatch_at
             .is_none_or(|at| now.saturating_duration_since(at) >= interval);
         let in_flight = match self.phase {
-            Phase::Bounded(_) | Phase::Settled => load.total,
+            Phase::Bounded(_) | Phase::Settled(_) => load.total,
             // The others have not been told, and may send there as usual.
             Phase::Free | Phase::Troubled(_) => load.own,
         };
@@ -367,7 +377,7 @@
     pub fn on_trouble(&mut self, now: Instant, reason: PaceReason) -> Option<PaceChange> {
         self.had_trouble = true;
         match self.phase {
-            Phase::Free | Phase::Settled => {
+            Phase::Free | Phase::Settled(_) => {
                 self.phase = Phase::Troubled(reason);
                 None
             }
@@ -419,7 +429,7 @@
     pub fn needs_reference(&mut self, now: Instant, ms: f64, slow_ratio: f64) -> bool {
         match self.phase {
             Phase::Free => self.usual.is_slowed_down_by(now, ms, slow_ratio),
-            Phase::Settled => self.usual.is_improved_by(ms),
+            Phase::Settled(_) => self.usual.is_improved_by(ms),
             Phase::Bounded(_) => true,
             Phase::Troubled(_) => false,
         }
@@ -429,7 +439,7 @@
     pub fn on_sample(&mut self, now: Instant, ms: f64, r: &Reference) -> Option<PaceChange> {
         match self.phase {
             Phase::Bounded(bound) => self.on_bounded_sample(now, bound, ms, r),
-            Phase::Settled if r.peers_ms.is_some_and(|peers| ms <= peers * r.slow_ratio) => {
+            Phase::Settled(_) if r.peers_ms.is_some_and(|peers| ms <= peers * r.slow_ratio) => {
                 Some(self.change_to(now, Phase::Free, PaceReason::Normal))
             }
             Phase::Free if r.peers_ms.is_some_and(|peers| ms > peers * r.slow_ratio) => {
@@ -484,7 +494,7 @@
         self.had_trouble = true;
         if self.progress.is_stable(now) {
             let phase = if bound + 1 >= slots {
-                Phase::Settled
+                Phase::Settled(slots.max(MIN_SETTLED_BOUND))
             } else {
                 Phase::Bounded(bound + 1)
             };
@@ -521,12 +531,12 @@
             self.usual.end_streak();
             self.had_trouble = false;
         }
-        if phase == Phase::Settled {
+        if matches!(phase, Phase::Settled(_)) {
             self.usual = UsualTime::default();
             self.usual.replace(self.progress.smoothed_ms());
         }
         PaceChange {
-            bound: self.bound(),
+            bound: self.shown_bound(),
             reason,
             since: self
                 .begun_at
@@ -544,16 +554,11 @@
     }
 
     /// The bound for the other instances, if this one has to report it.
-    pub fn report(&self, now: Instant, is_designated: bool, slots: u32) -> Option<PaceReport> {
+    pub fn report(&self, now: Instant, is_designated: bool) -> Option<PaceReport> {
         let repeats = self.repeated_until.is_some_and(|until| now < until);
         let may_report = self.is_author || is_designated || repeats;
-        let bound = match self.phase {
-            Phase::Bounded(bound) => Some(bound),
-            Phase::Settled => Some(slots.max(MIN_SETTLED_BOUND)),
-            Phase::Free | Phase::Troubled(_) => None,
-        };
         (may_report && self.is_reported(now)).then_some(PaceReport {
-            bound,
+            bound: self.shown_bound(),
             change: self.change,
         })
     }
@@ -583,7 +588,7 @@
         }
         let phase = match report.bound {
             None => Phase::Free,
-            Some(bound) if bound >= slots.max(MIN_SETTLED_BOUND) => Phase::Settled,
+            Some(bound) if bound >= slots.max(MIN_SETTLED_BOUND) => Phase::Settled(bound),
             Some(bound) => Phase::Bounded(bound.max(1)),
         };
         let is_tie = reported == self.change;
@@ -640,7 +645,7 @@
 fn rank(phase: Phase) -> u32 {
     match phase {
         Phase::Bounded(bound) => bound,
-        Phase::Troubled(_) | Phase::Settled => u32::MAX - 1,
+        Phase::Troubled(_) | Phase::Settled(_) => u32::MAX - 1,
         Phase::Free => u32::MAX,
     }
 }
--- a/crates/decisions/tests/warm_up.rs
+++ b/crates/decisions/tests/warm_up.rs
@@ -311,10 +311,10 @@
     let mut designated = WarmUp::new(2, &"r".into());
     for ms in (0..MAX_UNCONFIRMED_S * 1000).step_by(100) {
         let at = now + Duration::from_millis(ms);
-        if let Some(report) = author.report(at, false, 4) {
+        if let Some(report) = author.report(at, false) {
             designated.on_report(at, report, 4);
         }
-        if let Some(report) = designated.report(at, true, 4) {
+        if let Some(report) = designated.report(at, true) {
             author.on_report(at, report, 4);
         }
         author.expire(at);
@@ -330,10 +330,10 @@
     let now = Instant::now();
     let mut holder = WarmUp::new(1, &"r".into());
     holder.on_report(now, pace(None, 3), 4);
-    assert_eq!(holder.report(now, false, 4), None);
+    assert_eq!(holder.report(now, false), None);
     let later = now + Duration::from_secs(40);
     holder.on_report(later, pace(Some(1), 2), 4);
-    assert_eq!(holder.report(later, false, 4), Some(pace(None, 3)));
+    assert_eq!(holder.report(later, false), Some(pace(None, 3)));
 }
 
 /// The largest number of changes could not be superseded by any other.
@@ -351,7 +351,7 @@
         slots: 2,
     };
     peers[0].on_sample(now, 50.0, &reference);
-    let report = peers[0].report(now, false, 2);
+    let report = peers[0].report(now, false);
     peers[1].on_report(now, report.expect("a report of its author"), 2);
     peers[1].on_report(now, largest, 2);
     assert_eq!(peers.map(|p| p.bound()), [None, None]);
@@ -490,6 +490,32 @@
     assert_eq!(warm_up.bound(), expected);
 }
 
+/// The bound of a settled replica would be told from none in some places only.
+#[test]
+fn a_settled_replica_is_shown_with_its_slots() {
+    let now = Instant::now();
+    let mut warm_up = WarmUp::new(1, &"r".into());
+    let change = warm_up.on_report(now, pace(Some(4), 1), 4);
+    assert_eq!(change.and_then(|c| c.bound), Some(4));
+    assert_eq!(warm_up.shown_bound(), Some(4));
+    assert_eq!(warm_up.report(now, true), Some(pace(Some(4), 1)));
+    assert_eq!(warm_up.bound(), None);
+}
+
+/// Operators would look for a lack of slots where a bound holds replicas back.
+#[test]
+fn replicas_held_back_by_their_bound_are_counted() {
+    let now = Instant::now();
+    let mut d = dispatcher(now, 1, &[1]);
+    d.update_replicas(now, &[plain_service::replica("young", 999_000)]);
+    for job in [1, 2] {
+        d.enqueue(plain_service::job(job, now));
+    }
+    d.assign(now);
+    let availability = d.availability(now, &"drafting".into(), &plain_service::job(3, now).regions);
+    assert_eq!((availability.full, availability.warming_up), (0, 1));
+}
+
 struct Failure {
     share_above_lowest: f64,
     bound: Option<u32>,
--- a/crates/entry/src/request/refusals.rs
+++ b/crates/entry/src/request/refusals.rs
@@ -80,7 +80,7 @@
                 .borrow()
                 .availability(Instant::now(), &self.service, &regions);
         let reason = format!(
-            "no room for {} in {} ms in regions {regions}, received in region {}: {} replicas usable, of these {} in other regions, {} cold, {} limited, {} resting, {} in backoff, {} full; {} requests waiting, drained zones [{}]",
+            "no room for {} in {} ms in regions {regions}, received in region {}: {} replicas usable, of these {} in other regions, {} cold, {} limited, {} resting, {} in backoff, {} full, {} warming up; {} requests waiting, drained zones [{}]",
             self.service,
             self.received.elapsed().as_millis(),
             node.settings().region,
@@ -91,6 +91,7 @@
             availability.resting,
             availability.ejected,
             availability.full,
+            availability.warming_up,
             availability.waiting,
             node.drained_zones.borrow().all().join(","),
         );
