Apply usage only of digests that are applied

Cause: usage was also taken from digests of instances that have left or don't fit into the list, and from older ones. Such a report was never removed, and empty reports stayed after their amounts had decayed.

Change: `DigestEffects` says whether the digest was applied, and usage depends on it. The conversion drops negligible amounts and empty reports; no test covers this part.

--- a/crates/decisions/src/fair_order.rs
+++ b/crates/decisions/src/fair_order.rs
@@ -39,7 +39,7 @@
 const STEP_AT_SHARE: f64 = 24.0;
 
 /// Largest step, which fits into [`STEP_BITS`].
-const MAX_STEP: UsageStep = (1 << STEP_BITS) - 1;
+pub const MAX_STEP: UsageStep = (1 << STEP_BITS) - 1;
 
 /// Bits of the step in a reported class.
 const STEP_BITS: u32 = 7;
@@ -286,9 +286,13 @@
             amounts.own *= factor;
             amounts.total *= factor;
         }
-        for (_, amount) in self.peers.iter_mut().flat_map(|p| &mut p.amounts) {
-            *amount *= factor;
+        for report in &mut self.peers {
+            report.amounts.retain_mut(|(_, amount)| {
+                *amount *= factor;
+                *amount > NEGLIGIBLE_AMOUNT
+            });
         }
+        self.peers.retain(|report| !report.amounts.is_empty());
         self.organisations.retain(|a| a.total > NEGLIGIBLE_AMOUNT);
         self.reference = Some(now);
         Some(1.0)
--- a/crates/entry/src/node/statements.rs
+++ b/crates/entry/src/node/statements.rs
@@ -146,7 +146,6 @@
     /// Applies what another instance reports about replicas and organisations.
     pub fn on_peer_reports(&self, from: Ipv4Addr, reports: &Reports) {
         self.on_peer_limit_reports(from, &reports.limits);
-        self.on_peer_usage(from, &reports.usage);
         for (name, start_unix_ms) in &reports.leaving {
             if let Some(id) = self.replica_by_name_hash(*name) {
                 self.on_said_leaving(&id, *start_unix_ms, format_args!("peer={from}"));
--- a/crates/entry/src/node/usage.rs
+++ b/crates/entry/src/node/usage.rs
@@ -15,7 +15,7 @@
     }
 
     /// Applies another instance's report of the usage through it.
-    pub(super) fn on_peer_usage(&self, from: Ipv4Addr, usage: &[(NameHash, f32)]) {
+    pub fn on_peer_usage(&self, from: Ipv4Addr, usage: &[(NameHash, f32)]) {
         if !usage.is_empty() {
             self.dispatch
                 .borrow_mut()
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -68,6 +68,8 @@
     pub silent: Vec<Ipv4Addr>,
     /// Whether instances were left out because too many are known.
     pub is_list_full: bool,
+    /// Whether the digest is the newest of an instance that is known and has not left.
+    pub is_applied: bool,
 }
 
 /// An instance that announced its shutdown.
@@ -318,6 +320,7 @@
             greet,
             silent,
             is_list_full,
+            is_applied: true,
         }
     }
 
--- a/crates/entry/src/receiver.rs
+++ b/crates/entry/src/receiver.rs
@@ -118,6 +118,10 @@
     apply_step_times(node, &steps);
     apply_unreachable(node, &unreachable);
     node.on_peer_reports(from, &reports);
+    // The usage of an instance that is not listed would never be removed.
+    if effects.is_applied {
+        node.on_peer_usage(from, &reports.usage);
+    }
     if is_leaving {
         node.remove_peer_usage(&[from]);
     }
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -376,3 +376,25 @@
     peers.on_digest(now, address(1), with_upto(2, 2, 41));
     assert!(is_ahead(&peers));
 }
+
+/// What an instance reports beside its state is removed when it falls silent or leaves. A report of a
+/// digest that is not applied would stay for good.
+#[test]
+fn only_the_newest_digest_of_a_listed_instance_is_applied() {
+    let now = Instant::now();
+    let mut peers = Peers::new(now, OWN, true).with_zones([(1, Distance::SameZone)]);
+    let mut is_applied = |from, seq, leaving| {
+        let digest = Digest {
+            seq,
+            leaving,
+            ..digest(1)
+        };
+        peers.on_digest(now, from, digest).is_applied
+    };
+    assert!(!is_applied(OWN, 1, false));
+    assert!(is_applied(address(1), 7, false));
+    assert!(!is_applied(address(1), 6, false));
+    assert!(is_applied(address(1), 8, false));
+    assert!(!is_applied(address(1), 9, true));
+    assert!(!is_applied(address(1), 10, false));
+}
