Count requests without an organisation at the largest default tokens

Cause: a plain call without an organisation counted 1, beside a share of the largest limit.

Change: it counts as the largest `default_tokens` of the table. No test covers it.

--- a/crates/entry/src/request/slot_request.rs
+++ b/crates/entry/src/request/slot_request.rs
@@ -137,11 +137,16 @@
         let output_tokens = self.meta.estimated_output_tokens();
         let tokens = f64::from(self.meta.prompt_tokens.unwrap_or(0));
         let work = tokens + OUTPUT_TOKEN_WORK * output_tokens;
-        let default_work = organisation.map_or(1.0, |o| f64::from(o.default_tokens.max(1)));
+        let table = node.table();
+        let default_tokens = table.as_ref().map_or(1, |t| t.default_tokens(organisation));
         Some(JobUsage {
             organisation: organisation.map_or(NO_ORGANISATION, |o| name_hash(&o.name)),
-            share: node.table().map_or(1.0, |t| t.share(organisation)),
-            work: if work > 0.0 { work } else { default_work },
+            share: table.map_or(1.0, |t| t.share(organisation)),
+            work: if work > 0.0 {
+                work
+            } else {
+                f64::from(default_tokens)
+            },
         })
     }
 
--- a/crates/entry/src/table.rs
+++ b/crates/entry/src/table.rs
@@ -173,6 +173,8 @@
     requires_key: bool,
     /// Largest share of an organisation; `None` if none has a limit.
     largest_share: Option<f64>,
+    /// Largest number of default tokens of an organisation, at least 1.
+    largest_default_tokens: u32,
 }
 
 impl Table {
@@ -208,6 +210,8 @@
         organisations_by_hash.sort_by_key(|(hash, _)| *hash);
         let shares = organisations_by_hash.iter().filter_map(|(_, o)| o.share());
         let largest_share = shares.reduce(f64::max);
+        let default_tokens = organisations_by_hash.iter().map(|(_, o)| o.default_tokens);
+        let largest_default_tokens = default_tokens.max().unwrap_or(1).max(1);
         let sharing_services = sharing_services(&routes);
         Self {
             version,
@@ -219,6 +223,7 @@
             sharing_services,
             requires_key,
             largest_share,
+            largest_default_tokens,
         }
     }
 
@@ -283,6 +288,12 @@
         own.or(self.largest_share).unwrap_or(1.0)
     }
 
+    /// Tokens that a request without a number of tokens counts as. Without an organisation: the largest
+    /// default of the table, as its usage is divided by the largest share.
+    pub fn default_tokens(&self, organisation: Option<&Organisation>) -> u32 {
+        organisation.map_or(self.largest_default_tokens, |o| o.default_tokens.max(1))
+    }
+
     /// Whether requests need a key.
     pub fn requires_key(&self) -> bool {
         self.requires_key
