Put requests without usage last, and convert competitors when the option changes

Cause: requests queued before the order was switched on had step 0 and preceded all others of their class. The competitors known at the switch kept classes of the other kind until the next message.

Change: such requests have the largest step, and the stored competitors are converted with the option. The conversion has no test of its own.

--- a/crates/decisions/src/dispatch/usage.rs
+++ b/crates/decisions/src/dispatch/usage.rs
@@ -12,6 +12,8 @@
     pub(super) fn apply_fair_order(&mut self) {
         let half_life = self.options.fair_order.map(|o| o.half_life);
         self.fair_order.set_half_life(half_life);
+        let competitors = std::mem::take(&mut self.competitors);
+        self.competitors = self.comparable(competitors);
         if half_life.is_none() {
             for w in &mut self.waiting {
                 w.step = None;
@@ -28,7 +30,9 @@
         let order = &self.fair_order;
         let step = |w: &Waiting| {
             let standing = w.job.usage.and_then(|u| order.standing(now, &u));
-            Some(standing.map_or(0, |s| s.step))
+            // Requests that were queued before the order was switched on have no usage. They go last, so
+            // that they don't precede those of organisations that used little.
+            Some(standing.map_or(fair_order::MAX_STEP, |s| s.step))
         };
         if order.are_steps_fresh(now) {
             for w in self.waiting.iter_mut().filter(|w| w.step.is_none()) {
