Count the bytes of usage and steps in digests in full

Cause: usage entries were counted as 10 bytes of 11, and waiting entries with a step as 9 of 13.

Change: 11 and 13, and cases with many of either in the test of the datagram size.

--- a/crates/entry/src/outbox.rs
+++ b/crates/entry/src/outbox.rs
@@ -107,11 +107,12 @@
 
 /// Approximate encoded size of a digest in bytes.
 fn encoded_size(digest: &Digest) -> usize {
-    let list_bytes = digest.loads.len() * 11 + digest.waiting.len() * 9 + digest.steps.len() * 9;
+    // A waiting entry is 9 bytes without a step of usage and 13 with one.
+    let list_bytes = digest.loads.len() * 11 + digest.waiting.len() * 13 + digest.steps.len() * 9;
     let reports = &digest.reports;
     let report_bytes = reports.limits.len() * 34
         + reports.leaving.len() * 15
-        + reports.usage.len() * 10
+        + reports.usage.len() * 11
         + reports.speeds.len() * 21
         + reports.paces.len() * 23;
     48 + list_bytes + digest.unreachable.len() * 5 + report_bytes
--- a/crates/entry/tests/outbox.rs
+++ b/crates/entry/tests/outbox.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 
+use kingcupfield_decisions::fair_order::with_step;
 use kingcupfield_decisions::remote_load::ReplicaLoad;
 use kingcupfield_entry::outbox::{DigestBatch, Outbox, datagrams};
 use kingcupfield_entry::peers::{Digest, PeerMessage};
@@ -71,22 +72,29 @@
 struct Size {
     instances: u8,
     loads: usize,
+    /// Services with waiting requests, which have a step of usage.
+    waiting: u32,
+    /// Organisations whose usage is reported.
+    usage: u32,
 }
 
 /// A relay of a large zone has more digests than fit into a datagram that links carry without
 /// fragmentation. A fragmented datagram is lost if any of its fragments is.
 #[parameterized(
-    nobody = { Size { instances: 0, loads: 0 } },
-    one = { Size { instances: 1, loads: 4 } },
-    a_dozen = { Size { instances: 12, loads: 4 } },
-    fifty = { Size { instances: 50, loads: 8 } },
+    nobody = { Size { instances: 0, loads: 0, waiting: 0, usage: 0 } },
+    one = { Size { instances: 1, loads: 4, waiting: 0, usage: 0 } },
+    a_dozen = { Size { instances: 12, loads: 4, waiting: 0, usage: 0 } },
+    fifty = { Size { instances: 50, loads: 8, waiting: 0, usage: 0 } },
+    fifty_with_waiting_requests = { Size { instances: 50, loads: 0, waiting: 26, usage: 0 } },
+    fifty_with_usage = { Size { instances: 50, loads: 0, waiting: 0, usage: 32 } },
 )]
 fn digests_are_split_into_datagrams(size: Size) {
     let entry = |last| {
-        (
-            address(last),
-            digest(u32::from(last) + 1_000_000, size.loads),
-        )
+        let mut digest = digest(u32::from(last) + 1_000_000, size.loads);
+        let service = |i| (u32::MAX - i, with_step((1, 2), 30));
+        digest.waiting = (0..size.waiting).map(service).collect();
+        digest.reports.usage = (0..size.usage).map(|i| (u32::MAX - i, 250.0)).collect();
+        (address(last), digest)
     };
     let batch: DigestBatch = (0..size.instances).map(entry).collect();
     let datagrams = datagrams(batch.clone());
