--- a/crates/entry/src/node/statements.rs
+++ b/crates/entry/src/node/statements.rs
@@ -151,7 +151,6 @@
         self.on_peer_limit_reports(from, &reports.limits);
         self.on_peer_speed_reports(from, &reports.speeds);
         self.on_peer_pace_reports(from, &reports.paces);
-        self.on_peer_usage(from, &reports.usage);
         for (name, start_unix_ms) in &reports.leaving {
             if let Some(id) = self.replica_by_name_hash(*name) {
                 self.on_said_leaving(&id, *start_unix_ms, format_args!("peer={from}"));
