Replace the values of gauges with one label in one place

Cause: four gauges were reset and filled by loops that differed in names alone, two of which were added for the speeds and bounds of replicas and one for the usage of organisations.

Change: replace_values does it for all four. The lines of /metrics are the same.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -278,30 +278,16 @@
                 .with_label_values(&[state])
                 .set(f64::from(count));
         }
-        self.replica_work_times.reset();
-        for (replica, figure) in dispatch.work_times(now).take(MAX_REPLICAS) {
-            self.replica_work_times
-                .with_label_values(&[&**replica])
-                .set(f64::from(figure.percent));
-        }
-        self.replica_limits.reset();
-        for (replica, per_s) in dispatch.limits(now).take(MAX_REPLICAS) {
-            self.replica_limits
-                .with_label_values(&[&**replica])
-                .set(per_s);
-        }
-        self.replica_paces.reset();
-        for (replica, bound) in dispatch.paces().take(MAX_REPLICAS) {
-            self.replica_paces
-                .with_label_values(&[&**replica])
-                .set(f64::from(bound));
-        }
-        self.organisation_use.reset();
-        for (organisation, usage) in node.largest_usage(now, MAX_ORGANISATIONS) {
-            self.organisation_use
-                .with_label_values(&[&*organisation])
-                .set(usage);
-        }
+        let work_times = dispatch.work_times(now).take(MAX_REPLICAS);
+        let percents = work_times.map(|(replica, figure)| (replica, f64::from(figure.percent)));
+        replace_values(&self.replica_work_times, percents);
+        let limits = dispatch.limits(now).take(MAX_REPLICAS);
+        replace_values(&self.replica_limits, limits);
+        let paces = dispatch.paces().take(MAX_REPLICAS);
+        let bounds = paces.map(|(replica, bound)| (replica, f64::from(bound)));
+        replace_values(&self.replica_paces, bounds);
+        let usage = node.largest_usage(now, MAX_ORGANISATIONS);
+        replace_values(&self.organisation_use, usage);
         self.replica_slots.reset();
         for usage in dispatch.replica_usage().take(MAX_REPLICAS) {
             let set = |whose: &str, slots: u32| {
@@ -378,3 +364,15 @@
         .register(Box::new(collector))
         .expect("each name is registered once");
 }
+
+/// Replaces all values of a gauge with one label.
+fn replace_values<L, I>(gauge: &GaugeVec, values: I)
+where
+    L: AsRef<str>,
+    I: IntoIterator<Item = (L, f64)>,
+{
+    gauge.reset();
+    for (label, value) in values {
+        gauge.with_label_values(&[label.as_ref()]).set(value);
+    }
+}
