Do less where the parts of the scheduling are off, and nothing twice

Cause: with warm_up off, each waiting request looked at all accepting replicas for trials, and each change of the members ranked all of them for each replica. With it on, bounds were collected twice for a digest, once to see a change and once to send it, and the end of a request was searched for twice. The test whether an interval has passed stood twice.

Change: trials and the first stand-in are determined only while the option is on, and when it is switched on; the digest takes the bounds of the state that it reports; unqueued_ms gets the request; has_passed is one function. Decisions and messages are the same.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -104,6 +104,7 @@
             self.reset_paces();
         }
         self.options = options;
+        self.update_stand_ins();
         self.apply_load_option();
         self.apply_fair_order();
     }
@@ -468,11 +469,11 @@
         let paces = self.options.warm_up.is_some();
         let u = &mut self.upstreams[index];
         let was_silent = paces && u.is_unresponsive(now);
-        let service_ms = u
-            .unqueued_ms(now, job)
-            .filter(|_| outcome == Outcome::Served);
         let learns_quickly = u.warm_up.learns_quickly(now);
         let request = u.running.iter().find(|r| r.job == job);
+        let service_ms = request
+            .filter(|_| !u.replica.is_engine && outcome == Outcome::Served)
+            .map(|r| u.unqueued_ms(now, r));
         let dispatched_at = request.map(|r| r.dispatched_at);
         let gaps = request
             .filter(|_| u.replica.is_engine && outcome == Outcome::Served)
--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -145,6 +145,9 @@
     where
         C: Iterator<Item = usize>,
     {
+        if self.options.warm_up.is_none() {
+            return Vec::new();
+        }
         let is_trial = |index: &usize| {
             let u = &self.upstreams[*index];
             u.needs_pace_trial(now)
--- a/crates/decisions/src/dispatch/pacing.rs
+++ b/crates/decisions/src/dispatch/pacing.rs
@@ -4,8 +4,8 @@
 
 use tokio::time::Instant;
 
-use super::upstream::{Replica, Upstream};
-use super::{Dispatcher, JobId, Outcome};
+use super::upstream::{Replica, Running, Upstream};
+use super::{Dispatcher, Outcome};
 use crate::id::{InstanceAddress, UpstreamId};
 use crate::warm_up::{self, InFlight, PaceChange, PaceReason, PaceReport, Reference, WarmUp};
 
@@ -109,8 +109,24 @@
         }
     }
 
-    /// Whether this instance is the first of its zone to stand in for the designated one of a replica.
+    /// Determines for each replica whether this instance is the first of its zone to stand in for the
+    /// designated one.
+    pub(super) fn update_stand_ins(&mut self) {
+        let first = self.upstreams.iter();
+        let first: Vec<bool> = first
+            .map(|u| self.is_first_stand_in(&u.replica.id))
+            .collect();
+        for (u, first) in self.upstreams.iter_mut().zip(first) {
+            u.is_first_stand_in = first;
+        }
+    }
+
+    /// Whether this instance is the first of its zone to stand in for the designated one of a replica;
+    /// false while the option is off, as nobody asks.
     pub(super) fn is_first_stand_in(&self, replica: &UpstreamId) -> bool {
+        if self.options.warm_up.is_none() {
+            return false;
+        }
         let own = warm_up::stand_in_rank(self.own_address, replica);
         let members = self.members.as_deref().unwrap_or_default();
         let mut ranks = members.iter().map(|m| warm_up::stand_in_rank(*m, replica));
@@ -327,12 +343,10 @@
 
     /// Time since the dispatch of a request to a plain service in milliseconds, without the network and
     /// without the wait for a slot at the replica.
-    pub(super) fn unqueued_ms(&self, now: Instant, job: JobId) -> Option<f64> {
-        let r = self.running.iter().find(|r| r.job == job)?;
-        let elapsed = now.saturating_duration_since(r.dispatched_at);
+    pub(super) fn unqueued_ms(&self, now: Instant, request: &Running) -> f64 {
+        let elapsed = now.saturating_duration_since(request.dispatched_at);
         let at_replica = elapsed.saturating_sub(self.replica.network_round_trip);
-        let ms = at_replica.as_secs_f64() * 1e3 / r.load_per_slot;
-        (!self.replica.is_engine).then_some(ms)
+        at_replica.as_secs_f64() * 1e3 / request.load_per_slot
     }
 
     /// Tries an unreachable replica again soon if this instance is the designated one.
--- a/crates/decisions/src/dispatch/published.rs
+++ b/crates/decisions/src/dispatch/published.rs
@@ -118,16 +118,10 @@
             .iter()
             .map(|u| self.is_designated(&u.replica))
             .collect();
-        let first: Vec<bool> = self
-            .upstreams
-            .iter()
-            .map(|u| self.is_first_stand_in(&u.replica.id))
-            .collect();
-        let roles = designated.into_iter().zip(first);
-        for (u, (designated, first)) in self.upstreams.iter_mut().zip(roles) {
+        for (u, designated) in self.upstreams.iter_mut().zip(designated) {
             u.cold_gate.set_designated(now, designated);
-            u.is_first_stand_in = first;
         }
+        self.update_stand_ins();
     }
 
     /// Determines the cell of this instance and the replicas that belong to it.
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -22,7 +22,7 @@
 use crate::log::{self, Priority};
 use crate::node::Node;
 use crate::outbox::{self, DigestBatch};
-use crate::peers::{Digest, ForwardScope, PeerMessage};
+use crate::peers::{Digest, ForwardScope, PeerMessage, Reports};
 use crate::quarantine;
 use crate::receiver;
 use crate::send_queue::BUDGET_INTERVAL;
@@ -187,14 +187,11 @@
     /// Sends the messages that are due at a periodic check.
     fn tick(&mut self, node: &Node) {
         let now = Instant::now();
-        let has_passed = |sent_at: Option<Instant>, interval| {
-            sent_at.is_none_or(|sent_at| now.saturating_duration_since(sent_at) >= interval)
-        };
-        if has_passed(self.full_state_sent_at, FULL_STATE_INTERVAL) {
+        if has_passed(now, self.full_state_sent_at, FULL_STATE_INTERVAL) {
             self.full_state_sent_at = Some(now);
             self.send_state(node, StateKind::Full);
             self.greet_relays(node);
-        } else if has_passed(self.news_sent_at, HEARTBEAT) {
+        } else if has_passed(now, self.news_sent_at, HEARTBEAT) {
             self.send_state(node, StateKind::Heartbeat);
         } else if !node.send_queue.is_congested() {
             self.send_state(node, StateKind::Change);
@@ -205,7 +202,7 @@
         } else {
             CONTACT_INTERVAL
         };
-        if has_passed(self.contacts_sent_at, contact_interval) {
+        if has_passed(now, self.contacts_sent_at, contact_interval) {
             self.contacts_sent_at = Some(now);
             self.greet_contacts(node);
         }
@@ -268,8 +265,7 @@
             (true, false) => ForwardScope::OtherZones,
         };
         let mut digest = self.build_digest(node, state, kind);
-        let sent_at = self.usage_sent_at;
-        if is_news && sent_at.is_none_or(|at| now.saturating_duration_since(at) >= USAGE_INTERVAL) {
+        if is_news && has_passed(now, self.usage_sent_at, USAGE_INTERVAL) {
             self.usage_sent_at = Some(now);
             digest.reports.usage = node.own_usage(now);
         }
@@ -441,7 +437,10 @@
             unreachable: unreachable_replicas(node),
             loads: state.loads,
             waiting: state.waiting,
-            reports: node.reports(),
+            reports: Reports {
+                paces: state.paces,
+                ..node.reports()
+            },
             ..Digest::default()
         };
         if matches!(kind, StateKind::Full | StateKind::Greeting) {
@@ -462,6 +461,11 @@
     }
 }
 
+/// Whether an interval has passed since `sent_at`; true if nothing was sent yet.
+fn has_passed(now: Instant, sent_at: Option<Instant>, interval: Duration) -> bool {
+    sent_at.is_none_or(|sent_at| now.saturating_duration_since(sent_at) >= interval)
+}
+
 /// The relays of a zone, derived from its reachable instances.
 fn relays_of(node: &Node, zone: NameHash) -> Vec<InstanceAddress> {
     let reachable = node.peers.borrow().reachable(Instant::now(), zone);
--- a/crates/entry/src/node/statements.rs
+++ b/crates/entry/src/node/statements.rs
@@ -108,15 +108,13 @@
         );
     }
 
-    /// What this instance reports about replicas and organisations to the others, except for the
-    /// speeds, which are reported once ([`Node::take_speed_reports`]).
+    /// What replicas have said about themselves, for the other instances.
     pub fn reports(&self) -> Reports {
         let mut leaving = self.leaving_replicas();
         leaving.truncate(MAX_REPORTS);
         Reports {
             limits: self.own_limit_reports(),
             leaving,
-            paces: self.own_pace_reports(),
             ..Reports::default()
         }
     }
