Divide the simulation of the order between organisations into steps

Cause: one function of 125 lines moved requests, messages, instances and slots, with tuples whose fields had no names.

Change: a fleet with a method for each step, and types for requests.

--- a/crates/decisions/tests/fair_order.rs
+++ b/crates/decisions/tests/fair_order.rs
@@ -146,133 +146,240 @@
         let competitors = competitors.collect();
         self.dispatcher.update_competitors(competitors);
     }
+
+    /// The next message to the others, if one is due: a change after 4 ms, else one a second.
+    fn take_message(&mut self, now: Instant, ms: u64) -> Option<(State, Vec<(NameHash, f32)>)> {
+        let mut state = State {
+            waiting: self.dispatcher.highest_waiting_priorities(now),
+            ..State::default()
+        };
+        for (id, own, _) in self.dispatcher.own_load() {
+            state.loads[replica_index(id)] = own;
+        }
+        let is_recent = ms < self.sent_ms + 1000;
+        if ms < self.sent_ms + 4 || state == self.sent && is_recent {
+            return None;
+        }
+        let mut usage = Vec::new();
+        if ms >= self.usage_ms + 1000 {
+            self.usage_ms = ms;
+            usage = self.dispatcher.own_usage(now, INSTANCES);
+        }
+        (self.sent, self.sent_ms) = (state.clone(), ms);
+        Some((state, usage))
+    }
 }
 
-fn run(case: &Case, fair: bool, seed: u64) -> RunResult {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let start = Instant::now();
-    let new = |now, i| Instance::new(now, i, fair);
-    let mut instances: Vec<Instance> = (0..INSTANCES).map(|i| new(start, i)).collect();
-    let mut messages: Vec<Message> = Vec::new();
-    // Organisation, arrival, instance and end of each request.
-    let mut jobs: Vec<(usize, u64, usize, Option<u64>)> = Vec::new();
-    let mut queues = vec![VecDeque::<usize>::new(); REPLICAS.len()];
-    let mut running: Vec<(usize, usize, u64)> = Vec::new();
-    for ms in 0..END_MS {
-        let now = start + Duration::from_millis(ms);
-        let mut touched = [ms % 100 == 0; INSTANCES];
-        for (organisation, per_s) in case.demands.iter().enumerate() {
-            if rng.random_bool(per_s / 1000.0) {
-                let is_fixed = case.one_instance && organisation == 0;
-                let at = if is_fixed {
-                    0
-                } else {
-                    rng.random_range(0..INSTANCES)
-                };
-                let usage = JobUsage {
-                    organisation: organisation as u32,
-                    share: 1.0,
-                    work: 1.0,
-                };
-                instances[at].dispatcher.enqueue(Job {
-                    queue_deadline: now + Duration::from_millis(1500),
-                    usage: Some(usage),
-                    salt: rng.random(),
-                    ..plain_service::job(jobs.len() as u64, now)
-                });
-                jobs.push((organisation, ms, at, None));
-                touched[at] = true;
+/// A request, from its arrival to its end.
+#[derive(Debug)]
+struct Request {
+    organisation: usize,
+    arrived_ms: u64,
+    /// Index of the instance that got it.
+    instance: usize,
+    ended_ms: Option<u64>,
+}
+
+impl Request {
+    fn is_counted(&self) -> bool {
+        (COUNTED_FROM_MS..END_MS - 2 * OBJECTIVE_MS).contains(&self.arrived_ms)
+    }
+
+    fn is_on_time(&self) -> bool {
+        let latest_ms = self.arrived_ms + OBJECTIVE_MS;
+        self.ended_ms.is_some_and(|end| end <= latest_ms)
+    }
+}
+
+/// A request that occupies a slot.
+struct RunningRequest {
+    replica: usize,
+    request: usize,
+    ends_ms: u64,
+}
+
+/// All instances and replicas of one run.
+struct Fleet<'a> {
+    case: &'a Case,
+    fair: bool,
+    rng: ChaCha8Rng,
+    instances: Vec<Instance>,
+    messages: Vec<Message>,
+    requests: Vec<Request>,
+    /// Requests that wait at each replica.
+    queues: Vec<VecDeque<usize>>,
+    running: Vec<RunningRequest>,
+}
+
+impl<'a> Fleet<'a> {
+    fn new(now: Instant, case: &'a Case, fair: bool, seed: u64) -> Self {
+        let instances = (0..INSTANCES).map(|index| Instance::new(now, index, fair));
+        Self {
+            case,
+            fair,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            instances: instances.collect(),
+            messages: Vec::new(),
+            requests: Vec::new(),
+            queues: vec![VecDeque::new(); REPLICAS.len()],
+            running: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, now: Instant, ms: u64) {
+        let mut touched = [ms.is_multiple_of(100); INSTANCES];
+        self.receive_requests(now, ms, &mut touched);
+        self.end_requests(now, ms, &mut touched);
+        self.deliver_messages(now, ms, &mut touched);
+        for index in (0..INSTANCES).filter(|index| touched[*index]) {
+            self.step_instance(now, ms, index);
+        }
+        self.fill_slots(ms);
+    }
+
+    fn receive_requests(&mut self, now: Instant, ms: u64, touched: &mut [bool; INSTANCES]) {
+        for (organisation, per_s) in self.case.demands.iter().enumerate() {
+            if !self.rng.random_bool(per_s / 1000.0) {
+                continue;
             }
+            let instance = if self.case.one_instance && organisation == 0 {
+                0
+            } else {
+                self.rng.random_range(0..INSTANCES)
+            };
+            let usage = JobUsage {
+                organisation: organisation as u32,
+                share: 1.0,
+                work: 1.0,
+            };
+            self.instances[instance].dispatcher.enqueue(Job {
+                queue_deadline: now + Duration::from_millis(1500),
+                usage: Some(usage),
+                salt: self.rng.random(),
+                ..plain_service::job(self.requests.len() as u64, now)
+            });
+            self.requests.push(Request {
+                organisation,
+                arrived_ms: ms,
+                instance,
+                ended_ms: None,
+            });
+            touched[instance] = true;
         }
-        for (replica, job, _) in running.extract_if(.., |r| r.2 <= ms) {
-            let (_, _, at, end) = &mut jobs[job];
-            *end = Some(ms);
-            let id = REPLICAS[replica].into();
-            instances[*at]
-                .dispatcher
-                .on_end(now, &id, job as u64, Outcome::Served);
-            touched[*at] = true;
+    }
+
+    fn end_requests(&mut self, now: Instant, ms: u64, touched: &mut [bool; INSTANCES]) {
+        for ended in self.running.extract_if(.., |r| r.ends_ms <= ms) {
+            let request = &mut self.requests[ended.request];
+            request.ended_ms = Some(ms);
+            let id = REPLICAS[ended.replica].into();
+            let dispatcher = &mut self.instances[request.instance].dispatcher;
+            dispatcher.on_end(now, &id, ended.request as u64, Outcome::Served);
+            touched[request.instance] = true;
         }
-        let mut due: Vec<Message> = messages.extract_if(.., |m| m.due_ms <= ms).collect();
+    }
+
+    fn deliver_messages(&mut self, now: Instant, ms: u64, touched: &mut [bool; INSTANCES]) {
+        let due = self.messages.extract_if(.., |m| m.due_ms <= ms);
+        let mut due: Vec<Message> = due.collect();
         due.sort_by_key(|m| m.due_ms);
         for m in due {
-            let to = &mut instances[m.to];
+            let to = &mut self.instances[m.to];
             to.heard[m.from] = (m.state, ms);
             to.dispatcher.on_peer_usage(now, m.from as u32, &m.usage);
             touched[m.to] = true;
         }
-        for (index, instance) in instances
-            .iter_mut()
-            .enumerate()
-            .filter(|(i, _)| touched[*i])
-        {
-            let since_fault_ms = ms.checked_sub(FAULT_MS).map(|ms| ms % FAULT_INTERVAL_MS);
-            if since_fault_ms == Some(0) && case.fault == Fault::Restarts && index < INSTANCES / 2 {
-                *instance = new(now, index);
-            }
-            instance.apply_heard(ms);
-            instance.dispatcher.update_room(now);
-            instance.dispatcher.take_timed_out(now);
-            for assignment in instance.dispatcher.assign(now) {
-                let replica = REPLICAS.iter().position(|id| **id == *assignment.upstream);
-                queues[replica.unwrap()].push_back(assignment.job as usize);
-            }
-            let mut state = State::default();
-            for (id, own, _) in instance.dispatcher.own_load() {
-                state.loads[REPLICAS.iter().position(|r| **r == **id).unwrap()] = own;
-            }
-            state.waiting = instance.dispatcher.highest_waiting_priorities(now);
-            if ms < instance.sent_ms + 4 || state == instance.sent && ms < instance.sent_ms + 1000 {
-                continue;
-            }
-            let mut usage = Vec::new();
-            if ms >= instance.usage_ms + 1000 {
-                instance.usage_ms = ms;
-                usage = instance.dispatcher.own_usage(now, INSTANCES);
-            }
-            (instance.sent, instance.sent_ms) = (state.clone(), ms);
-            let (late, lost) = match case.fault {
-                Fault::LateAndLost => (400, 0.3),
-                _ => (10, 0.0),
-            };
-            for to in (0..INSTANCES).filter(|to| *to != index) {
-                let is_cut = case.fault == Fault::OneWayCut
-                    && since_fault_ms.is_some_and(|ms| ms < CUT_END_MS - FAULT_MS)
-                    && index >= INSTANCES / 2
-                    && to < INSTANCES / 2;
-                if !is_cut && !rng.random_bool(lost) {
-                    messages.push(Message {
-                        due_ms: ms + rng.random_range(2..late),
-                        from: index,
-                        to,
-                        state: state.clone(),
-                        usage: usage.clone(),
-                    });
-                }
+    }
+
+    /// Lets an instance assign its requests, and send its state if that has changed.
+    fn step_instance(&mut self, now: Instant, ms: u64, index: usize) {
+        let restarts = self.case.fault == Fault::Restarts && since_fault_ms(ms) == Some(0);
+        if restarts && index < INSTANCES / 2 {
+            self.instances[index] = Instance::new(now, index, self.fair);
+        }
+        let instance = &mut self.instances[index];
+        instance.apply_heard(ms);
+        instance.dispatcher.update_room(now);
+        instance.dispatcher.take_timed_out(now);
+        for assignment in instance.dispatcher.assign(now) {
+            let replica = replica_index(&assignment.upstream);
+            self.queues[replica].push_back(assignment.job as usize);
+        }
+        if let Some((state, usage)) = instance.take_message(now, ms) {
+            self.send(ms, index, &state, &usage);
+        }
+    }
+
+    /// Sends a message to all other instances, as far as the fault lets it through.
+    fn send(&mut self, ms: u64, from: usize, state: &State, usage: &[(NameHash, f32)]) {
+        let (late, lost) = match self.case.fault {
+            Fault::LateAndLost => (400, 0.3),
+            _ => (10, 0.0),
+        };
+        let cut_ms = CUT_END_MS - FAULT_MS;
+        let is_link_cut = self.case.fault == Fault::OneWayCut
+            && since_fault_ms(ms).is_some_and(|ms| ms < cut_ms)
+            && from >= INSTANCES / 2;
+        for to in (0..INSTANCES).filter(|to| *to != from) {
+            let is_cut = is_link_cut && to < INSTANCES / 2;
+            if !is_cut && !self.rng.random_bool(lost) {
+                self.messages.push(Message {
+                    due_ms: ms + self.rng.random_range(2..late),
+                    from,
+                    to,
+                    state: state.clone(),
+                    usage: usage.to_vec(),
+                });
             }
         }
-        for (replica, queue) in queues.iter_mut().enumerate() {
-            while running.iter().filter(|r| r.0 == replica).count() < SLOTS {
-                let Some(job) = queue.pop_front() else { break };
-                running.push((replica, job, ms + rng.random_range(SERVICE_MS)));
+    }
+
+    fn fill_slots(&mut self, ms: u64) {
+        for (replica, queue) in self.queues.iter_mut().enumerate() {
+            while self.running.iter().filter(|r| r.replica == replica).count() < SLOTS {
+                let Some(request) = queue.pop_front() else {
+                    break;
+                };
+                self.running.push(RunningRequest {
+                    replica,
+                    request,
+                    ends_ms: ms + self.rng.random_range(SERVICE_MS),
+                });
             }
         }
     }
-    let counted = |j: &&(usize, u64, usize, Option<u64>)| {
-        (COUNTED_FROM_MS..END_MS - 2 * OBJECTIVE_MS).contains(&j.1)
-    };
-    let on_time =
-        |j: &&(usize, u64, usize, Option<u64>)| j.3.is_some_and(|end| end <= j.1 + OBJECTIVE_MS);
-    let shares = (0..case.demands.len()).map(|organisation| {
-        let of = || jobs.iter().filter(counted).filter(|j| j.0 == organisation);
-        of().filter(on_time).count() as f64 / of().count() as f64
-    });
-    let all = || jobs.iter().filter(counted);
-    RunResult {
-        shares: shares.collect(),
-        on_time: all().filter(on_time).count(),
-        served: all().filter(|j| j.3.is_some()).count(),
+
+    fn result(&self) -> RunResult {
+        let counted = || self.requests.iter().filter(|r| r.is_counted());
+        let shares = (0..self.case.demands.len()).map(|organisation| {
+            let of = || counted().filter(|r| r.organisation == organisation);
+            of().filter(|r| r.is_on_time()).count() as f64 / of().count() as f64
+        });
+        RunResult {
+            shares: shares.collect(),
+            on_time: counted().filter(|r| r.is_on_time()).count(),
+            served: counted().filter(|r| r.ended_ms.is_some()).count(),
+        }
+    }
+}
+
+fn replica_index(id: &UpstreamId) -> usize {
+    let index = REPLICAS.iter().position(|replica| **replica == **id);
+    index.expect("a replica of the fleet")
+}
+
+/// Time since the last fault; `None` before the first.
+fn since_fault_ms(ms: u64) -> Option<u64> {
+    ms.checked_sub(FAULT_MS).map(|ms| ms % FAULT_INTERVAL_MS)
+}
+
+fn run(case: &Case, fair: bool, seed: u64) -> RunResult {
+    let start = Instant::now();
+    let mut fleet = Fleet::new(start, case, fair, seed);
+    for ms in 0..END_MS {
+        fleet.step(start + Duration::from_millis(ms), ms);
     }
+    fleet.result()
 }
 
 /// One organisation sends 150 requests a second, more than the replicas serve, and the others send
