--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 //! generator, and carries out the actions that are returned. Nothing here opens a socket, reads a
 //! file or spawns a task, so each decision can be understood and tested alone.
 
+pub mod awaited_revision;
 pub mod cells;
 pub mod cold;
 pub mod concurrency;
--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -185,7 +185,7 @@
     if !is_refused {
         let replica = &target.published.id;
         node.log.line(
-            Priority::High,
+            Priority::State,
             format_args!("event=crash_unknown replica={replica} reason={error:?}"),
         );
     }
@@ -196,7 +196,7 @@
 fn on_crash(node: &Rc<Node>, target: &Target, crashed_at: Instant, requests: &[BrokenRequest]) {
     for request in requests {
         node.log.line(
-            Priority::High,
+            Priority::State,
             format_args!(
                 "event=replica_crashed replica={} start_ms={} ago_ms={} id={} fingerprints={:x?}",
                 target.published.id,
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -9,6 +9,7 @@
 mod reader;
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,10 +25,10 @@
 use crate::table::Table;
 
 use peer_sync::MIN_PEER_REQUEST_INTERVAL;
-use reader::Changes;
+use reader::{Changes, Update};
 
 pub use confirmation::{Confirmations, catch_up};
-pub use peer_sync::{known_up_to, schedule_peer_sync};
+pub use peer_sync::{known_up_to, record_announced, schedule_peer_sync};
 pub use reader::DirectoryReader;
 
 /// Maximum duration of one watch. Each call is billed; a store that goes silent on an open
@@ -80,6 +81,28 @@
 /// Most replicas that are updated one by one; more of them, as in a list, are replaced at once.
 const MAX_SINGLE_UPDATES: usize = 32;
 
+/// Time from the announcement of a change by another instance to its arrival here from which on it is
+/// logged as late: a third of the operator's bound of three seconds.
+const LATE_CHANGE: Duration = Duration::from_secs(1);
+
+/// Where entries came from, as logged.
+#[derive(Debug, Clone, Copy)]
+enum Source {
+    /// The store.
+    Store,
+    /// Another instance.
+    Peer(SocketAddr),
+}
+
+impl std::fmt::Display for Source {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Store => f.write_str("store"),
+            Self::Peer(peer) => write!(f, "{peer}"),
+        }
+    }
+}
+
 /// Revision up to which something is complete, as logged.
 struct Upto(Revision);
 
@@ -100,9 +123,12 @@
         failures += 1;
         if failures == 1 || failures % 16 == 0 {
             let reason = e.to_string();
+            let store_age_ms = node.store_age().unwrap_or_default().as_millis();
             node.log.line(
-                Priority::High,
-                format_args!("event=directory_lost failures={failures} reason={reason:?}"),
+                Priority::State,
+                format_args!(
+                    "event=directory_lost failures={failures} store_age_ms={store_age_ms} reason={reason:?}"
+                ),
             );
         }
         if node.table().is_none() {
@@ -192,8 +218,10 @@
                 }
             }
             Err(DirectoryError::HistoryCompacted) => {
-                node.log
-                    .line(Priority::High, format_args!("event=directory_history_gone"));
+                node.log.line(
+                    Priority::State,
+                    format_args!("event=directory_history_gone"),
+                );
                 node.needs_full_list.set(true);
                 // A store whose history ends before its own listing would otherwise be listed in a
                 // tight loop.
@@ -209,7 +237,7 @@
     node.record_store_response();
     if *failures > 0 {
         node.log.line(
-            Priority::High,
+            Priority::State,
             format_args!("event=directory_regained failures={failures}"),
         );
     }
@@ -230,14 +258,14 @@
         node.record_missed_changes();
     }
     node.log.line(
-        Priority::High,
+        Priority::State,
         format_args!(
             "event=directory_list {} entries={entries} changed={}",
             Upto(listing.revision),
             changed.len()
         ),
     );
-    apply_directory(node, &changed);
+    apply_directory(node, &changed, Source::Store);
     // Also if nothing has changed: the revision may have, and with it what peers ask for.
     node.state_changed.notify_one();
 }
@@ -249,12 +277,33 @@
         .borrow_mut()
         .apply_changes(listing.revision, listing.entries);
     if !changed.is_empty() {
-        apply_directory(node, &changed);
         node.state_changed.notify_one();
     }
+    apply_directory(node, &changed, Source::Store);
     !changed.is_empty()
 }
 
+/// Records that the awaited change has arrived, and logs one that was late.
+fn record_arrival(node: &Node, source: Source) {
+    let known = known_up_to(node);
+    let mut reader = node.directory_reader.borrow_mut();
+    let Some(waited) = reader.awaited.on_known(Instant::now(), known) else {
+        return;
+    };
+    drop(reader);
+    node.metrics.observe_directory_lag(waited);
+    if waited >= LATE_CHANGE {
+        let heard_ms = waited.as_millis();
+        node.log.line(
+            Priority::State,
+            format_args!(
+                "event=directory_late {} source={source} heard_ms={heard_ms}",
+                Upto(known)
+            ),
+        );
+    }
+}
+
 /// Prepares entries that are complete up to `upto` for the view. If the store has been restored since,
 /// none of them returns an entry to an earlier state, and what is missing may be about to be written
 /// again.
@@ -266,7 +315,7 @@
     }
     node.directory_reader.borrow_mut().store_failed_at = Some(Instant::now());
     node.log.line(
-        Priority::High,
+        Priority::State,
         format_args!(
             "event=store_restored era={} before={known_era}",
             era_of(upto)
@@ -286,18 +335,18 @@
 
 /// Parses the entries that have changed, and passes the table, the drained zones and the replicas
 /// to the node.
-fn apply_directory(node: &Rc<Node>, keys: &[String]) {
-    let now = Instant::now();
+fn apply_directory(node: &Rc<Node>, keys: &[String], source: Source) {
     let old_table = node.table();
     let mut changes = Changes::default();
     {
         let directory = node.directory.borrow();
         let mut reader = node.directory_reader.borrow_mut();
-        let store_failed = reader.store_failed_recently();
+        let update = Update::new(node, &reader, source);
         for entry in keys.iter().filter_map(|key| directory.entry(key)) {
-            reader.apply_entry(node, now, entry, store_failed, &mut changes);
+            reader.apply_entry(&update, entry, &mut changes);
         }
     }
+    record_arrival(node, source);
     if changes.unseen_removed {
         node.record_missed_changes();
     }
--- a/crates/entry/src/directory/peer_sync.rs
+++ b/crates/entry/src/directory/peer_sync.rs
@@ -14,7 +14,7 @@
 use crate::node::Node;
 use crate::snapshot::{self, LargeEntries, Snapshot};
 
-use super::{Upto, apply_directory, keep_later_states, prepare_era};
+use super::{Source, Upto, apply_directory, keep_later_states, prepare_era};
 
 /// Minimum interval of directory requests to peers.
 pub(super) const MIN_PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(30);
@@ -30,6 +30,12 @@
     }
 }
 
+/// Records that another instance has announced a revision above the known one.
+pub fn record_announced(node: &Node, upto: Revision) {
+    let mut reader = node.directory_reader.borrow_mut();
+    reader.awaited.on_announced(Instant::now(), upto);
+}
+
 /// Starts a task that after `delay` gets newer entries from a peer, if one has a higher revision by
 /// then. At most one such task runs at a time.
 pub fn schedule_peer_sync(node: &Rc<Node>, delay: Duration) {
@@ -62,7 +68,7 @@
         Ok(fetched) => {
             let upto = fetched.content.upto;
             log_fetched(node, peer, "changes", upto, fetched.bytes, started);
-            apply_snapshot(node, fetched.content);
+            apply_snapshot(node, peer, fetched.content);
             let lacks_large_entries = node.directory.borrow().lacks_large_entries();
             if lacks_large_entries {
                 start_large_fetch(node, peer);
@@ -110,7 +116,7 @@
 }
 
 /// Applies the entries that a peer has sent.
-fn apply_snapshot(node: &Rc<Node>, mut snapshot: Snapshot) {
+fn apply_snapshot(node: &Rc<Node>, peer: SocketAddr, mut snapshot: Snapshot) {
     prepare_era(node, snapshot.upto, &mut snapshot.entries);
     if snapshot.store_trouble {
         node.directory_reader.borrow_mut().store_failed_at = Some(Instant::now());
@@ -125,7 +131,7 @@
     if is_first && !node.settings().first_start {
         node.record_missed_changes();
     }
-    apply_directory(node, &changed);
+    apply_directory(node, &changed, Source::Peer(peer));
     node.state_changed.notify_one();
 }
 
@@ -146,7 +152,7 @@
             reader.large_values.insert(entry);
         }
     }
-    apply_directory(node, &changed);
+    apply_directory(node, &changed, Source::Peer(peer));
     node.state_changed.notify_one();
 }
 
@@ -163,7 +169,7 @@
     let upto = Upto(upto);
     let ms = started.elapsed().as_millis();
     node.log.line(
-        Priority::High,
+        Priority::State,
         format_args!(
             "event=directory_from_peer peer={peer} {upto} before={before} part={part} bytes={bytes} ms={ms}"
         ),
@@ -174,7 +180,7 @@
 fn log_unreachable(node: &Node, peer: SocketAddr, e: &std::io::Error) {
     let reason = e.to_string();
     node.log.line(
-        Priority::High,
+        Priority::State,
         format_args!("event=peer_unreachable peer={peer} reason={reason:?}"),
     );
 }
--- a/crates/entry/src/directory/reader.rs
+++ b/crates/entry/src/directory/reader.rs
@@ -1,7 +1,9 @@
 //! The parsed entries of the directory.
 
+use std::fmt;
 use std::time::Duration;
 
+use kingcupfield_decisions::awaited_revision::AwaitedRevision;
 use kingcupfield_decisions::id::{UpstreamId, ZoneId};
 use kingcupfield_decisions::software_versions::{StreamOrigin, VersionHistory};
 use kingcupfield_decisions::store_view::{Entry, Revision, era_of, number_of};
@@ -14,6 +16,8 @@
 use crate::replica::PublishedReplica;
 use crate::stream_origin;
 
+use super::Source;
+
 /// Time for which a replica stays in use after its entry lapsed while the store had failed: a live
 /// replica writes its entry again within two seconds of the store's return.
 const LAPSED_REPLICA_GRACE: Duration = Duration::from_millis(2300);
@@ -68,6 +72,8 @@
     entries: Vec<ReadEntry>,
     /// When a call to the store last failed, here or at the peer that sent the entries.
     pub(super) store_failed_at: Option<Instant>,
+    /// What other instances have announced and is missing here.
+    pub(super) awaited: AwaitedRevision,
     /// Whether a task that gets entries from a peer is running.
     pub(super) peer_sync_scheduled: bool,
     /// Whether a task that gets large entries from a peer is running.
@@ -76,6 +82,46 @@
     pub large_values: LargeValues,
 }
 
+/// Entries that have arrived, and what decides how they are applied.
+#[derive(Debug)]
+pub(super) struct Update<'a> {
+    node: &'a Node,
+    now: Instant,
+    /// Whether a call to the store failed within the last seconds.
+    store_failed: bool,
+    source: Source,
+    /// Time since another instance announced the change that is awaited here.
+    heard: Option<Duration>,
+}
+
+impl<'a> Update<'a> {
+    /// Creates an update of what `reader` holds.
+    pub(super) fn new(node: &'a Node, reader: &DirectoryReader, source: Source) -> Self {
+        let now = Instant::now();
+        Self {
+            node,
+            now,
+            store_failed: reader.store_failed_recently(),
+            source,
+            heard: reader.awaited.waited(now),
+        }
+    }
+
+    /// Logs a change that the entry of this revision brings; `event` is the event with its pairs.
+    fn log(&self, event: fmt::Arguments<'_>, revision: Revision) {
+        let heard = self.heard.map(|heard| heard.as_millis().to_string());
+        self.node.log.line(
+            Priority::State,
+            format_args!(
+                "{event} rev={} source={} heard_ms={}",
+                number_of(revision),
+                self.source,
+                heard.as_deref().unwrap_or("-"),
+            ),
+        );
+    }
+}
+
 /// What a change of the directory concerns.
 #[derive(Debug, Default)]
 pub(super) struct Changes {
@@ -105,15 +151,19 @@
             .is_some_and(|at| at.elapsed() < STORE_FAILURE_WINDOW)
     }
 
+    /// Time since another instance announced the change that is awaited here.
+    pub fn awaited_for(&self, now: Instant) -> Option<Duration> {
+        self.awaited.waited(now)
+    }
+
     /// Parses an entry if its revision is new, and applies it.
     pub(super) fn apply_entry(
         &mut self,
-        node: &Node,
-        now: Instant,
+        update: &Update<'_>,
         entry: &Entry,
-        store_failed: bool,
         changes: &mut Changes,
     ) {
+        let now = update.now;
         let found = self.entries.binary_search_by(|r| r.key.cmp(&entry.key));
         if found.is_ok_and(|index| self.entries[index].revision >= entry.revision) {
             return;
@@ -132,14 +182,14 @@
         let (Ok(index) | Err(index)) = found;
         let updated = &mut self.entries[index];
         match &entry.value {
-            Some(value) => updated.apply_value(node, now, value, &previous),
-            None => updated.apply_lapse(node, now, &mut previous, store_failed),
+            Some(value) => updated.apply_value(update, value, &previous),
+            None => updated.apply_lapse(update, &mut previous),
         }
         changes.drained_zones |= updated.drained_zone.is_some();
         changes.replicas.extend(updated.replica_id());
         changes.unseen_removed |= is_unseen;
         let origin = updated.origin();
-        let mut versions = node.versions.borrow_mut();
+        let mut versions = update.node.versions.borrow_mut();
         versions.on_replica(now, origin_before, origin);
         drop(versions);
         let graces = [updated.in_force_until, updated.in_doubt_until];
@@ -202,7 +252,8 @@
     }
 
     /// Parses the value of the entry and applies it.
-    fn apply_value(&mut self, node: &Node, now: Instant, value: &[u8], previous: &Self) {
+    fn apply_value(&mut self, update: &Update<'_>, value: &[u8], previous: &Self) {
+        let (node, now) = (update.node, update.now);
         let key = &self.key;
         match node.directory_client.parse_entry(key, value) {
             ParsedEntry::Table(table) => node.set_table(table),
@@ -210,7 +261,7 @@
                 // A cold replica publishes its remaining cold time periodically.
                 let known = previous.replica.as_ref();
                 if known.is_none_or(|p| !p.differs_only_in_cold_until(&replica)) {
-                    log_replica(node, &replica);
+                    log_replica(update, &replica, self.revision);
                 }
                 let is_restored = era_of(self.revision) > era_of(previous.revision);
                 let removed = previous.removed.filter(|_| is_restored);
@@ -221,11 +272,11 @@
             }
             ParsedEntry::DrainedZone(zone) => self.drained_zone = Some(zone),
             ParsedEntry::InvalidReplica(reason) => node.log.line(
-                Priority::High,
+                Priority::State,
                 format_args!("event=replica_unreadable key={key:?} reason={reason:?}"),
             ),
             ParsedEntry::InvalidTable(reason) => node.log.line(
-                Priority::High,
+                Priority::State,
                 format_args!("event=table_unreadable reason={reason:?}"),
             ),
             ParsedEntry::Other => {}
@@ -234,16 +285,17 @@
 
     /// Applies the removal of the entry. If the store has failed, its replica stays in use for a while; if it was
     /// restored, its zone stays drained.
-    fn apply_lapse(&mut self, node: &Node, now: Instant, previous: &mut Self, store_failed: bool) {
+    fn apply_lapse(&mut self, update: &Update<'_>, previous: &mut Self) {
+        let (now, store_failed) = (update.now, update.store_failed);
         self.removed = previous.removed;
         if let Some(replica) = previous.replica.take() {
             let id = &replica.id;
             if !replica.leaving {
-                node.metrics.count_expired_replica();
+                update.node.metrics.count_expired_replica();
             }
-            node.log.line(
-                Priority::High,
+            update.log(
                 format_args!("event=replica_gone replica={id} store_trouble={store_failed}"),
+                self.revision,
             );
             self.removed = Some(RemovedReplica {
                 start_unix_ms: replica.start_unix_ms,
@@ -263,10 +315,9 @@
 }
 
 /// Logs a new or changed replica.
-fn log_replica(node: &Node, replica: &PublishedReplica) {
+fn log_replica(update: &Update<'_>, replica: &PublishedReplica, revision: Revision) {
     let cold_ms = replica.remaining_cold_time().as_millis();
-    node.log.line(
-        Priority::High,
+    update.log(
         format_args!(
             "event=replica replica={} service={} version={} address={} zone={} born={} leaving={} cold_ms={cold_ms}",
             replica.id,
@@ -277,5 +328,6 @@
             replica.start_unix_ms,
             replica.leaving,
         ),
+        revision,
     );
 }
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -305,7 +305,7 @@
             .update(now, self.own_address.to_bits(), &live, sent_at);
         for relay in lost.into_iter().map(Ipv4Addr::from_bits) {
             node.log.line(
-                Priority::High,
+                Priority::State,
                 format_args!("event=relay_passed_over peer={relay}"),
             );
         }
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -44,7 +44,7 @@
     // Dropping the tasks logs the requests and streams that are cut off.
     drop(local);
     node.log.line(
-        Priority::High,
+        Priority::State,
         format_args!("event=ended taken={accepted_requests}"),
     );
     node.log.close();
@@ -67,7 +67,7 @@
     let peer_socket = UdpSocket::bind((cfg.address(), cfg.peer_port)).await?;
     let node = Node::new(cfg, protocol, directory_client);
     node.log.line(
-        Priority::High,
+        Priority::State,
         format_args!(
             "event=start instance={} listen={} ready_listen={} peer_listen={}",
             node.settings().instance,
@@ -146,7 +146,7 @@
         }
         if let Some(suspended) = node.suspend_detector.take_suspension() {
             node.log.line(
-                Priority::High,
+                Priority::State,
                 format_args!("event=woke suspended_ms={}", suspended.as_millis()),
             );
             node.dispatch.borrow_mut().on_suspension(now, suspended);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -4,8 +4,8 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry,
-    TextEncoder,
+    Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts,
+    Registry, TextEncoder,
 };
 use tokio::time::Instant;
 
@@ -55,6 +55,8 @@
     registry: Registry,
     outcomes: IntCounterVec,
     durations: HistogramVec,
+    /// Time from the announcement of a directory change by another instance to its arrival.
+    directory_lag: Histogram,
     /// Log lines dropped by the rate limit or because the reader stalled.
     dropped_lines: IntCounter,
     /// Crashes of replicas while they ran requests of this instance.
@@ -77,7 +79,8 @@
     organisation_use: GaugeVec,
     /// Version of the table in force.
     table_version: Gauge,
-    /// Seconds since the last response of the store, and since the oldest of the peers' last reports.
+    /// Seconds since the last response of the store, since the oldest of the peers' last reports, and
+    /// since the announcement of the change that has not arrived yet.
     ages: GaugeVec,
     /// Requests waiting for a slot.
     waiting: Gauge,
@@ -140,6 +143,7 @@
                 "organisation",
             ),
             durations: durations(&registry),
+            directory_lag: directory_lag(&registry),
             resumptions: counters(
                 &registry,
                 "kingcup_stream_resumptions_total",
@@ -165,7 +169,7 @@
             ages: gauges(
                 &registry,
                 "kingcup_age_seconds",
-                "Time since the store or the most silent peer was heard",
+                "Time since the store or the most silent peer was heard, and since an awaited change was announced",
                 "of",
             ),
             callers: gauges(
@@ -234,6 +238,11 @@
             .observe(duration.as_secs_f64());
     }
 
+    /// Records how long a directory change took from its announcement by another instance.
+    pub fn observe_directory_lag(&self, lag: Duration) {
+        self.directory_lag.observe(lag.as_secs_f64());
+    }
+
     /// Updates the gauges from the state of the instance and renders all metrics as text.
     pub fn render(&self, node: &Node) -> String {
         self.update_gauges(node);
@@ -259,6 +268,8 @@
             self.set_age("store", age);
         }
         self.set_age("peers", peers.max_report_age(now));
+        let awaited = node.directory_reader.borrow().awaited_for(now);
+        self.set_age("awaited_change", awaited.unwrap_or_default());
         let live = peers.live_count(now) as f64 - 1.0;
         let peer_count = peers.all().len() as f64;
         self.peers.with_label_values(&["heard"]).set(live);
@@ -356,6 +367,17 @@
     durations
 }
 
+fn directory_lag(registry: &Registry) -> Histogram {
+    let opts = HistogramOpts::new(
+        "kingcup_directory_lag_seconds",
+        "Time from the announcement of a directory change by another instance to its arrival",
+    );
+    let lag = Histogram::with_opts(opts.buckets(BUCKET_BOUNDS_S.to_vec()))
+        .expect("a fixed name is valid");
+    register(registry, lag.clone());
+    lag
+}
+
 fn register<C>(registry: &Registry, collector: C)
 where
     C: Collector + 'static,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -338,7 +338,7 @@
         let version = table.version;
         self.record_moved_routes(&table);
         self.log.line(
-            Priority::High,
+            Priority::State,
             format_args!("event=table version={version} before={current}"),
         );
         *self.table.borrow_mut() = Some(table);
--- a/crates/entry/src/node/replicas.rs
+++ b/crates/entry/src/node/replicas.rs
@@ -62,7 +62,7 @@
         ] {
             for zone in zones {
                 self.log
-                    .line(Priority::High, format_args!("event={event} zone={zone}"));
+                    .line(Priority::State, format_args!("event={event} zone={zone}"));
             }
         }
     }
--- a/crates/entry/src/node/statements.rs
+++ b/crates/entry/src/node/statements.rs
@@ -86,7 +86,7 @@
         let mut dispatch = self.dispatch.borrow_mut();
         if dispatch.on_said_leaving(replica, start_unix_ms) {
             self.log.line(
-                Priority::High,
+                Priority::State,
                 format_args!("event=replica_leaving replica={replica} {source}"),
             );
         }
@@ -99,7 +99,7 @@
         drop(dispatch);
         self.metrics.count_statement("rest");
         self.log.line(
-            Priority::High,
+            Priority::State,
             format_args!(
                 "event=replica_rest replica={} id={id} for_ms={}",
                 replica.id,
@@ -200,7 +200,7 @@
     ) {
         let text = |per_s: Option<f64>| per_s.map_or("-".to_owned(), |per_s| per_s.to_string());
         self.log.line(
-            Priority::High,
+            Priority::State,
             format_args!(
                 "event=replica_limit replica={replica} per_s={} before={} {source}",
                 text(after),
--- a/crates/entry/src/node/versions.rs
+++ b/crates/entry/src/node/versions.rs
@@ -35,7 +35,7 @@
         let upto = self.directory.borrow().small_up_to();
         self.history_missed_up_to.set(upto);
         self.log.line(
-            Priority::High,
+            Priority::State,
             format_args!("event=version_history_missed upto={upto}"),
         );
     }
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -78,7 +78,7 @@
         let mut suspects = node.crash_suspects.borrow_mut();
         if suspects.begin_trial(now, quarantine.fingerprint) {
             node.log.line(
-                Priority::High,
+                Priority::State,
                 format_args!(
                     "event=quarantine_trial fingerprint={:x} crashes={}",
                     quarantine.fingerprint, quarantine.crashes
@@ -189,7 +189,7 @@
     let begun = node.crash_suspects.borrow_mut().on_crash(report);
     for fingerprint in begun {
         node.log.line(
-            Priority::High,
+            Priority::State,
             format_args!("event=suspect_recurs fingerprint={fingerprint:x}"),
         );
     }
--- a/crates/entry/src/receiver.rs
+++ b/crates/entry/src/receiver.rs
@@ -105,8 +105,10 @@
         );
     }
     if effects.is_new {
-        node.log
-            .line(Priority::High, format_args!("event=peer_heard peer={from}"));
+        node.log.line(
+            Priority::State,
+            format_args!("event=peer_heard peer={from}"),
+        );
     }
     if let Some(time_ms) = time_ms {
         log_clock_offset(node, from, time_ms);
@@ -130,6 +132,7 @@
         node.remove_peer_usage(&[from]);
     }
     if upto > directory::known_up_to(node) {
+        directory::record_announced(node, upto);
         directory::schedule_peer_sync(node, sync_delay(node, from));
     }
 }
@@ -171,7 +174,7 @@
     node.remove_peer_usage(silent);
     for peer in silent {
         node.log.line(
-            Priority::High,
+            Priority::State,
             format_args!("event=peer_silent peer={peer}"),
         );
     }
--- a/crates/entry/src/reload.rs
+++ b/crates/entry/src/reload.rs
@@ -48,7 +48,7 @@
         Err(e) => {
             let reason = e.to_string();
             node.log.line(
-                Priority::High,
+                Priority::State,
                 format_args!("event=reload changed=false reason={reason:?}"),
             );
             return;
@@ -61,7 +61,7 @@
     node.apply_settings(&cfg);
     node.refresh_replicas();
     node.log.line(
-        Priority::High,
+        Priority::State,
         format_args!(
             "event=reload changed={} in_force={} at_next_start={}",
             !changed.is_empty(),
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -150,7 +150,7 @@
 /// received since the start.
 fn log_stage(node: &Node, event: std::fmt::Arguments<'_>) {
     node.log.line(
-        Priority::High,
+        Priority::State,
         format_args!(
             "{event} active={} connections={} taken={}",
             node.active_requests.get(),
--- a/crates/entry/src/stream_origin/history.rs
+++ b/crates/entry/src/stream_origin/history.rs
@@ -90,7 +90,7 @@
         Err(e) => {
             let reason = e.to_string();
             return node.log.line(
-                Priority::High,
+                Priority::State,
                 format_args!("event=peer_unreachable peer={peer} reason={reason:?}"),
             );
         }
@@ -105,7 +105,7 @@
     if reaches_further {
         let is_complete = node.versions.borrow().is_complete(Instant::now());
         node.log.line(
-            Priority::High,
+            Priority::State,
             format_args!("event=version_history peer={peer} complete={is_complete}"),
         );
     }
