--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -31,10 +31,11 @@
 pub use peer_sync::{known_up_to, record_announced, schedule_peer_sync};
 pub use reader::DirectoryReader;
 
-/// Maximum duration of one watch. Each call is billed; a store that goes silent on an open
-/// connection is noticed only after this, and the users' bounds have to hold again four seconds
-/// after its return.
-const MAX_WATCH: Duration = Duration::from_millis(4200);
+/// Maximum duration of one watch. Each call is billed, but a store that goes silent on an open connection
+/// is noticed only after this and the time for which the client waits for a late response. Until then the
+/// other instances rely on this one, so both together leave half of the operator's bound of three
+/// seconds to the instance that takes over.
+const MAX_WATCH: Duration = Duration::from_secs(1);
 
 /// Maximum duration of a watch after a call that failed: one that hangs on a silent store would
 /// outlast the store's return by seconds.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -47,8 +47,12 @@
 pub use slots::{SlotError, SlotGuard};
 
 /// Maximum age of the last store response of an instance that counts as a reader of the store.
-/// A watch waits for four seconds at most, so a healthy reader stays below this.
-pub const STORE_RESPONSE_MAX_AGE: Duration = Duration::from_millis(5500);
+/// A watch waits for one second at most, so a healthy reader stays below this.
+pub const STORE_RESPONSE_MAX_AGE: Duration = Duration::from_secs(2);
+
+/// Time without a response to any known instance after which the store counts as silent for all of them:
+/// longer than usual outages.
+pub const STORE_SILENCE_TIMEOUT: Duration = Duration::from_millis(5500);
 
 /// Lifecycle state of a process, in the order in which it passes through them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/entry/src/peers/store_readers.rs
+++ b/crates/entry/src/peers/store_readers.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use super::Peers;
+use crate::node::STORE_SILENCE_TIMEOUT;
 
 /// Number of instances of the whole fleet that read the store, also if all are in one zone.
 const MIN_STORE_READERS: usize = 2;
@@ -14,8 +15,7 @@
 /// response: the store may refuse some of them.
 const STORE_CANDIDATES: usize = 4;
 
-/// Time in which [`STORE_CANDIDATES`] doubles once no instance at all has had a response for too
-/// long.
+/// Time in which [`STORE_CANDIDATES`] doubles after [`STORE_SILENCE_TIMEOUT`].
 const STORE_CANDIDATES_DOUBLING: Duration = Duration::from_millis(250);
 
 /// Most doublings of [`STORE_CANDIDATES`], enough for any fleet.
@@ -42,10 +42,10 @@
     /// The first instance of each zone by address reads it, and the first two of the fleet. An
     /// instance whose calls fail counts as one that does not read. Without a reader the first few
     /// of the zone and of the fleet read, however many instances there are. Only if nobody has had a
-    /// response within `max_store_age`, their number grows with time: the first ones may be refused
+    /// response for [`STORE_SILENCE_TIMEOUT`], their number grows with time: the first ones may be refused
     /// while the store serves others.
     pub fn reads_store(&self, now: Instant, zone: NameHash, max_store_age: Duration) -> bool {
-        let candidates = self.store_candidates(now, max_store_age);
+        let candidates = self.store_candidates(now);
         let mut lower_in_zone = LowerInstances::default();
         let mut lower_in_fleet = LowerInstances::default();
         for peer in self.live(now) {
@@ -65,11 +65,11 @@
     }
 
     /// How many instances of a zone may try to read the store while none of them has a response.
-    fn store_candidates(&self, now: Instant, max_store_age: Duration) -> usize {
+    fn store_candidates(&self, now: Instant) -> usize {
         let responded_at = self.store_responded_at.unwrap_or(self.started);
         let overdue = now
             .saturating_duration_since(responded_at)
-            .saturating_sub(max_store_age);
+            .saturating_sub(STORE_SILENCE_TIMEOUT);
         let doublings = overdue.as_millis() / STORE_CANDIDATES_DOUBLING.as_millis();
         STORE_CANDIDATES.saturating_mul(1 << doublings.min(MAX_DOUBLINGS))
     }
--- a/crates/entry/src/stream_origin.rs
+++ b/crates/entry/src/stream_origin.rs
@@ -23,7 +23,7 @@
 use crate::adapter::RequestMeta;
 use crate::directory;
 use crate::log::Priority;
-use crate::node::{Node, ProcessState, STORE_RESPONSE_MAX_AGE};
+use crate::node::{Node, ProcessState, STORE_SILENCE_TIMEOUT};
 use crate::replica::PublishedReplica;
 use crate::table::Route;
 
@@ -202,7 +202,7 @@
     let ages = [node.reported_store_age(), age];
     ages.into_iter()
         .flatten()
-        .any(|age| age < STORE_RESPONSE_MAX_AGE)
+        .any(|age| age < STORE_SILENCE_TIMEOUT)
 }
 
 /// Name of the version of an origin, as a replica publishes it; its hash if none does, `-` without an origin.
