--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -28,7 +28,7 @@
 use reader::{Changes, Update};
 
 pub use confirmation::{Confirmations, catch_up};
-pub use peer_sync::{known_up_to, record_announced, schedule_peer_sync};
+pub use peer_sync::{forget_announced, known_up_to, record_announced, schedule_peer_sync};
 pub use reader::DirectoryReader;
 
 /// Maximum duration of one watch. Each call is billed, but a store that goes silent on an open connection
@@ -72,6 +72,11 @@
 /// it may reach the store and not their snapshots.
 const MAX_TIME_WITHOUT_ENTRIES: Duration = Duration::from_secs(2);
 
+/// Time for which an instance waits for a change that its peers have announced before it reads the store
+/// itself: they may be stuck, or cut off from it in one direction. Half of the operator's bound of three
+/// seconds is left for the call.
+const MAX_PEER_SYNC_TIME: Duration = Duration::from_millis(1200);
+
 /// Minimum interval of full listings: a sixth of the operator's bound of three seconds, so that an
 /// instance still catches up in time if the history is lost twice.
 const MIN_LIST_INTERVAL: Duration = Duration::from_millis(500);
@@ -175,11 +180,15 @@
     }
 }
 
-/// Whether this instance has to read the store now.
+/// Whether this instance has to read the store now: it is one of the few that do, or it does not get from
+/// its peers what they have.
 fn has_to_read(node: &Node) -> bool {
     let now = Instant::now();
     let is_empty = node.directory.borrow().complete_up_to() == 0;
-    node.reads_store() || is_empty && node.peers.borrow().uptime(now) >= MAX_TIME_WITHOUT_ENTRIES
+    let awaited = node.directory_reader.borrow().awaited_for(now);
+    node.reads_store()
+        || is_empty && node.peers.borrow().uptime(now) >= MAX_TIME_WITHOUT_ENTRIES
+        || awaited.is_some_and(|waited| waited >= MAX_PEER_SYNC_TIME)
 }
 
 /// Lists the directory once and then watches for changes; returns at the first failure.
--- a/crates/entry/src/directory/peer_sync.rs
+++ b/crates/entry/src/directory/peer_sync.rs
@@ -1,9 +1,10 @@
 //! Gets newer directory entries from peers.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
+use kingcupfield_decisions::awaited_revision::AwaitedRevision;
 use kingcupfield_decisions::id::name_hash;
 use kingcupfield_decisions::store_view::{Entry, Revision, number_of};
 use rand::RngExt as _;
@@ -36,6 +37,18 @@
     reader.awaited.on_announced(Instant::now(), upto);
 }
 
+/// Stops waiting for what no known instance announces any more: one that announced it has started again, or
+/// is gone for good.
+pub fn forget_announced(node: &Node) {
+    let known = known_up_to(node);
+    let mut reader = node.directory_reader.borrow_mut();
+    if reader.awaited_for(Instant::now()).is_some()
+        && !node.peers.borrow().has_announced_above(known)
+    {
+        reader.awaited = AwaitedRevision::default();
+    }
+}
+
 /// Starts a task that after `delay` gets newer entries from a peer, if one has a higher revision by
 /// then. At most one such task runs at a time.
 pub fn schedule_peer_sync(node: &Rc<Node>, delay: Duration) {
@@ -74,7 +87,7 @@
                 start_large_fetch(node, peer);
             }
         }
-        Err(e) => log_unreachable(node, peer, &e),
+        Err(e) => on_sync_failed(node, peer, &e),
     }
 }
 
@@ -107,7 +120,7 @@
                 log_fetched(&node, peer, "large", upto, fetched.bytes, started);
                 apply_large_entries(&node, peer, fetched.content);
             }
-            Err(e) => log_unreachable(&node, peer, &e),
+            Err(e) => on_sync_failed(&node, peer, &e),
         }
         node.directory_reader.borrow_mut().large_fetch_running = false;
         // More may have been changed meanwhile, or the fetch may have failed.
@@ -140,7 +153,7 @@
     let decompressed = large.entries.iter().map(CompressedEntry::decompress);
     let mut entries = match decompressed.collect::<std::io::Result<Vec<Entry>>>() {
         Ok(entries) => entries,
-        Err(e) => return log_unreachable(node, peer, &e),
+        Err(e) => return on_sync_failed(node, peer, &e),
     };
     let mut view = node.directory.borrow_mut();
     let is_unchanged = keep_later_states(node, &view, &mut entries) == 0;
@@ -176,8 +189,12 @@
     );
 }
 
-/// Logs that a peer did not send what it was asked for.
-fn log_unreachable(node: &Node, peer: SocketAddr, e: &std::io::Error) {
+/// Records and logs that a peer did not send what it was asked for.
+fn on_sync_failed(node: &Node, peer: SocketAddr, e: &std::io::Error) {
+    if let IpAddr::V4(address) = peer.ip() {
+        let mut peers = node.peers.borrow_mut();
+        peers.record_sync_failure(Instant::now(), address);
+    }
     let reason = e.to_string();
     node.log.line(
         Priority::State,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -38,6 +38,9 @@
 /// partition that users see, so that the two sides of a partition never spend the same share.
 const FORGET_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Time for which a peer that did not send directory entries is asked only if no other has them.
+const SYNC_FAILURE_PAUSE: Duration = Duration::from_secs(3);
+
 /// Minimum interval of greetings, messages with the complete state, to an instance whose first
 /// digest has arrived.
 const GREETING_COOLDOWN: Duration = Duration::from_millis(500);
@@ -238,6 +241,7 @@
                 added_at: now,
                 last_datagram_at: None,
                 last_greeting_at: None,
+                sync_failed_at: None,
                 digest: Digest {
                     zone,
                     ..Digest::default()
@@ -262,6 +266,13 @@
         }
     }
 
+    /// Records that an instance did not send directory entries that it was asked for.
+    pub fn record_sync_failure(&mut self, now: Instant, address: Ipv4Addr) {
+        if let Ok(index) = self.index_of(address) {
+            self.others[index].sync_failed_at = Some(now);
+        }
+    }
+
     /// Applies a digest of another instance, received directly or through a relay.
     pub fn on_digest(&mut self, now: Instant, from: Ipv4Addr, mut digest: Digest) -> DigestEffects {
         if from == self.own {
@@ -435,7 +446,8 @@
 
     /// Picks a peer to get newer directory entries from: one of the nearest whose revision is above
     /// `upto`, chosen by `salt`, which is random. `location` is the zone and the region of this
-    /// instance.
+    /// instance. One that has just failed to send entries is picked only if all of them have: it may go
+    /// on announcing its revision for as long as it is stuck.
     ///
     /// If all instances asked the one with the highest revision, they would ask the same one at the
     /// same time, and a large table occupies a small machine's link for a tenth of a second per
@@ -451,7 +463,8 @@
         let is_ahead = |p: &&Peer| p.is_live(now) && p.digest.upto > upto;
         let nearness = |p: &Peer| {
             let is_outside = !self.is_in_cell(p.address);
-            (is_outside, p.nearness(zone, region) as u8)
+            let nearness = p.nearness(zone, region) as u8;
+            (p.failed_to_sync(now), is_outside, nearness)
         };
         let nearest = self.others.iter().filter(is_ahead).map(nearness).min()?;
         let candidates: Vec<&Peer> = self
@@ -463,6 +476,11 @@
         Some(candidates[salt as usize % candidates.len()])
     }
 
+    /// Whether a known instance, live or silent, has announced a revision above `upto`.
+    pub fn has_announced_above(&self, upto: Revision) -> bool {
+        self.others.iter().any(|p| p.digest.upto > upto)
+    }
+
     /// All known instances, including this one and the silent ones; `None` while discovery of the fleet
     /// is going on.
     pub fn fleet_members(&self, now: Instant) -> Option<Vec<InstanceAddress>> {
--- a/crates/entry/src/peers/peer.rs
+++ b/crates/entry/src/peers/peer.rs
@@ -7,7 +7,7 @@
 use kingcupfield_decisions::remote_load::{RemoteLoad, ReplicaLoad};
 use tokio::time::Instant;
 
-use super::{Digest, FORGET_TIMEOUT, SILENCE_TIMEOUT};
+use super::{Digest, FORGET_TIMEOUT, SILENCE_TIMEOUT, SYNC_FAILURE_PAUSE};
 
 /// Last known state of one other instance.
 #[derive(Debug)]
@@ -23,6 +23,8 @@
     pub last_datagram_at: Option<Instant>,
     /// When it was last sent the complete state.
     pub last_greeting_at: Option<Instant>,
+    /// When it last did not send directory entries that it was asked for.
+    pub(super) sync_failed_at: Option<Instant>,
     /// Its last digest.
     pub digest: Digest,
     /// By how many milliseconds its clock was ahead when the difference was last logged.
@@ -77,6 +79,12 @@
         Nearness::OtherRegion
     }
 
+    /// Whether it did not send directory entries a short time ago.
+    pub(super) fn failed_to_sync(&self, now: Instant) -> bool {
+        self.sync_failed_at
+            .is_some_and(|at| now.saturating_duration_since(at) < SYNC_FAILURE_PAUSE)
+    }
+
     /// Adds its load to the remote load, in place of the load that was counted before.
     pub(super) fn count_load(&mut self, remote_load: &mut RemoteLoad, loads: &[ReplicaLoad]) {
         let counted_before: &[ReplicaLoad] = if self.counted {
--- a/crates/entry/src/receiver.rs
+++ b/crates/entry/src/receiver.rs
@@ -161,12 +161,14 @@
     node.assign_slots();
 }
 
-/// Logs the instances that have fallen silent, and removes those that are gone.
+/// Logs the instances that have fallen silent, and removes those that are gone, with what only they have
+/// announced.
 pub fn expire_silent(node: &Node) {
     let now = Instant::now();
     let silent = node.peers.borrow_mut().drop_silent(now);
     on_silent(node, &silent);
     node.peers.borrow_mut().remove_gone(now);
+    directory::forget_announced(node);
 }
 
 /// Drops what instances reported that have fallen silent, and logs them.
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -423,3 +423,64 @@
     assert!(!is_applied(address(1), 9, true));
     assert!(!is_applied(address(1), 10, false));
 }
+
+struct SyncCase {
+    /// Zones and regions of the peers that announce the revision, by the last byte of their address.
+    peers: &'static [(u8, u32, u32)],
+    /// Those that failed to send it, and how many seconds ago.
+    failed: &'static [(u8, u64)],
+    /// Those that may be asked.
+    asked: &'static [u8],
+}
+
+/// Guards against an instance that asks the same peer again and again, as the nearest one announces a change
+/// and does not send it.
+#[parameterized(
+    nearest = { SyncCase { peers: &[(1, 1, 1), (2, 1, 1), (3, 2, 1)], failed: &[], asked: &[1, 2] } },
+    one_has_failed = { SyncCase { peers: &[(1, 1, 1), (2, 1, 1), (3, 2, 1)], failed: &[(1, 0)], asked: &[2] } },
+    all_of_the_zone_have_failed = { SyncCase { peers: &[(1, 1, 1), (2, 2, 1), (3, 3, 3)], failed: &[(1, 0)], asked: &[2] } },
+    only_other_regions_have_not = { SyncCase { peers: &[(1, 1, 1), (2, 2, 1), (3, 3, 3)], failed: &[(1, 0), (2, 0)], asked: &[3] } },
+    all_have_failed = { SyncCase { peers: &[(1, 1, 1), (3, 3, 3)], failed: &[(1, 0), (3, 0)], asked: &[1] } },
+    failed_long_ago = { SyncCase { peers: &[(1, 1, 1), (3, 3, 3)], failed: &[(1, 4)], asked: &[1] } },
+)]
+fn a_peer_that_has_failed_to_send_changes_is_asked_last(case: SyncCase) {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(5);
+    let mut peers = Peers::new(start, OWN, true).with_zones([(1, Distance::SameZone)]);
+    for (last_byte, zone, region) in case.peers {
+        let mut ahead = digest(1);
+        (ahead.zone, ahead.region, ahead.upto) = (*zone, *region, 9);
+        peers.on_digest(now, address(*last_byte), ahead);
+    }
+    for (last_byte, ago_s) in case.failed {
+        let failed_at = now - Duration::from_secs(*ago_s);
+        peers.record_sync_failure(failed_at, address(*last_byte));
+    }
+    let picked = |salt| {
+        peers
+            .pick_sync_peer(now, 8, (1, 1), salt)
+            .map(|p| p.address)
+    };
+    let mut picked: Vec<Ipv4Addr> = (0..10).filter_map(picked).collect();
+    picked.sort_unstable();
+    picked.dedup();
+    let asked: Vec<Ipv4Addr> = case.asked.iter().map(|byte| address(*byte)).collect();
+    assert_eq!(picked, asked);
+}
+
+/// Guards against instances that read the store for good: what was announced by a peer that is gone, or has
+/// started again with less, is not waited for.
+#[test]
+fn what_nobody_announces_any_more_is_not_awaited() {
+    let now = Instant::now();
+    let mut peers = Peers::new(now, OWN, true).with_zones([(1, Distance::SameZone)]);
+    let mut ahead = digest(1);
+    ahead.upto = 9;
+    peers.on_digest(now, address(1), ahead.clone());
+    peers.on_digest(now, address(2), ahead);
+    assert!(peers.has_announced_above(8) && !peers.has_announced_above(9));
+    peers.on_digest(now, address(1), digest(2));
+    assert!(peers.has_announced_above(8));
+    peers.remove_gone(now + Duration::from_secs(61));
+    assert!(!peers.has_announced_above(0));
+}
