--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod shedding;
 pub mod slots;
 pub mod software_versions;
+pub mod store_outage;
 pub mod store_view;
 pub mod stream_records;
 pub mod upstream_retries;
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -323,7 +323,7 @@
     if view.small_up_to() == 0 || era_of(upto) <= known_era {
         return;
     }
-    node.directory_reader.borrow_mut().store_failed_at = Some(Instant::now());
+    node.directory_reader.borrow_mut().store_restored_at = Some(Instant::now());
     node.log.line(
         Priority::State,
         format_args!(
--- a/crates/entry/src/directory/reader.rs
+++ b/crates/entry/src/directory/reader.rs
@@ -6,6 +6,7 @@
 use kingcupfield_decisions::awaited_revision::AwaitedRevision;
 use kingcupfield_decisions::id::{UpstreamId, ZoneId};
 use kingcupfield_decisions::software_versions::{StreamOrigin, VersionHistory};
+use kingcupfield_decisions::store_outage::StoreOutage;
 use kingcupfield_decisions::store_view::{Entry, Revision, era_of, number_of};
 use tokio::time::Instant;
 
@@ -72,6 +73,10 @@
     entries: Vec<ReadEntry>,
     /// When a call to the store last failed, here or at the peer that sent the entries.
     pub(super) store_failed_at: Option<Instant>,
+    /// When a store that was restored from a copy was first heard of.
+    pub(super) store_restored_at: Option<Instant>,
+    /// Whether the store was out of reach for all instances.
+    store_outage: StoreOutage,
     /// What other instances have announced and is missing here.
     pub(super) awaited: AwaitedRevision,
     /// Whether a task that gets entries from a peer is running.
@@ -144,11 +149,19 @@
 }
 
 impl DirectoryReader {
-    /// Whether a call to the store failed within the last seconds, as seen here or by the peer that
-    /// sent the entries.
+    /// Whether entries may be missing because of the store: it was restored within the last seconds, or calls
+    /// failed here or at the peer that sent the entries, and it has served nobody meanwhile. If it served others,
+    /// it served the replicas as well, and one whose entry was removed has left.
     pub fn store_failed_recently(&self) -> bool {
-        self.store_failed_at
-            .is_some_and(|at| at.elapsed() < STORE_FAILURE_WINDOW)
+        let is_recent =
+            |at: Option<Instant>| at.is_some_and(|at| at.elapsed() < STORE_FAILURE_WINDOW);
+        let is_out_of_reach = self.store_outage.is_recent(Instant::now());
+        is_recent(self.store_restored_at) || is_recent(self.store_failed_at) && is_out_of_reach
+    }
+
+    /// Records a response of the store to this instance or another one.
+    pub fn on_store_response(&mut self, at: Instant) {
+        self.store_outage.on_response(at);
     }
 
     /// Time since another instance announced the change that is awaited here.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -301,8 +301,10 @@
 
     /// Records that the store has just responded.
     pub fn record_store_response(&self) {
-        self.last_store_response.set(Some(Instant::now()));
+        let now = Instant::now();
+        self.last_store_response.set(Some(now));
         self.store_failing.set(false);
+        self.directory_reader.borrow_mut().on_store_response(now);
     }
 
     /// Records that a call to the store has failed, and tells the other instances, so that one of
--- a/crates/entry/src/receiver.rs
+++ b/crates/entry/src/receiver.rs
@@ -98,6 +98,9 @@
     let mut reports = digest.reports.clone();
     let effects = node.peers.borrow_mut().on_digest(now, from, digest);
     on_silent(node, &effects.silent);
+    if let Some(at) = node.peers.borrow().store_responded_at() {
+        node.directory_reader.borrow_mut().on_store_response(at);
+    }
     if effects.is_list_full {
         node.log.line(
             Priority::High,
