--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -3,10 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use kingcupfield_decisions::dispatch::Outcome;
 use tokio::time::Instant;
@@ -22,6 +22,9 @@
 /// Maximum size in bytes of a response that is read completely before it is sent to the caller.
 const MAX_BUFFERED_BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Bytes for which each part of such a response counts beside its own: the time that small parts take.
+const FRAME_COST_BYTES: usize = 64;
+
 /// Why an attempt ended without a response of the replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendFailure {
@@ -125,7 +128,10 @@
         let req = build_request(head, fields.clone(), body.clone());
         let sent_at = node.suspend_aware_now();
         match connection.sender.try_send_request(req).await {
-            Ok(response) => return on_response(node, target, id, sent_at, response, connection),
+            Ok(response) => {
+                connection.progress.record();
+                return on_response(node, target, id, sent_at, response, connection);
+            }
             // A reused connection was closed before anything was written: try the next one.
             Err(mut e) => match e.take_message() {
                 Some(_) if is_reused => {}
@@ -142,12 +148,22 @@
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
-/// Reads a response body to its end.
-pub async fn read_body(body: Incoming) -> Result<Bytes, SendFailure> {
-    let collected = Limited::new(body, MAX_BUFFERED_BODY_BYTES).collect().await;
-    collected
-        .map(http_body_util::Collected::to_bytes)
-        .map_err(|_| SendFailure::Broken)
+/// Reads the body of a response on `connection` to its end.
+pub async fn read_body(connection: &Connection, mut body: Incoming) -> Result<Bytes, SendFailure> {
+    let mut buf = BytesMut::new();
+    let mut frames = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| SendFailure::Broken)?;
+        connection.progress.record();
+        frames += 1;
+        if let Ok(data) = frame.into_data() {
+            buf.extend_from_slice(&data);
+        }
+        if buf.len() + frames * FRAME_COST_BYTES > MAX_BUFFERED_BODY_BYTES {
+            return Err(SendFailure::Broken);
+        }
+    }
+    Ok(buf.freeze())
 }
 
 /// Records what the replica states in the head of its response, and turns the head into the response
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod outbox;
 pub mod peers;
 pub mod pool;
+pub mod progress_io;
 pub mod quarantine;
 pub mod receiver;
 pub mod refusal;
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -17,6 +17,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::progress_io::{Progress, ProgressIo};
+
 /// Maximum time to open a connection: two round trips between regions and a margin.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
 
@@ -36,6 +38,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Whether the connection has carried an earlier request.
     pub reused: bool,
+    /// Progress of the response that is being received.
+    pub progress: Progress,
     /// Task that drives the connection.
     task: AbortHandle,
     /// Whether the connection is kept when dropped; otherwise it is closed.
@@ -140,8 +144,10 @@
         .await
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
+    let progress = Progress::default();
+    let io = ProgressIo::new(stream, progress.clone());
     let (sender, connection) = http1::Builder::new()
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(io))
         .await
         .map_err(std::io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
@@ -151,6 +157,7 @@
     Ok(Connection {
         sender,
         reused: false,
+        progress,
         task: task.abort_handle(),
         reusable: false,
     })
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -326,6 +326,7 @@
                 Some(Err(_)) => return AttemptEnd::Broken,
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
+            attempt.connection.progress.record();
             if let Some(chunk) = self.scan(attempt, chunk) {
                 let arrived = Instant::now();
                 tokio::select! {
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -16,6 +16,7 @@
 use crate::expiry::wait_for_expiry;
 use crate::metrics::Phase;
 use crate::node::{Node, SlotGuard, Target};
+use crate::pool::Connection;
 use crate::refusal::Refusal;
 use crate::relay::{self, ResponseBody};
 use crate::request_log;
@@ -184,13 +185,14 @@
             connection,
         } = response;
         let body = tokio::select! {
-            body = read_whole_body(node, target, &head.headers, body) => body,
+            body = read_whole_body(node, target, &head.headers, &connection, body) => body,
             expiry = wait_for_expiry(node, &self.route, self.received) => {
                 return NextStep::Refuse(self.expiry_refusal(node, expiry));
             }
         };
-        let Ok(body) = body else {
-            return self.on_failure(node, target, slot, SendFailure::Broken);
+        let body = match body {
+            Ok(body) => body,
+            Err(failure) => return self.on_failure(node, target, slot, failure),
         };
         target
             .pool
@@ -285,9 +287,10 @@
     node: &Node,
     target: &Target,
     headers: &HeaderMap,
+    connection: &Connection,
     body: Incoming,
 ) -> Result<Bytes, SendFailure> {
-    let body = exchange::read_body(body).await?;
+    let body = exchange::read_body(connection, body).await?;
     if !is_framed(headers) && crash_watch::ended_by_crash(node, target).await {
         return Err(SendFailure::Broken);
     }
