--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -13,7 +13,7 @@
 use crate::adapter::ForwardInfo;
 use crate::crash_watch;
 use crate::exchange::{self, ReplicaResponse, SendFailure, is_framed};
-use crate::expiry::wait_for_expiry;
+use crate::expiry::{Expiry, wait_for_expiry};
 use crate::metrics::Phase;
 use crate::node::{Node, SlotGuard, Target};
 use crate::pool::Connection;
@@ -187,8 +187,13 @@
         let body = tokio::select! {
             body = read_whole_body(node, target, &head.headers, &connection, body) => body,
             expiry = wait_for_expiry(node, &self.route, self.received) => {
+                slot.release(match expiry {
+                    Expiry::RouteTimeout => Outcome::Failed,
+                    Expiry::Shutdown => Outcome::Unknown,
+                });
                 return NextStep::Refuse(self.expiry_refusal(node, expiry));
             }
+            () = self.wait_for_retry(node, &slot) => Err(SendFailure::Abandoned),
         };
         let body = match body {
             Ok(body) => body,
