--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -35,6 +35,9 @@
 /// Number of chunks that are buffered for a slow caller before reading from the replica stops.
 const CHANNEL_CHUNKS: usize = 8;
 
+/// Largest event of a resumable stream in bytes, which is held back until it is complete.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// A resumable stream without an event for this many times its maximum event gap is resumed at
 /// another replica: its caller disconnects after eight.
 const STALL_GAPS: f64 = 5.0;
@@ -327,7 +330,11 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             attempt.connection.progress.record();
-            if let Some(chunk) = self.scan(attempt, chunk) {
+            let complete = self.scan(attempt, chunk);
+            if self.partial_event.len() > MAX_EVENT_BYTES {
+                return AttemptEnd::Broken;
+            }
+            if let Some(chunk) = complete {
                 let arrived = Instant::now();
                 tokio::select! {
                     sent = self.tx.send(chunk) => {
