--- a/crates/entry/src/directory/peer_sync.rs
+++ b/crates/entry/src/directory/peer_sync.rs
@@ -76,11 +76,12 @@
         let view = node.directory.borrow();
         (view.small_up_to(), view.large_up_to())
     };
+    let failures = node.directory_reader.borrow().sync_failures;
     let started = Instant::now();
-    match snapshot::fetch(peer, after, large_after).await {
+    match snapshot::fetch(peer, after, large_after, failures).await {
         Ok(fetched) => {
             let upto = fetched.content.upto;
-            log_fetched(node, peer, "changes", upto, fetched.bytes, started);
+            on_fetched(node, peer, "changes", upto, fetched.bytes, started);
             apply_snapshot(node, peer, fetched.content);
             let lacks_large_entries = node.directory.borrow().lacks_large_entries();
             if lacks_large_entries {
@@ -113,11 +114,12 @@
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
         let after = node.directory.borrow().large_up_to();
+        let failures = node.directory_reader.borrow().sync_failures;
         let started = Instant::now();
-        match snapshot::fetch_large(peer, after).await {
+        match snapshot::fetch_large(peer, after, failures).await {
             Ok(fetched) => {
                 let upto = fetched.content.upto;
-                log_fetched(&node, peer, "large", upto, fetched.bytes, started);
+                on_fetched(&node, peer, "large", upto, fetched.bytes, started);
                 apply_large_entries(&node, peer, fetched.content);
             }
             Err(e) => on_sync_failed(&node, peer, &e),
@@ -169,8 +171,8 @@
     node.state_changed.notify_one();
 }
 
-/// Logs what a peer has sent.
-fn log_fetched(
+/// Records and logs what a peer has sent.
+fn on_fetched(
     node: &Node,
     peer: SocketAddr,
     part: &str,
@@ -178,6 +180,7 @@
     bytes: usize,
     started: Instant,
 ) {
+    node.directory_reader.borrow_mut().sync_failures = 0;
     let before = number_of(node.directory.borrow().complete_up_to());
     let upto = Upto(upto);
     let ms = started.elapsed().as_millis();
@@ -191,6 +194,7 @@
 
 /// Records and logs that a peer did not send what it was asked for.
 fn on_sync_failed(node: &Node, peer: SocketAddr, e: &std::io::Error) {
+    node.directory_reader.borrow_mut().sync_failures += 1;
     if let IpAddr::V4(address) = peer.ip() {
         let mut peers = node.peers.borrow_mut();
         peers.record_sync_failure(Instant::now(), address);
--- a/crates/entry/src/directory/reader.rs
+++ b/crates/entry/src/directory/reader.rs
@@ -81,6 +81,8 @@
     pub(super) awaited: AwaitedRevision,
     /// Whether a task that gets entries from a peer is running.
     pub(super) peer_sync_scheduled: bool,
+    /// Number of fetches from peers that failed in a row.
+    pub(super) sync_failures: u32,
     /// Whether a task that gets large entries from a peer is running.
     pub(super) large_fetch_running: bool,
     /// Large values as they are sent to peers.
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -24,10 +24,14 @@
 /// prepare them on a small machine.
 const FULL_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// Maximum time until a peer begins to send the latest changes. One that takes longer is stuck, and
-/// another one is asked.
+/// Maximum time until a peer begins to send the latest changes. One that takes longer is likely to be stuck,
+/// and another one is asked.
 const CHANGES_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Most doublings of these times after fetches that failed in a row: at a peak of demand all peers are slow,
+/// and none would ever be waited for.
+const MAX_TIMEOUT_DOUBLINGS: u32 = 2;
+
 /// Maximum size in bytes of what a peer sends.
 pub const MAX_SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
 
@@ -128,11 +132,12 @@
 }
 
 /// Gets the entries from a peer that changed after the revision `after`, but for the large ones after
-/// `large_after`.
+/// `large_after`. `failures` is the number of fetches that failed in a row before.
 pub async fn fetch(
     peer: SocketAddr,
     after: Revision,
     large_after: Revision,
+    failures: u32,
 ) -> std::io::Result<Fetched<Snapshot>> {
     let max_wait = if after == 0 {
         FULL_RESPONSE_TIMEOUT
@@ -140,16 +145,23 @@
         CHANGES_RESPONSE_TIMEOUT
     };
     let uri = format!("{SNAPSHOT_PATH}?{after}&{large_after}");
-    get(peer, &uri, max_wait).await
+    get(peer, &uri, lengthen(max_wait, failures)).await
 }
 
-/// Gets the large entries from a peer that changed after the revision `after`.
+/// Gets the large entries from a peer that changed after the revision `after`. `failures` is the number of
+/// fetches that failed in a row before.
 pub async fn fetch_large(
     peer: SocketAddr,
     after: Revision,
+    failures: u32,
 ) -> std::io::Result<Fetched<LargeEntries>> {
     let uri = format!("{LARGE_ENTRIES_PATH}?{after}");
-    get(peer, &uri, FULL_RESPONSE_TIMEOUT).await
+    get(peer, &uri, lengthen(FULL_RESPONSE_TIMEOUT, failures)).await
+}
+
+/// Doubles a time for each fetch that failed before.
+fn lengthen(max_wait: Duration, failures: u32) -> Duration {
+    max_wait * (1 << failures.min(MAX_TIMEOUT_DOUBLINGS))
 }
 
 /// Gets a short message from a peer.
--- a/crates/entry/tests/snapshot.rs
+++ b/crates/entry/tests/snapshot.rs
@@ -12,14 +12,20 @@
 struct StuckPeer {
     /// Revision that the instance has.
     after: u64,
-    max_time: Duration,
+    /// Number of fetches that failed before.
+    failures: u32,
+    /// Time for which the instance waits.
+    time: std::ops::Range<Duration>,
 }
 
 /// A peer accepts connections and responds to nothing. The instance must ask another one before the
-/// operator's bounds on a change have passed, and soon if it lacks only the latest changes.
+/// operator's bounds on a change have passed, and soon if it lacks only the latest changes. After fetches
+/// that failed it waits longer, as peers may all be slow.
 #[parameterized(
-    all_entries = { StuckPeer { after: 0, max_time: Duration::from_millis(1500) } },
-    latest_changes = { StuckPeer { after: 7, max_time: Duration::from_millis(800) } },
+    all_entries = { StuckPeer { after: 0, failures: 0, time: Duration::ZERO..Duration::from_millis(1500) } },
+    latest_changes = { StuckPeer { after: 7, failures: 0, time: Duration::ZERO..Duration::from_millis(800) } },
+    latest_changes_after_a_failure = { StuckPeer { after: 7, failures: 1, time: Duration::from_millis(900)..Duration::from_millis(1300) } },
+    latest_changes_after_many = { StuckPeer { after: 7, failures: 100, time: Duration::from_millis(1900)..Duration::from_millis(2300) } },
 )]
 #[test_macro(tokio::test)]
 async fn a_stuck_peer_is_given_up(case: StuckPeer) {
@@ -27,13 +33,11 @@
     let peer = listener.local_addr().expect("an address");
     let local = tokio::task::LocalSet::new();
     let started = Instant::now();
-    let result = local.run_until(snapshot::fetch(peer, case.after, 0)).await;
+    let fetch = snapshot::fetch(peer, case.after, 0, case.failures);
+    let result = local.run_until(fetch).await;
     assert!(result.is_err());
-    assert!(
-        started.elapsed() <= case.max_time,
-        "{:?}",
-        started.elapsed()
-    );
+    let elapsed = started.elapsed();
+    assert!(case.time.contains(&elapsed), "{elapsed:?}");
 }
 
 fn entry(key: &str, revision: u64, bytes: usize) -> Entry {
