--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -286,11 +286,14 @@
         .directory
         .borrow_mut()
         .apply_changes(listing.revision, listing.entries);
-    if !changed.is_empty() {
-        node.state_changed.notify_one();
+    if changed.is_empty() {
+        // Most watches end without a change.
+        record_arrival(node, Source::Store);
+        return false;
     }
     apply_directory(node, &changed, Source::Store);
-    !changed.is_empty()
+    node.state_changed.notify_one();
+    true
 }
 
 /// Records that the awaited change has arrived, and logs one that was late.
