--- a/crates/entry/src/directory/peer_sync.rs
+++ b/crates/entry/src/directory/peer_sync.rs
@@ -13,7 +13,7 @@
 use crate::large_values::CompressedEntry;
 use crate::log::Priority;
 use crate::node::Node;
-use crate::snapshot::{self, LargeEntries, Snapshot};
+use crate::snapshot::{self, CHANGES_RESPONSE_TIMEOUT, LargeEntries, Snapshot};
 
 use super::{Source, Upto, apply_directory, keep_later_states, prepare_era};
 
@@ -180,10 +180,14 @@
     bytes: usize,
     started: Instant,
 ) {
-    node.directory_reader.borrow_mut().sync_failures = 0;
+    let elapsed = started.elapsed();
+    // A peer that was slow would be given up again if the next fetch waited less.
+    if elapsed < CHANGES_RESPONSE_TIMEOUT {
+        node.directory_reader.borrow_mut().sync_failures = 0;
+    }
     let before = number_of(node.directory.borrow().complete_up_to());
     let upto = Upto(upto);
-    let ms = started.elapsed().as_millis();
+    let ms = elapsed.as_millis();
     node.log.line(
         Priority::State,
         format_args!(
--- a/crates/entry/src/directory/reader.rs
+++ b/crates/entry/src/directory/reader.rs
@@ -81,7 +81,7 @@
     pub(super) awaited: AwaitedRevision,
     /// Whether a task that gets entries from a peer is running.
     pub(super) peer_sync_scheduled: bool,
-    /// Number of fetches from peers that failed in a row.
+    /// Number of fetches from peers that failed since one was completed in the usual time.
     pub(super) sync_failures: u32,
     /// Whether a task that gets large entries from a peer is running.
     pub(super) large_fetch_running: bool,
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -26,9 +26,9 @@
 
 /// Maximum time until a peer begins to send the latest changes. One that takes longer is likely to be stuck,
 /// and another one is asked.
-const CHANGES_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
+pub const CHANGES_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Most doublings of these times after fetches that failed in a row: at a peak of demand all peers are slow,
+/// Most doublings of these times after fetches that failed: at a peak of demand all peers are slow,
 /// and none would ever be waited for.
 const MAX_TIMEOUT_DOUBLINGS: u32 = 2;
 
@@ -132,7 +132,8 @@
 }
 
 /// Gets the entries from a peer that changed after the revision `after`, but for the large ones after
-/// `large_after`. `failures` is the number of fetches that failed in a row before.
+/// `large_after`. `failures` is the number of fetches that failed
+/// since one was completed in the usual time.
 pub async fn fetch(
     peer: SocketAddr,
     after: Revision,
@@ -149,7 +150,7 @@
 }
 
 /// Gets the large entries from a peer that changed after the revision `after`. `failures` is the number of
-/// fetches that failed in a row before.
+/// fetches that failed since one was completed in the usual time.
 pub async fn fetch_large(
     peer: SocketAddr,
     after: Revision,
