--- a/review/standins.py
+++ b/review/standins.py
@@ -31,10 +31,23 @@
         self.file.flush()
 
 
+USED_PORTS = set()
+
+
 def free_port():
-    with socket.socket() as tcp:
-        tcp.bind(("127.0.0.1", 0))
-        return tcp.getsockname()[1]
+    """Selects a port that is free for TCP and UDP and was not selected before."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind(("127.0.0.1", 0))
+            port = tcp.getsockname()[1]
+            if port in USED_PORTS:
+                continue
+            try:
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            USED_PORTS.add(port)
+            return port
 
 
 async def read_head(reader):
