Log tasks that panic, expected times of requests and the limit of a cut stream

A task that panics leaves no line there; a request that is sent has no line of the time that it is expected to take and the time that is left; a stream that is cut names neither its route nor the timeout.

Change: tasks are started through one function that logs a panic with its place and counts it; event=sent has left_ms and expected_ms, event=stream_ended route, timeout_ms and table. Decisions are unchanged.

--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -220,7 +220,11 @@
             }
         }
         best.map(|(index, cost_ms)| {
-            let details = self.details(now, index, cost_ms, candidates_with_room);
+            let expected_ms = self.upstreams[index].expected_ms(now, job, &prompt_cost);
+            let details = ChoiceDetails {
+                expected_ms,
+                ..self.details(now, index, cost_ms, candidates_with_room)
+            };
             (index, details)
         })
     }
@@ -236,6 +240,7 @@
         let u = &self.upstreams[index];
         ChoiceDetails {
             cost_ms,
+            expected_ms: 0.0,
             replicas_with_room,
             own_running: u.running.len() as u32,
             remote_running: u.remote_running,
--- a/crates/decisions/src/dispatch/job.rs
+++ b/crates/decisions/src/dispatch/job.rs
@@ -62,6 +62,8 @@
 pub struct ChoiceDetails {
     /// Cost of the chosen replica in milliseconds, the lowest among the candidates with room.
     pub cost_ms: f64,
+    /// Milliseconds that the chosen replica is expected to take for the whole response; 0 for a plain service.
+    pub expected_ms: f64,
     /// Number of candidates with room.
     pub replicas_with_room: u32,
     /// Requests of this instance that already ran at the chosen replica.
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -461,9 +461,16 @@
         prompt_cost: &PromptCost,
     ) -> bool {
         let time_left = job.deadline.saturating_duration_since(now);
+        self.expected_ms(now, job, prompt_cost) <= time_left.as_secs_f64() * 1000.0
+    }
+
+    /// Milliseconds that the whole response is expected to take if it gets a slot now; 0 for a plain service.
+    pub(super) fn expected_ms(&self, now: Instant, job: &Job, prompt_cost: &PromptCost) -> f64 {
+        if !self.replica.is_engine {
+            return 0.0;
+        }
         let usual_ms = self.response_ms(job.prompt_tokens, job.expected_output_tokens, prompt_cost);
-        !self.replica.is_engine
-            || self.speed.expected_ms(now, usual_ms) <= time_left.as_secs_f64() * 1000.0
+        self.speed.expected_ms(now, usual_ms)
     }
 
     /// Whether a response of `output_tokens` would be complete within `time_left`, once it has a
--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -20,6 +20,7 @@
 use crate::node::{Node, Target};
 use crate::pool;
 use crate::quarantine;
+use crate::tasks;
 
 /// Time from the first broken request until a connection is opened: the other requests break meanwhile, and
 /// a process that is ending closes its listening socket.
@@ -147,8 +148,8 @@
         requests: vec![request],
         checked_tx: watch::Sender::new(false),
     });
-    let (node, target) = (Rc::clone(node), Rc::clone(target));
-    tokio::task::spawn_local(async move {
+    let target = Rc::clone(target);
+    tasks::spawn(node, "crash_check", |node| async move {
         sleep(CHECK_DELAY).await;
         let crashed = has_crashed(&node, &target).await;
         if let Some((broken_at, requests)) = node.crash_watch.end_check(&target, crashed)
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -23,6 +23,7 @@
 use crate::node::Node;
 use crate::replica::PublishedReplica;
 use crate::table::Table;
+use crate::tasks;
 
 use peer_sync::MIN_PEER_REQUEST_INTERVAL;
 use reader::{Changes, Update};
@@ -387,8 +388,7 @@
 
 /// Starts a task that after `grace` applies the ends of grace times.
 fn schedule_grace_end(node: &Rc<Node>, grace: Duration) {
-    let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
+    tasks::spawn(node, "grace", move |node| async move {
         sleep(grace).await;
         let ended = {
             let mut versions = node.versions.borrow_mut();
--- a/crates/entry/src/directory/confirmation.rs
+++ b/crates/entry/src/directory/confirmation.rs
@@ -10,6 +10,7 @@
 use super::apply_changes;
 use crate::adapter::DirectoryError;
 use crate::node::Node;
+use crate::tasks;
 
 /// Longest wait of the store for a change: none, in the smallest unit of the store's protocol.
 const NO_WAIT: Duration = Duration::from_millis(1);
@@ -42,7 +43,7 @@
     let (tx, rx) = oneshot::channel();
     let starts = node.confirmations.borrow_mut().add(tx);
     if starts {
-        tokio::task::spawn_local(confirm_all(Rc::clone(node)));
+        tasks::spawn(node, "confirmation", confirm_all);
     }
     rx.await.unwrap_or(false)
 }
--- a/crates/entry/src/directory/peer_sync.rs
+++ b/crates/entry/src/directory/peer_sync.rs
@@ -14,6 +14,7 @@
 use crate::log::Priority;
 use crate::node::Node;
 use crate::snapshot::{self, CHANGES_RESPONSE_TIMEOUT, LargeEntries, Snapshot};
+use crate::tasks;
 
 use super::{Source, Upto, apply_directory, keep_later_states, prepare_era};
 
@@ -58,8 +59,7 @@
     ) {
         return;
     }
-    let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
+    tasks::spawn(node, "peer_sync", move |node| async move {
         sleep(delay).await;
         sync_from_peer(&node).await;
         sleep(MIN_PEER_REQUEST_INTERVAL).await;
@@ -111,8 +111,7 @@
     ) {
         return;
     }
-    let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
+    tasks::spawn(node, "large_fetch", move |node| async move {
         let after = node.directory.borrow().large_up_to();
         let failures = node.directory_reader.borrow().sync_failures;
         let started = Instant::now();
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -27,6 +27,7 @@
 use crate::receiver;
 use crate::send_queue::BUDGET_INTERVAL;
 use crate::stream_origin;
+use crate::tasks;
 
 use local_state::{LocalState, live_members, local_state, local_step_times, unreachable_replicas};
 
@@ -57,9 +58,10 @@
 /// `incarnation` is greater for each start of the process.
 pub async fn run(node: Rc<Node>, socket: UdpSocket, incarnation: u64) {
     let socket = Rc::new(socket);
-    tokio::task::spawn_local(credit::run(Rc::clone(&node)));
-    tokio::task::spawn_local(receiver::receive(Rc::clone(&node), Rc::clone(&socket)));
-    tokio::task::spawn_local(send_queued(Rc::clone(&node), socket));
+    let received = Rc::clone(&socket);
+    tasks::spawn(&node, "credit", credit::run);
+    tasks::spawn(&node, "receiver", |node| receiver::receive(node, received));
+    tasks::spawn(&node, "sender", |node| send_queued(node, socket));
     let mut sender = Sender::new(&node, incarnation);
     let mut streams = stream_origin::Upkeep::new(Instant::now());
     let mut quarantines = quarantine::Upkeep::new(Instant::now());
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -40,3 +40,4 @@
 pub mod snapshot;
 pub mod stream_origin;
 pub mod table;
+pub mod tasks;
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -14,7 +14,7 @@
 use crate::node::{Node, ProcessState};
 use crate::settings::Settings;
 use crate::shutdown::Shutdown;
-use crate::{directory, gossip, reload, server};
+use crate::{directory, gossip, reload, server, tasks};
 
 /// Interval at which queued requests are checked for expiry and free slots are assigned to them.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -31,6 +31,7 @@
     protocol: Rc<dyn ProtocolAdapter>,
     directory_client: Rc<dyn DirectoryClient>,
 ) -> std::io::Result<()> {
+    tasks::record_panics();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -76,29 +77,23 @@
             peer_listener.local_addr()?
         ),
     );
-    let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
-    let accepting = spawn(Box::pin(server::serve_callers(
-        Rc::clone(&node),
-        caller_listener,
-    )));
-    spawn(Box::pin(server::serve_readiness(
-        Rc::clone(&node),
-        ready_listener,
-    )));
-    spawn(Box::pin(server::serve_peers(
-        Rc::clone(&node),
-        peer_listener,
-    )));
-    spawn(Box::pin(gossip::run(
-        Rc::clone(&node),
-        peer_socket,
-        incarnation(),
-    )));
-    spawn(Box::pin(directory::run(Rc::clone(&node))));
-    spawn(Box::pin(check_queue(Rc::clone(&node))));
-    spawn(Box::pin(run_housekeeping(Rc::clone(&node))));
-    spawn(Box::pin(flush_log(Rc::clone(&node))));
-    spawn(Box::pin(reload::run(Rc::clone(&node), path, hup)));
+    let accepting = tasks::spawn(&node, "callers", |node| {
+        server::serve_callers(node, caller_listener)
+    });
+    tasks::spawn(&node, "readiness", |node| {
+        server::serve_readiness(node, ready_listener)
+    });
+    tasks::spawn(&node, "peers", |node| {
+        server::serve_peers(node, peer_listener)
+    });
+    tasks::spawn(&node, "gossip", |node| {
+        gossip::run(node, peer_socket, incarnation())
+    });
+    tasks::spawn(&node, "directory", directory::run);
+    tasks::spawn(&node, "queue", check_queue);
+    tasks::spawn(&node, "housekeeping", run_housekeeping);
+    tasks::spawn(&node, "log", flush_log);
+    tasks::spawn(&node, "reload", |node| reload::run(node, path, hup));
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::node::Node;
+use crate::tasks::TaskName;
 
 /// Upper bounds of the histogram buckets in seconds: steps of about a factor of two around the latency
 /// objectives.
@@ -63,6 +64,8 @@
     replica_crashes: IntCounter,
     /// Replicas whose directory entry expired although they had not announced their departure.
     expired_replicas: IntCounter,
+    /// Tasks of this process that panicked or ended too soon, by name.
+    task_failures: IntCounterVec,
     /// Streams that callers took up, by how it was known where they began.
     resumptions: IntCounterVec,
     /// What replicas stated about themselves, by kind of statement, and the invalid ones.
@@ -107,6 +110,12 @@
                 "Requests by outcome",
                 "outcome",
             ),
+            task_failures: counters(
+                &registry,
+                "kingcup_task_failures_total",
+                "Tasks of the process that panicked or ended too soon",
+                "task",
+            ),
             statements: counters(
                 &registry,
                 "kingcup_replica_statements_total",
@@ -226,6 +235,11 @@
         self.replica_crashes.inc();
     }
 
+    /// Counts a task that panicked or ended too soon.
+    pub fn count_task_failure(&self, name: TaskName) {
+        self.task_failures.with_label_values(&[name]).inc();
+    }
+
     /// Counts a replica whose directory entry expired.
     pub fn count_expired_replica(&self) {
         self.expired_replicas.inc();
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -22,6 +22,7 @@
 use crate::node::Node;
 use crate::peers::PeerMessage;
 use crate::refusal::{Refusal, RefusalKind};
+use crate::tasks;
 
 pub use message::{CrashMessage, CrashNews, completed_messages, crashed_messages};
 pub use upkeep::Upkeep;
@@ -118,8 +119,7 @@
     record_crash(node, report);
     let mut untold = node.untold_suspects.borrow_mut();
     if untold.is_empty() {
-        let node = Rc::clone(node);
-        tokio::task::spawn_local(async move {
+        tasks::spawn(node, "crash_report", |node| async move {
             sleep(COLLECT_TIME).await;
             tell_crashes(&node);
         });
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -31,6 +31,7 @@
 use crate::request::{ActiveGuard, RequestContext};
 use crate::request_log;
 use crate::stream_origin;
+use crate::tasks;
 
 /// Number of chunks that are buffered for a slow caller before reading from the replica stops.
 const CHANNEL_CHUNKS: usize = 8;
@@ -159,7 +160,7 @@
         longest_gap: Duration::ZERO,
         end_logged: false,
     };
-    tokio::task::spawn_local(async move {
+    tasks::spawn(&relay.node.clone(), "relay", |_| async move {
         relay.run(attempt).await;
         drop(active);
     });
--- a/crates/entry/src/request/slot_request.rs
+++ b/crates/entry/src/request/slot_request.rs
@@ -90,6 +90,12 @@
             .map_or(deadline, |shutdown| shutdown.min(deadline))
     }
 
+    /// Time left until the latest time for the complete response.
+    pub fn time_to_deadline(&self, node: &Node) -> Duration {
+        self.response_deadline(node)
+            .saturating_duration_since(Instant::now())
+    }
+
     /// Describes the request to the dispatcher, which orders it and selects a replica.
     pub(super) fn job(&self, node: &Node) -> Job {
         let stream = self.route.kind.is_stream();
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -27,7 +27,7 @@
     node.log.line(
         Priority::Low,
         format_args!(
-            "event=sent id={} replica={} service={} version={} resumes={} last_event={:?} route={} organisation={organisation} table={} wait_ms={} try={} cost_ms={:.0} with_room={} own={} elsewhere={} elsewhere_age_ms={} cold={} limit={} credit_ms={} keeper={}{}{work_time}",
+            "event=sent id={} replica={} service={} version={} resumes={} last_event={:?} route={} organisation={organisation} table={} wait_ms={} left_ms={} expected_ms={:.0} try={} cost_ms={:.0} with_room={} own={} elsewhere={} elsewhere_age_ms={} cold={} limit={} credit_ms={} keeper={}{}{work_time}",
             ctx.meta.attempt_id,
             slot.upstream,
             ctx.service,
@@ -37,6 +37,8 @@
             ctx.route.name,
             node.table_version(),
             ctx.waited.as_millis(),
+            ctx.time_to_deadline(node).as_millis(),
+            selection.expected_ms,
             ctx.tried.len() + 1,
             selection.cost_ms,
             selection.replicas_with_room,
@@ -163,8 +165,11 @@
     node.log.line(
         Priority::High,
         format_args!(
-            "event=stream_ended id={} how={outcome} replica={replica} version={version} after_ms={} runs={} last_event={last_event_id:?}",
+            "event=stream_ended id={} how={outcome} replica={replica} version={version} route={} timeout_ms={} table={} after_ms={} runs={} last_event={last_event_id:?}",
             ctx.meta.attempt_id,
+            ctx.route.name,
+            ctx.route.timeout.as_millis(),
+            node.table_version(),
             ctx.received.elapsed().as_millis(),
             ctx.runs,
         ),
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -23,6 +23,7 @@
     self, LARGE_ENTRIES_PATH, LargeEntries, SNAPSHOT_PATH, Snapshot, SnapshotQuery,
 };
 use crate::stream_origin::{HISTORY_PATH, History};
+use crate::tasks;
 
 /// Path of the metrics, on the address for peers and operators.
 const METRICS_PATH: &str = "/metrics";
@@ -94,9 +95,8 @@
 /// Serves a connection in a task of its own, counted as open until the task ends.
 fn spawn_connection(node: &Rc<Node>, stream: TcpStream) {
     let guard = ConnectionGuard::new(node);
-    let connection = serve_connection(Rc::clone(node), stream);
-    tokio::task::spawn_local(async move {
-        connection.await;
+    tasks::spawn(node, "connection", |node| async move {
+        serve_connection(node, stream).await;
         drop(guard);
     });
 }
@@ -228,8 +228,7 @@
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let node = Rc::clone(&node);
-        tokio::task::spawn_local(async move {
+        tasks::spawn(&node, "peer_connection", move |node| async move {
             let service = service_fn(move |req| {
                 let response = handler(&node, &req);
                 async move { Ok::<_, Infallible>(response) }
--- a/crates/entry/src/stream_origin/history.rs
+++ b/crates/entry/src/stream_origin/history.rs
@@ -13,6 +13,7 @@
 use crate::log::Priority;
 use crate::node::Node;
 use crate::snapshot;
+use crate::tasks;
 
 /// HTTP path at which an instance serves its history.
 pub const HISTORY_PATH: &str = "/versions";
@@ -70,8 +71,7 @@
         }
         self.next_at = now + self.pause;
         self.pause = (self.pause * 2).min(MAX_PAUSE);
-        let node = Rc::clone(node);
-        tokio::task::spawn_local(async move { fetch(&node).await });
+        tasks::spawn(node, "history", |node| async move { fetch(&node).await });
     }
 }
 
--- a/crates/entry/src/stream_origin/query.rs
+++ b/crates/entry/src/stream_origin/query.rs
@@ -13,6 +13,7 @@
 use super::confirmed_sole_origin;
 use crate::node::Node;
 use crate::peers::StreamMessage;
+use crate::tasks;
 
 /// Time after which the instances that have not answered are asked again, as datagrams may be lost: two round
 /// trips between regions.
@@ -141,8 +142,7 @@
         let origin = known;
         return send(node, to, StreamMessage::Answer { number, origin });
     }
-    let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
+    tasks::spawn(node, "stream_query", move |node| async move {
         let origin = confirmed_sole_origin(&node, service).await;
         send(&node, to, StreamMessage::Answer { number, origin });
     });
