Limit numbers from outside where they are decoded

Callers saw: with one huge number in an entry of the store, instances that start again said that they were ready and answered 503 for good; with one in the table's limits or times, each request ended without a response.

Cause: a number from outside reached a sum of times, a product or a buffer size that overflows and panics.

Evidence: event=task_failed names directory and 'overflow when adding duration to instant'.

Not tested: numbers in messages of other instances and the own interface were read only.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -451,7 +451,9 @@
         self.activate(index);
         let u = &mut self.upstreams[index];
         u.last_response_at = Some(now);
-        let tokens = events.max(1) * u.replica.tokens_per_event.max(1);
+        let tokens = events
+            .max(1)
+            .saturating_mul(u.replica.tokens_per_event.max(1));
         // The factor is that of the whole gap, in which the speed may have changed.
         let learned_ms = u.latency.learned_step_ms();
         let learned_gap_ms = learned_ms.map(|ms| ms * f64::from(tokens));
--- a/crates/decisions/src/dispatch/priority.rs
+++ b/crates/decisions/src/dispatch/priority.rs
@@ -60,7 +60,10 @@
             LATE_DEMOTION * u32::from(now + EXPECTED_FIRST_EVENT >= job.slo_deadline);
         (
             job.priority.0,
-            job.priority.1 * 2 + self.size_demotion + late_demotion,
+            job.priority
+                .1
+                .saturating_mul(2)
+                .saturating_add(self.size_demotion + late_demotion),
         )
     }
 
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::Instant;
 
+use crate::bounded::bounded_secs;
 use crate::cold::{ColdGate, ColdLimit};
 use crate::digest_timing;
 use crate::dispatch::{Job, JobId, latency::LatencyEstimate, size::PromptCost, speeds::StatedLoad};
@@ -262,9 +263,9 @@
     /// Whether another request fits into the slots and the permitted queue of the replica.
     pub(super) fn has_slots(&self) -> bool {
         let room = if self.replica.is_engine {
-            self.replica.slots + ENGINE_EXTRA_REQUESTS
+            self.replica.slots.saturating_add(ENGINE_EXTRA_REQUESTS)
         } else {
-            self.replica.slots * PLAIN_REQUESTS_PER_SLOT
+            self.replica.slots.saturating_mul(PLAIN_REQUESTS_PER_SLOT)
         };
         self.reported_running() < room
     }
@@ -384,8 +385,7 @@
     /// either.
     pub(super) fn is_unresponsive(&self, now: Instant) -> bool {
         let slowest_step_ms = self.latency.step_ms() * self.speed.factor(now).max(1.0);
-        let slowest_response =
-            Duration::from_secs_f64(slowest_step_ms * RESPONSE_TIMEOUT_STEPS / 1e3);
+        let slowest_response = bounded_secs(slowest_step_ms * RESPONSE_TIMEOUT_STEPS / 1e3);
         let timeout = RESPONSE_TIMEOUT.max(slowest_response);
         let overdue = self.running.iter().filter(|r| !r.has_responded).any(|r| {
             now.saturating_duration_since(r.dispatched_at) > timeout + r.queueing_allowance
@@ -497,7 +497,7 @@
     /// How long a request may have to queue in the engine before it gets a slot.
     pub(super) fn queueing_allowance(&self, now: Instant, job: &Job) -> Duration {
         let wait_ms = self.speed.expected_ms(now, self.queue_wait_ms(job));
-        Duration::from_secs_f64(wait_ms * QUEUE_WAIT_MARGIN / 1e3)
+        bounded_secs(wait_ms * QUEUE_WAIT_MARGIN / 1e3)
     }
 
     /// Milliseconds until a slot is expected to be free for the request at the mean speed; 0 if one is
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,6 +5,7 @@
 //! file or spawns a task, so each decision can be understood and tested alone.
 
 pub mod awaited_revision;
+pub mod bounded;
 pub mod cells;
 pub mod cold;
 pub mod concurrency;
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -120,16 +120,20 @@
         let mut services = route.targets.iter().map(|(service, _)| service);
         return services.find(|s| name_hash(s) == origin.service).cloned();
     }
-    let total: u32 = route.targets.iter().map(|(_, weight)| weight).sum();
+    let total: u64 = route
+        .targets
+        .iter()
+        .map(|(_, weight)| u64::from(*weight))
+        .sum();
     if total == 0 {
         return route.targets.first().map(|(service, _)| service.clone());
     }
     let mut remaining = rand::rng().random_range(0..total);
     for (service, weight) in &route.targets {
-        if remaining < *weight {
+        if remaining < u64::from(*weight) {
             return Some(service.clone());
         }
-        remaining -= weight;
+        remaining -= u64::from(*weight);
     }
     None
 }
@@ -228,5 +232,5 @@
         prompt_tokens,
         meta.estimated_output_tokens(),
     );
-    route.rank * 2 + demotion
+    route.rank.saturating_mul(2).saturating_add(demotion)
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,6 +7,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use kingcupfield_decisions::bounded::MAX_TIME;
 use kingcupfield_decisions::cold::ColdLimit;
 use kingcupfield_decisions::credit::Tolerance;
 use kingcupfield_decisions::id::{InstanceId, RegionId, ZoneId};
@@ -15,6 +16,9 @@
 
 pub use scheduling::{FairOrderSettings, LoadReportSettings, SchedulingSettings, WarmUpSettings};
 
+/// Largest rate or amount of a field, in its unit.
+const MAX_AMOUNT: f64 = 1e12;
+
 /// Error of a settings file.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -278,10 +282,18 @@
 
     /// Checks the ranges of all values.
     fn validate(&self) -> Result<(), SettingsError> {
-        check_positive("grace_s", self.grace_s)?;
-        check_positive("limit_window_s", self.limit_window_s)?;
-        check_positive("link_mbit_per_s", self.link_mbit_per_s)?;
-        check_positive("repeats.window_s", self.repeats.window_s)?;
+        check_positive("grace_s", self.grace_s, MAX_TIME.as_secs_f64())?;
+        check_positive(
+            "limit_window_s",
+            self.limit_window_s,
+            MAX_TIME.as_secs_f64(),
+        )?;
+        check_positive("link_mbit_per_s", self.link_mbit_per_s, MAX_AMOUNT)?;
+        check_positive(
+            "repeats.window_s",
+            self.repeats.window_s,
+            MAX_TIME.as_secs_f64(),
+        )?;
         check_not_negative("limit_tolerance.part", self.limit_tolerance.part)?;
         check_not_negative("limit_tolerance.fixed", self.limit_tolerance.fixed)?;
         check_not_negative("repeats.ratio", self.repeats.ratio)?;
@@ -302,20 +314,27 @@
     }
 }
 
-fn check_positive(field: &'static str, value: f64) -> Result<(), SettingsError> {
-    if value.is_finite() && value > 0.0 {
-        return Ok(());
+fn check_positive(field: &'static str, value: f64, max: f64) -> Result<(), SettingsError> {
+    if value > 0.0 {
+        return check_at_most(field, value, max);
     }
     invalid(field, &format!("must be above 0, is {value}"))
 }
 
 fn check_not_negative(field: &'static str, value: f64) -> Result<(), SettingsError> {
-    if value.is_finite() && value >= 0.0 {
-        return Ok(());
+    if value >= 0.0 {
+        return check_at_most(field, value, MAX_AMOUNT);
     }
     invalid(field, &format!("must not be below 0, is {value}"))
 }
 
+fn check_at_most(field: &'static str, value: f64, max: f64) -> Result<(), SettingsError> {
+    if value <= max {
+        return Ok(());
+    }
+    invalid(field, &format!("must be at most {max}, is {value}"))
+}
+
 fn invalid<T>(field: &'static str, reason: &str) -> Result<T, SettingsError> {
     Err(SettingsError::Value {
         field,
