Start tasks that panic again, and tell so by readiness

Callers saw: an instance whose directory task had ended said that it was ready and answered 503 for good; requests at which the instance panicked ended without a response.

Cause: nobody looked at the end of a task. The flags of the fetches from peers and of the store's confirmation stayed set after a panic, so that none was started again.

An entry at which the parser panics costs that entry alone. A request that panics is answered 502 and logged. Flags of tasks that run once at a time are reset when these are dropped.

--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -122,6 +122,7 @@
 /// Follows the directory until the process ends.
 pub async fn run(node: Rc<Node>) {
     let mut failures = 0;
+    reapply(&node);
     wait_for_peers(&node).await;
     loop {
         let Err(e) = follow(&node, &mut failures).await;
@@ -371,6 +372,25 @@
     publish_changes(node, changes, has_other_services);
 }
 
+/// Applies all known entries again. A task that failed may have left some of a response aside.
+fn reapply(node: &Rc<Node>) {
+    if node.directory.borrow().complete_up_to() == 0 {
+        return;
+    }
+    let view = node.directory.borrow();
+    let keys: Vec<String> = view.entries().iter().map(|e| e.key.clone()).collect();
+    drop(view);
+    apply_directory(node, &keys, Source::Store);
+    let reader = node.directory_reader.borrow();
+    let everything = Changes {
+        replicas: reader.replicas().map(|r| r.id.clone()).collect(),
+        drained_zones: true,
+        ..Changes::default()
+    };
+    drop(reader);
+    publish_changes(node, everything, true);
+}
+
 /// Passes what has changed to the node.
 fn publish_changes(node: &Node, changes: Changes, has_other_services: bool) {
     // Set before the replicas, which are usable only outside of drained zones.
@@ -383,6 +403,9 @@
     if changes.drained_zones || has_other_services {
         node.refresh_replicas();
     }
+    if node.directory.borrow().complete_up_to() > 0 {
+        node.replicas_known.set(true);
+    }
     node.assign_slots();
 }
 
--- a/crates/entry/src/directory/confirmation.rs
+++ b/crates/entry/src/directory/confirmation.rs
@@ -48,12 +48,22 @@
     rx.await.unwrap_or(false)
 }
 
+/// Ends the task that calls the store when it is dropped, also by a panic. Those that wait are told that
+/// nothing is confirmed.
+struct Ending(Rc<Node>);
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        *self.0.confirmations.borrow_mut() = Confirmations::default();
+    }
+}
+
 /// Calls the store until nobody waits.
 async fn confirm_all(node: Rc<Node>) {
+    let _ending = Ending(Rc::clone(&node));
     loop {
         let waiting = std::mem::take(&mut node.confirmations.borrow_mut().waiting);
         if waiting.is_empty() {
-            node.confirmations.borrow_mut().running = false;
             return;
         }
         let is_confirmed = read_changes(&node).await;
--- a/crates/entry/src/directory/peer_sync.rs
+++ b/crates/entry/src/directory/peer_sync.rs
@@ -16,7 +16,7 @@
 use crate::snapshot::{self, CHANGES_RESPONSE_TIMEOUT, LargeEntries, Snapshot};
 use crate::tasks;
 
-use super::{Source, Upto, apply_directory, keep_later_states, prepare_era};
+use super::{DirectoryReader, Source, Upto, apply_directory, keep_later_states, prepare_era};
 
 /// Minimum interval of directory requests to peers.
 pub(super) const MIN_PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(30);
@@ -60,13 +60,35 @@
         return;
     }
     tasks::spawn(node, "peer_sync", move |node| async move {
+        let _running = Running::new(&node, |reader| reader.peer_sync_scheduled = false);
         sleep(delay).await;
         sync_from_peer(&node).await;
         sleep(MIN_PEER_REQUEST_INTERVAL).await;
-        node.directory_reader.borrow_mut().peer_sync_scheduled = false;
     });
 }
 
+/// A task of which one may run at a time. Its end is recorded when this is dropped, also by a panic: the next
+/// task would never start otherwise.
+struct Running {
+    node: Rc<Node>,
+    end: fn(&mut DirectoryReader),
+}
+
+impl Running {
+    fn new(node: &Rc<Node>, end: fn(&mut DirectoryReader)) -> Self {
+        Self {
+            node: Rc::clone(node),
+            end,
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        (self.end)(&mut self.node.directory_reader.borrow_mut());
+    }
+}
+
 /// Gets newer entries from a peer, if one has a higher revision.
 async fn sync_from_peer(node: &Rc<Node>) {
     let Some(peer) = pick_peer(node, known_up_to(node)) else {
@@ -112,6 +134,7 @@
         return;
     }
     tasks::spawn(node, "large_fetch", move |node| async move {
+        let running = Running::new(&node, |reader| reader.large_fetch_running = false);
         let after = node.directory.borrow().large_up_to();
         let failures = node.directory_reader.borrow().sync_failures;
         let started = Instant::now();
@@ -123,7 +146,7 @@
             }
             Err(e) => on_sync_failed(&node, peer, &e),
         }
-        node.directory_reader.borrow_mut().large_fetch_running = false;
+        drop(running);
         // More may have been changed meanwhile, or the fetch may have failed.
         schedule_peer_sync(&node, Duration::ZERO);
     });
--- a/crates/entry/src/directory/reader.rs
+++ b/crates/entry/src/directory/reader.rs
@@ -16,6 +16,7 @@
 use crate::node::Node;
 use crate::replica::PublishedReplica;
 use crate::stream_origin;
+use crate::tasks;
 
 use super::Source;
 
@@ -270,7 +271,13 @@
     fn apply_value(&mut self, update: &Update<'_>, value: &[u8], previous: &Self) {
         let (node, now) = (update.node, update.now);
         let key = &self.key;
-        match node.directory_client.parse_entry(key, value) {
+        // A fault of the parser costs this entry, not the others of its response.
+        let parsed = tasks::catch_panic_in(|| node.directory_client.parse_entry(key, value));
+        let parsed = parsed.unwrap_or_else(|reason| {
+            tasks::log_failure(node, "parser", &reason);
+            ParsedEntry::InvalidReplica(reason)
+        });
+        match parsed {
             ParsedEntry::Table(table) => node.set_table(table),
             ParsedEntry::Replica(replica) => {
                 // A cold replica publishes its remaining cold time periodically.
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -27,7 +27,6 @@
 use crate::receiver;
 use crate::send_queue::BUDGET_INTERVAL;
 use crate::stream_origin;
-use crate::tasks;
 
 use local_state::{LocalState, live_members, local_state, local_step_times, unreachable_replicas};
 
@@ -53,15 +52,10 @@
 /// fraction of the time after which a silent instance is dropped.
 const MAX_CONGESTION_DELAY: Duration = Duration::from_millis(800);
 
-/// Sends and receives messages of other instances until the process ends.
+/// Sends the state of this instance to the others, and what it relays, until the process ends.
 ///
 /// `incarnation` is greater for each start of the process.
-pub async fn run(node: Rc<Node>, socket: UdpSocket, incarnation: u64) {
-    let socket = Rc::new(socket);
-    let received = Rc::clone(&socket);
-    tasks::spawn(&node, "credit", credit::run);
-    tasks::spawn(&node, "receiver", |node| receiver::receive(node, received));
-    tasks::spawn(&node, "sender", |node| send_queued(node, socket));
+pub async fn run(node: Rc<Node>, incarnation: u64) {
     let mut sender = Sender::new(&node, incarnation);
     let mut streams = stream_origin::Upkeep::new(Instant::now());
     let mut quarantines = quarantine::Upkeep::new(Instant::now());
@@ -102,7 +96,7 @@
 }
 
 /// Sends the messages to other instances until the process ends.
-async fn send_queued(node: Rc<Node>, socket: Rc<UdpSocket>) {
+pub async fn send_queued(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let link_bytes_per_s = node.settings().link_bytes_per_s();
     node.send_queue.run(&socket, link_bytes_per_s).await;
 }
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -6,6 +6,7 @@
 
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Mutex;
 use tokio::task::LocalSet;
 use tokio::time::{Instant, interval, sleep};
 
@@ -14,7 +15,8 @@
 use crate::node::{Node, ProcessState};
 use crate::settings::Settings;
 use crate::shutdown::Shutdown;
-use crate::{directory, gossip, reload, server, tasks};
+use crate::tasks::{self, TaskName};
+use crate::{credit, directory, gossip, receiver, reload, server};
 
 /// Interval at which queued requests are checked for expiry and free slots are assigned to them.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -80,20 +82,32 @@
     let accepting = tasks::spawn(&node, "callers", |node| {
         server::serve_callers(node, caller_listener)
     });
-    tasks::spawn(&node, "readiness", |node| {
-        server::serve_readiness(node, ready_listener)
+    let ready_listener = Rc::new(ready_listener);
+    let peer_listener = Rc::new(peer_listener);
+    let peer_socket = Rc::new(peer_socket);
+    let hup = Rc::new(Mutex::new(hup));
+    run_always(&node, "readiness", move |node| {
+        server::serve_readiness(node, Rc::clone(&ready_listener))
     });
-    tasks::spawn(&node, "peers", |node| {
-        server::serve_peers(node, peer_listener)
+    run_always(&node, "peers", move |node| {
+        server::serve_peers(node, Rc::clone(&peer_listener))
     });
-    tasks::spawn(&node, "gossip", |node| {
-        gossip::run(node, peer_socket, incarnation())
+    let socket = Rc::clone(&peer_socket);
+    run_always(&node, "receiver", move |node| {
+        receiver::receive(node, Rc::clone(&socket))
+    });
+    run_always(&node, "sender", move |node| {
+        gossip::send_queued(node, Rc::clone(&peer_socket))
+    });
+    run_always(&node, "gossip", |node| gossip::run(node, incarnation()));
+    run_always(&node, "credit", credit::run);
+    run_always(&node, "directory", directory::run);
+    run_always(&node, "queue", check_queue);
+    run_always(&node, "housekeeping", run_housekeeping);
+    run_always(&node, "log", flush_log);
+    run_always(&node, "reload", move |node| {
+        reload::run(node, path.clone(), Rc::clone(&hup))
     });
-    tasks::spawn(&node, "directory", directory::run);
-    tasks::spawn(&node, "queue", check_queue);
-    tasks::spawn(&node, "housekeeping", run_housekeeping);
-    tasks::spawn(&node, "log", flush_log);
-    tasks::spawn(&node, "reload", |node| reload::run(node, path, hup));
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
@@ -108,6 +122,15 @@
     Ok(node)
 }
 
+/// Starts a task that runs until the process ends.
+fn run_always<S, F>(node: &Rc<Node>, name: TaskName, start: S)
+where
+    S: Fn(Rc<Node>) -> F + 'static,
+    F: Future<Output = ()> + 'static,
+{
+    tokio::task::spawn_local(tasks::supervise(Rc::clone(node), name, start));
+}
+
 /// Returns the incarnation number of this process, which is larger than that of any earlier process on
 /// the machine: Unix time in microseconds.
 fn incarnation() -> u64 {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -145,6 +145,10 @@
     pub open_connections: watch::Sender<usize>,
     /// Number of requests accepted from callers since the start.
     pub accepted_requests: Cell<u64>,
+    /// Number of tasks that the instance depends on and that don't run.
+    pub failed_tasks: Cell<usize>,
+    /// Whether the replicas of the directory were passed to the dispatcher.
+    pub replicas_known: Cell<bool>,
     /// Wakes the task that expires waiting requests when a request starts to wait.
     pub queue_wakeup: Notify,
     /// When the store last responded.
@@ -233,6 +237,8 @@
             active_requests: Cell::new(0),
             open_connections: watch::Sender::new(0),
             accepted_requests: Cell::new(0),
+            failed_tasks: Cell::new(0),
+            replicas_known: Cell::new(false),
             queue_wakeup: Notify::new(),
             table: RefCell::new(None),
             targets: RefCell::new(Vec::new()),
@@ -294,9 +300,13 @@
         }
     }
 
-    /// Whether load balancers may send callers here: not shutting down, and a table is in force.
+    /// Whether load balancers may send callers here: not shutting down, a table and replicas are known, and
+    /// all tasks run.
     pub fn is_ready(&self) -> bool {
-        self.process_state() == ProcessState::Serving && self.table.borrow().is_some()
+        self.process_state() == ProcessState::Serving
+            && self.table.borrow().is_some()
+            && self.replicas_known.get()
+            && self.failed_tasks.get() == 0
     }
 
     /// Records that the store has just responded.
--- a/crates/entry/src/reload.rs
+++ b/crates/entry/src/reload.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, SystemTime};
 
 use tokio::signal::unix::Signal;
+use tokio::sync::Mutex;
 use tokio::time::interval;
 
 use crate::log::Priority;
@@ -20,7 +21,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Applies changed settings until the process ends.
-pub async fn run(node: Rc<Node>, path: PathBuf, mut hup: Signal) {
+pub async fn run(node: Rc<Node>, path: PathBuf, hup: Rc<Mutex<Signal>>) {
+    let mut hup = hup.lock().await;
     let mut checks = interval(CHECK_INTERVAL);
     let mut applied_mtime = mtime(&path);
     loop {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -32,6 +32,7 @@
 use crate::relay::ResponseBody;
 use crate::request_log::{self, UnansweredGuard};
 use crate::table::{Organisation, Route, Table};
+use crate::tasks;
 
 use attempt::NextStep;
 use origin::{check_version_served, find_origin, no_service};
@@ -93,7 +94,11 @@
         () = node.response_deadline_reached() => Err(unavailable("this instance shuts down before the body is complete")),
     };
     let result = match body {
-        Ok(body) => admit_and_run(&node, received, head, meta.clone(), body, active).await,
+        Ok(body) => {
+            let admitted = admit_and_run(&node, received, head, meta.clone(), body, active);
+            let run = tasks::catch_panic(admitted).await;
+            run.unwrap_or_else(|reason| Err(failure(&node, &reason)))
+        }
         Err(refusal) => Err(refusal),
     };
     let mut response = match result {
@@ -107,6 +112,13 @@
     response
 }
 
+/// Builds the refusal of a request at which this instance failed. It may have run.
+fn failure(node: &Node, reason: &str) -> Refusal {
+    tasks::log_failure(node, "request", reason);
+    Refusal::new(RefusalKind::Unknown)
+        .with_message("this instance failed while it handled the request")
+}
+
 /// Counts a request as active until it is dropped.
 #[derive(Debug)]
 pub struct ActiveGuard(Rc<Node>);
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -213,6 +213,7 @@
         }
         // Tasks are also dropped when the process ends; their callers are still connected then.
         let event = match self.node.process_state() {
+            _ if std::thread::panicking() => "failed",
             ProcessState::Ended => "cut",
             _ => "caller_left",
         };
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -62,6 +62,20 @@
 
 /// Accepts connections of callers until the stage `Shut`, then those left in the accept queue.
 pub async fn serve_callers(node: Rc<Node>, listener: TcpListener) {
+    let listener = Rc::new(listener);
+    let accepting = Rc::clone(&listener);
+    tasks::supervise(Rc::clone(&node), "callers", move |node| {
+        accept_callers(node, Rc::clone(&accepting))
+    })
+    .await;
+    match Rc::try_unwrap(listener) {
+        Ok(listener) => drain_accept_queue(&node, listener),
+        Err(_) => tasks::log_failure(&node, "callers", "the listener is still in use"),
+    }
+}
+
+/// Accepts connections of callers until the stage `Shut`.
+async fn accept_callers(node: Rc<Node>, listener: Rc<TcpListener>) {
     let mut stage = node.process_state.subscribe();
     loop {
         tokio::select! {
@@ -70,10 +84,9 @@
                 // Out of file descriptors: some become free when open connections end.
                 Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
             },
-            _ = stage.wait_for(|stage| *stage >= ProcessState::Shut) => break,
+            _ = stage.wait_for(|stage| *stage >= ProcessState::Shut) => return,
         }
     }
-    drain_accept_queue(&node, listener);
 }
 
 /// Accepts the connections in the listener's queue, then closes the listener. Connections still in
@@ -146,7 +159,7 @@
 }
 
 /// Serves the load balancer's readiness checks: 200 if ready, 503 otherwise.
-pub async fn serve_readiness(node: Rc<Node>, listener: TcpListener) {
+pub async fn serve_readiness(node: Rc<Node>, listener: Rc<TcpListener>) {
     serve_with(node, listener, |node, _| {
         let status = if node.is_ready() {
             StatusCode::OK
@@ -159,7 +172,7 @@
 }
 
 /// Serves peers and operators: the directory snapshot and the metrics.
-pub async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
+pub async fn serve_peers(node: Rc<Node>, listener: Rc<TcpListener>) {
     serve_with(node, listener, |node, req| match req.uri().path() {
         SNAPSHOT_PATH => snapshot_response(node, req.uri().query().unwrap_or_default()),
         LARGE_ENTRIES_PATH => large_entries_response(node, req.uri().query().unwrap_or_default()),
@@ -221,7 +234,7 @@
 type Handler = fn(&Node, &Request<Incoming>) -> Response<Full<Bytes>>;
 
 /// Accepts connections until the process ends and passes each request to `handler`.
-async fn serve_with(node: Rc<Node>, listener: TcpListener, handler: Handler) {
+async fn serve_with(node: Rc<Node>, listener: Rc<TcpListener>, handler: Handler) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Out of file descriptors: an immediate retry would fail the same way.
