Judge the replica that gets a request while an instance shuts down

Callers saw: streams that a stopping instance had accepted were cut in the middle when it ended.

Cause: whether a request completes in time was judged at admission, and over any usable replica, also a full one; the choice then went by an estimate in which a replica without measurements is as fast as most. The bound for slow replicas left out the prompt.

Change: the dispatcher knows when the last responses are due and passes over each replica that may be late by a cautious estimate (measured steps and a half more, 30 ms if nothing was measured, the prompts before it, a slot that is free now). This holds for the first choice, after any wait and for further attempts and the rest of a broken stream, which is judged by what is left of it. A request that none can complete any more is refused with 'not run' at once. After the connections are closed, only what a slow replica completes is accepted, prompt included: what is accepted then keeps the instance from ending and its successor from starting.

The existing test of this decision asserts the same five outcomes; its time left now includes the overhead that the caller of the function subtracted before.

--- a/crates/decisions/src/dispatch.rs
+++ b/crates/decisions/src/dispatch.rs
@@ -12,6 +12,7 @@
 
 mod choice;
 mod departed;
+mod finish;
 mod job;
 mod latency;
 mod pacing;
@@ -36,10 +37,12 @@
 use crate::warm_up::PaceChange;
 
 use departed::Departed;
+use finish::ShutdownLimit;
 use priority::Waiting;
 use size::{PromptCost, SizeStats};
 use upstream::{Running, Upstream};
 
+pub use finish::ResponseSize;
 pub use job::{
     Assignment, ChoiceDetails, Job, Outcome, ReplicaCounts, ReplicaUsage, ServiceAvailability,
 };
@@ -83,6 +86,8 @@
     fair_order: FairOrder,
     /// Step of the last request that was sent, by service; sorted.
     served_steps: Vec<(ServiceId, UsageStep)>,
+    /// Limit on the time of responses; `None` unless the instance shuts down.
+    shutdown: Option<ShutdownLimit>,
 }
 
 impl Dispatcher {
@@ -235,7 +240,11 @@
             .map(|u| u.replica.slots);
         let size_demotion = slots.map_or(0, |slots| {
             let size_stats = self.size_stats_mut(&job.service);
-            size_stats.on_request(job.prompt_tokens, job.expected_output_tokens, slots)
+            size_stats.on_request(
+                job.size.prompt_tokens,
+                job.size.expected_output_tokens,
+                slots,
+            )
         });
         self.waiting.push(Waiting {
             job,
@@ -327,29 +336,6 @@
         assignments
     }
 
-    /// Whether some replica of a service would finish the response within `time_left` of its
-    /// dispatch; also `true` if the service has no usable replica.
-    ///
-    /// Load pattern: long streams that arrive shortly before an instance shuts down. If it accepted
-    /// them, they would hold a slot until they are cut off, though another instance could serve
-    /// them to the end.
-    pub fn can_finish_within(
-        &self,
-        time_left: Duration,
-        service: &ServiceId,
-        prompt_tokens: f64,
-        output_tokens: f64,
-    ) -> bool {
-        let prompt_cost = self.prompt_cost(service);
-        let can_finish: Vec<bool> = self
-            .upstreams
-            .iter()
-            .filter(|u| u.is_usable() && u.replica.service == *service)
-            .map(|u| u.can_finish_within(time_left, prompt_tokens, output_tokens, &prompt_cost))
-            .collect();
-        can_finish.is_empty() || can_finish.contains(&true)
-    }
-
     /// Whether a usable replica of a service, other than those that were tried, has this software version.
     pub fn serves_version(
         &self,
@@ -537,7 +523,7 @@
             job: job.id,
             gaps_before: u.gap_count,
             pending_prompt_tokens: if u.replica.is_engine {
-                job.prompt_tokens
+                job.size.prompt_tokens
             } else {
                 0.0
             },
--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -199,6 +199,9 @@
             if !is_trial && !is_considered() {
                 continue;
             }
+            if !self.finishes_before_shutdown(now, u, job, &prompt_cost) {
+                continue;
+            }
             if !may_be_late
                 && !u.finishes_by_deadline(now, job, &prompt_cost)
                 && *another_can_finish
@@ -366,6 +369,6 @@
 }
 
 /// Whether the replica may serve the request and has not been tried for it yet.
-fn is_candidate(u: &Upstream, job: &Job) -> bool {
+pub(super) fn is_candidate(u: &Upstream, job: &Job) -> bool {
     may_serve(u, job) && !job.tried_replicas.contains(&u.replica.id)
 }
--- a/crates/decisions/src/dispatch/job.rs
+++ b/crates/decisions/src/dispatch/job.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use super::JobId;
+use super::{JobId, ResponseSize};
 use crate::fair_order::{JobUsage, Standing};
 use crate::id::{NameHash, ServiceId, UpstreamId};
 use crate::regions::Regions;
@@ -30,10 +30,8 @@
     pub software_version: Option<NameHash>,
     /// Regions in which it may be processed.
     pub regions: Regions,
-    /// Tokens in the prompt.
-    pub prompt_tokens: f64,
-    /// Tokens that the response is expected to have.
-    pub expected_output_tokens: f64,
+    /// Tokens of the prompt and of the response.
+    pub size: ResponseSize,
     /// Longest acceptable gap between two events of the stream; zero for plain requests.
     pub max_event_gap: Duration,
     /// Replicas it was already sent to, which are not chosen again.
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -41,7 +41,7 @@
 
 /// Factor by which a response may be longer than expected: the estimates are right on average and
 /// usually off by half in either direction.
-const OUTPUT_LENGTH_MARGIN: f64 = 1.5;
+pub(super) const OUTPUT_LENGTH_MARGIN: f64 = 1.5;
 
 /// Factor by which a queued request may wait longer than expected for its slot: response lengths
 /// differ from each other by far more than their mean.
@@ -250,7 +250,7 @@
 
     /// Requests that run at the replica according to the instances and the replica itself. It is used
     /// for costs only: the replica's counts may be false and must not decide whether it gets requests.
-    fn running_total(&self) -> u32 {
+    pub(super) fn running_total(&self) -> u32 {
         self.running.len() as u32 + self.remote_running.max(self.stated_load.others())
     }
 
@@ -402,7 +402,7 @@
     }
 
     /// Prompt tokens at the replica that have yet to be processed, of all instances.
-    fn pending_prompt_tokens(&self) -> f64 {
+    pub(super) fn pending_prompt_tokens(&self) -> f64 {
         self.running
             .iter()
             .map(|r| r.pending_prompt_tokens)
@@ -432,7 +432,7 @@
                 + failure_penalty_ms;
         }
         let step_ms = self.latency.step_ms();
-        let prompt_steps = prompt_cost.prompt_steps(job.prompt_tokens)
+        let prompt_steps = prompt_cost.prompt_steps(job.size.prompt_tokens)
             + prompt_cost.prompt_steps(self.pending_prompt_tokens());
         let first_token_ms =
             (prompt_cost.first_steps + prompt_steps) * step_ms + self.queue_wait_ms(job);
@@ -449,7 +449,7 @@
     fn deadline_overrun_ms(&self, now: Instant, job: &Job, first_token_ms: f64) -> f64 {
         let time_left_ms = job.deadline.saturating_duration_since(now).as_secs_f64() * 1000.0;
         let total_ms = first_token_ms
-            + job.expected_output_tokens * OUTPUT_LENGTH_MARGIN * self.latency.step_ms();
+            + job.size.expected_output_tokens * OUTPUT_LENGTH_MARGIN * self.latency.step_ms();
         (self.speed.expected_ms(now, total_ms) - time_left_ms).max(0.0)
     }
 
@@ -469,23 +469,14 @@
         if !self.replica.is_engine {
             return 0.0;
         }
-        let usual_ms = self.response_ms(job.prompt_tokens, job.expected_output_tokens, prompt_cost);
+        let usual_ms = self.response_ms(
+            job.size.prompt_tokens,
+            job.size.expected_output_tokens,
+            prompt_cost,
+        );
         self.speed.expected_ms(now, usual_ms)
     }
 
-    /// Whether a response of `output_tokens` would be complete within `time_left`, once it has a
-    /// slot, at the mean speed.
-    pub(super) fn can_finish_within(
-        &self,
-        time_left: Duration,
-        prompt_tokens: f64,
-        output_tokens: f64,
-        prompt_cost: &PromptCost,
-    ) -> bool {
-        let usual_ms = self.response_ms(prompt_tokens, output_tokens, prompt_cost);
-        !self.replica.is_engine || usual_ms <= time_left.as_secs_f64() * 1000.0
-    }
-
     /// Milliseconds that an engine may need for a response at the mean speed.
     fn response_ms(&self, prompt_tokens: f64, output_tokens: f64, prompt_cost: &PromptCost) -> f64 {
         let steps = prompt_cost.first_steps
@@ -504,7 +495,10 @@
     /// free now. The running responses are presumed to be as long as the request's own.
     fn queue_wait_ms(&self, job: &Job) -> f64 {
         let excess_requests = (self.running_total() + 1).saturating_sub(self.replica.slots);
-        let ms_per_request = job.expected_output_tokens.max(MIN_QUEUED_OUTPUT_TOKENS)
+        let ms_per_request = job
+            .size
+            .expected_output_tokens
+            .max(MIN_QUEUED_OUTPUT_TOKENS)
             * self.latency.step_ms()
             / f64::from(self.replica.slots.max(1));
         f64::from(excess_requests) * ms_per_request
@@ -514,10 +508,10 @@
     /// below [`STALL_GAP_SHARE`]. The longest acceptable gap of the request is presumed to apply to
     /// all of them.
     fn stall_penalty_ms(&self, now: Instant, job: &Job, prompt_cost: &PromptCost) -> f64 {
-        let own_tokens = job.prompt_tokens.min(MAX_PROMPT_TOKENS_BETWEEN_EVENTS);
+        let own_tokens = job.size.prompt_tokens.min(MAX_PROMPT_TOKENS_BETWEEN_EVENTS);
         let pending_tokens = self.pending_prompt_tokens();
         let tokens = (own_tokens + pending_tokens).min(MAX_PROMPT_TOKENS_BETWEEN_EVENTS);
-        let slowdown = PromptCost::attention_slowdown(job.prompt_tokens.max(pending_tokens));
+        let slowdown = PromptCost::attention_slowdown(job.size.prompt_tokens.max(pending_tokens));
         let gap_ms = tokens / prompt_cost.tokens_per_step * slowdown * self.latency.step_ms();
         let gap_ms = self.speed.expected_ms(now, gap_ms);
         let max_gap_ms = job.max_event_gap.as_secs_f64() * 1000.0;
--- a/crates/decisions/tests/cells.rs
+++ b/crates/decisions/tests/cells.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::cells::OwnCell;
-use kingcupfield_decisions::dispatch::{Dispatcher, Job, Outcome, Replica};
+use kingcupfield_decisions::dispatch::{Dispatcher, Job, Outcome, Replica, ResponseSize};
 use kingcupfield_decisions::fanout::MAX_FULL_MESH;
 use kingcupfield_decisions::id::{InstanceAddress, UpstreamId};
 use tokio::time::Instant;
@@ -93,8 +93,11 @@
     Job {
         priority: (1, 0),
         slo_deadline: now + Duration::from_millis(1200),
-        prompt_tokens: 2000.0,
-        expected_output_tokens: 120.0,
+        size: ResponseSize {
+            prompt_tokens: 2000.0,
+            expected_output_tokens: 120.0,
+            max_output_tokens: None,
+        },
         max_event_gap: Duration::from_millis(600),
         salt: id.wrapping_mul(0x9E37_79B9_7F4A_7C15),
         ..plain_service::job(id, now)
--- a/crates/decisions/tests/dispatch.rs
+++ b/crates/decisions/tests/dispatch.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::cold::ColdLimit;
-use kingcupfield_decisions::dispatch::{Competitor, Dispatcher, Job, JobId, Outcome, Replica};
+use kingcupfield_decisions::dispatch::{
+    Competitor, Dispatcher, Job, JobId, Outcome, Replica, ResponseSize,
+};
 use kingcupfield_decisions::regions::Regions;
 use tokio::time::Instant;
 use yare::parameterized;
@@ -41,8 +43,11 @@
         service: "drafting".into(),
         software_version: None,
         regions: Regions::all(),
-        prompt_tokens: 2000.0,
-        expected_output_tokens: 120.0,
+        size: ResponseSize {
+            prompt_tokens: 2000.0,
+            expected_output_tokens: 120.0,
+            max_output_tokens: None,
+        },
         max_event_gap: Duration::from_millis(300),
         tried_replicas: Vec::new(),
         may_repeat: true,
@@ -131,8 +136,8 @@
         dispatcher.update_remote_load(&id.into(), case.remote_running[i], 0.0);
     }
     let mut job = job(1, 0, now);
-    job.prompt_tokens = case.prompt_tokens;
-    job.expected_output_tokens = case.output_tokens;
+    job.size.prompt_tokens = case.prompt_tokens;
+    job.size.expected_output_tokens = case.output_tokens;
     dispatcher.enqueue(job);
     let assignments = dispatcher.assign(now);
     assert_eq!(&*assignments[0].upstream, case.expected);
@@ -383,7 +388,7 @@
     fill(&mut dispatcher, now, u64::from(SLOTS) + 1);
     for (id, (tier, prompt, output)) in case.waiting.iter().enumerate() {
         let mut job = job(id as JobId, *tier, now + Duration::from_millis(id as u64));
-        (job.prompt_tokens, job.expected_output_tokens) = (*prompt, *output);
+        (job.size.prompt_tokens, job.size.expected_output_tokens) = (*prompt, *output);
         dispatcher.enqueue(job);
     }
     let mut order = Vec::new();
@@ -423,10 +428,11 @@
     let mut at = now;
     for id in 0..64 {
         let mut job = job(id, 0, at);
-        job.prompt_tokens = 200.0 + 150.0 * id as f64;
+        job.size.prompt_tokens = 200.0 + 150.0 * id as f64;
         // Every eighth request is delayed by a prompt that this instance doesn't know of.
         let delay_ms = if id % 8 == 0 { 300.0 } else { 0.0 };
-        let first_ms = engine.first_event_ms + job.prompt_tokens / engine.prompt_rate + delay_ms;
+        let first_ms =
+            engine.first_event_ms + job.size.prompt_tokens / engine.prompt_rate + delay_ms;
         dispatcher.enqueue(job);
         assert_eq!(dispatcher.assign(at).len(), 1);
         at += Duration::from_secs_f64(first_ms / 1e3);
@@ -434,7 +440,7 @@
         dispatcher.on_end(at, &"a".into(), id, Outcome::Served);
     }
     let mut job = job(100, 0, at);
-    job.prompt_tokens = 4000.0;
+    job.size.prompt_tokens = 4000.0;
     dispatcher.enqueue(job);
     let cost_ms = dispatcher.assign_preferring_connected(at, |_| true)[0]
         .details
@@ -477,7 +483,7 @@
         dispatcher.update_remote_load(&"fast".into(), SLOTS + 1, 0.0);
     }
     let mut long = job(1, 0, later);
-    long.expected_output_tokens = case.output_tokens;
+    long.size.expected_output_tokens = case.output_tokens;
     dispatcher.enqueue(long);
     let assignments = dispatcher.assign(later);
     let chosen = assignments.first().map(|p| p.upstream.to_string());
@@ -495,7 +501,7 @@
     learn_step(&mut dispatcher, now, "a", 5);
     for id in 0..32 {
         let mut job = job(id, 0, now);
-        job.prompt_tokens = 0.0;
+        job.size.prompt_tokens = 0.0;
         dispatcher.enqueue(job);
         let at = now + Duration::from_millis(id);
         assert!(
@@ -531,12 +537,13 @@
     dispatcher.update_replicas(Instant::now(), &[replica("a", 0), replica("b", 0)]);
     learn_step(&mut dispatcher, now, "a", case.steps_ms[0]);
     learn_step(&mut dispatcher, now, "b", case.steps_ms[1]);
-    let can_finish = dispatcher.can_finish_within(
-        case.time_left,
-        &"drafting".into(),
-        1000.0,
-        case.output_tokens,
-    );
+    dispatcher.set_finish_by(now + case.time_left);
+    let size = ResponseSize {
+        prompt_tokens: 1000.0,
+        expected_output_tokens: case.output_tokens,
+        max_output_tokens: None,
+    };
+    let can_finish = dispatcher.can_finish(now, &"drafting".into(), &Regions::all(), &size);
     assert_eq!(can_finish, case.expected);
 }
 
--- a/crates/decisions/tests/fair_order.rs
+++ b/crates/decisions/tests/fair_order.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::dispatch::{
-    Competitor, Dispatcher, Job, JobId, Outcome, PriorityClass, Replica,
+    Competitor, Dispatcher, Job, JobId, Outcome, PriorityClass, Replica, ResponseSize,
 };
 use kingcupfield_decisions::fair_order::{FairOrder, JobUsage, with_step, without_step};
 use kingcupfield_decisions::id::{NameHash, ServiceId, UpstreamId};
@@ -547,8 +547,11 @@
             share: 1000.0,
             work: 400.0 * size,
         }),
-        prompt_tokens: 200.0 * size,
-        expected_output_tokens: 20.0 * size,
+        size: ResponseSize {
+            prompt_tokens: 200.0 * size,
+            expected_output_tokens: 20.0 * size,
+            max_output_tokens: None,
+        },
         ..plain_service::job(id, now)
     }
 }
--- a/crates/decisions/tests/momentary_speed.rs
+++ b/crates/decisions/tests/momentary_speed.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use kingcupfield_decisions::dispatch::{Dispatcher, Job, JobId, Outcome, Replica};
+use kingcupfield_decisions::dispatch::{Dispatcher, Job, JobId, Outcome, Replica, ResponseSize};
 use kingcupfield_decisions::id::UpstreamId;
 use kingcupfield_decisions::load_figures::LoadFigures;
 use kingcupfield_decisions::momentary_speed::{MomentarySpeed, WorkTime};
@@ -435,7 +435,11 @@
             dispatcher.on_load_figures(now, &id.into(), 1, figures);
         }
         dispatcher.enqueue(Job {
-            prompt_tokens: 1000.0,
+            size: ResponseSize {
+                prompt_tokens: 1000.0,
+                expected_output_tokens: 0.0,
+                max_output_tokens: None,
+            },
             ..plain_service::job(period, now)
         });
         let chosen = dispatcher.assign(now).remove(0).upstream;
--- a/crates/decisions/tests/support/plain_service.rs
+++ b/crates/decisions/tests/support/plain_service.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kingcupfield_decisions::dispatch::{Job, JobId, Replica};
+use kingcupfield_decisions::dispatch::{Job, JobId, Replica, ResponseSize};
 use kingcupfield_decisions::regions::Regions;
 use tokio::time::Instant;
 
@@ -39,8 +39,11 @@
         service: "drafting".into(),
         software_version: None,
         regions: Regions::all(),
-        prompt_tokens: 0.0,
-        expected_output_tokens: 0.0,
+        size: ResponseSize {
+            prompt_tokens: 0.0,
+            expected_output_tokens: 0.0,
+            max_output_tokens: None,
+        },
         max_event_gap: Duration::ZERO,
         tried_replicas: Vec::new(),
         may_repeat: true,
--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -7,6 +7,7 @@
 use http::request::Parts as RequestParts;
 use http::response::Parts as ResponseParts;
 use http::{HeaderMap, StatusCode};
+use kingcupfield_decisions::dispatch::ResponseSize;
 use kingcupfield_decisions::id::ZoneId;
 use kingcupfield_decisions::load_figures::LoadFigures;
 use kingcupfield_decisions::store_view::{Entry, Revision};
@@ -37,6 +38,15 @@
 }
 
 impl RequestMeta {
+    /// Tokens of the request and of its response.
+    pub fn response_size(&self) -> ResponseSize {
+        ResponseSize {
+            prompt_tokens: f64::from(self.prompt_tokens.unwrap_or(0)),
+            expected_output_tokens: self.estimated_output_tokens(),
+            max_output_tokens: self.max_output_tokens.map(f64::from),
+        }
+    }
+
     /// Estimated number of tokens to generate: the expected number, else the largest, else 0.
     pub fn estimated_output_tokens(&self) -> f64 {
         f64::from(
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -12,11 +12,10 @@
 use kingcupfield_decisions::id::{ServiceId, name_hash};
 use kingcupfield_decisions::software_versions::StreamOrigin;
 use rand::RngExt as _;
-use tokio::time::Instant;
 
 use crate::adapter::RequestMeta;
 use crate::credit::{self, CreditDenial, CreditGrant};
-use crate::node::{Node, ProcessState};
+use crate::node::Node;
 use crate::refusal::{Refusal, RefusalKind};
 use crate::table::{Organisation, Route, Table};
 
@@ -24,15 +23,6 @@
 /// retry.
 pub const SHORT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Time per output token at a slow replica with all slots in use.
-const SLOW_TOKEN_TIME: Duration = Duration::from_millis(30);
-
-/// Time of a request at a slow replica apart from its output tokens.
-const SLOW_BASE_TIME: Duration = Duration::from_secs(1);
-
-/// Time of a request apart from processing the prompt and generating tokens.
-const OVERHEAD_TIME: Duration = Duration::from_millis(500);
-
 /// Longest wait for credit, as a fraction of the route's latency objective.
 const MAX_CREDIT_WAIT_FRACTION: f64 = 0.5;
 
@@ -60,32 +50,6 @@
     }
 }
 
-/// Returns whether the request can complete before the process ends.
-///
-/// The load balancer keeps sending requests to a stopping instance where few instances of a zone are
-/// ready. A stream that starts shortly before the end would be cut off, while another instance can
-/// serve it completely. The estimate uses the measured speed of the replicas. From the stage `Closing`
-/// on no response may be cut off, so even a slow replica must be able to complete it as well.
-pub fn completes_before_shutdown(node: &Node, service: &ServiceId, meta: &RequestMeta) -> bool {
-    let Some(deadline) = node.response_deadline.get() else {
-        return true;
-    };
-    let time_left = deadline.saturating_duration_since(Instant::now());
-    let slow_time = SLOW_BASE_TIME + SLOW_TOKEN_TIME * meta.max_output_tokens.unwrap_or(0);
-    if node.process_state() >= ProcessState::Closing && slow_time >= time_left {
-        return false;
-    }
-    let time_left = time_left.saturating_sub(OVERHEAD_TIME);
-    let prompt_tokens = f64::from(meta.prompt_tokens.unwrap_or(0));
-    let dispatch = node.dispatch.borrow();
-    dispatch.can_finish_within(
-        time_left,
-        service,
-        prompt_tokens,
-        meta.estimated_output_tokens(),
-    )
-}
-
 /// Finds the route of a request by host and path, and the organisation that owns its API key.
 pub fn resolve(
     table: &Table,
--- a/crates/entry/src/node/slots.rs
+++ b/crates/entry/src/node/slots.rs
@@ -15,6 +15,8 @@
 pub enum SlotError {
     /// No replica had a free slot in time.
     TimedOut,
+    /// No replica can complete the request before this instance shuts down.
+    ShuttingDown,
 }
 
 /// The replica whose slot a request got, and why the dispatcher chose it.
@@ -155,12 +157,20 @@
         }
     }
 
-    /// Times out the waiting requests whose maximum wait has passed.
+    /// Times out the waiting requests whose maximum wait has passed, and those that can't be completed any more
+    /// before this instance shuts down.
     pub fn expire_waiting(&self) {
-        let expired = self.dispatch.borrow_mut().take_timed_out(Instant::now());
-        for job in expired {
+        let now = Instant::now();
+        let mut dispatch = self.dispatch.borrow_mut();
+        let timed_out = dispatch.take_timed_out(now);
+        let unfinishable = dispatch.take_unfinishable(now);
+        drop(dispatch);
+        for job in timed_out {
             self.notify_waiter(job, Err(SlotError::TimedOut));
         }
+        for job in unfinishable {
+            self.notify_waiter(job, Err(SlotError::ShuttingDown));
+        }
     }
 
     /// Sends the result to the request that waits for a slot; returns whether it was still waiting.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -153,6 +153,7 @@
         complete,
         scanner: EventScanner::new(),
         partial_event: BytesMut::new(),
+        relayed_events: 0,
         last_event_at: Instant::now(),
         first_pending: true,
         first_event_at: None,
@@ -204,6 +205,8 @@
     is_recorded: bool,
     /// Start of an event whose end has not arrived yet, if the stream is resumable.
     partial_event: BytesMut,
+    /// Number of events that have arrived, of all attempts.
+    relayed_events: u32,
     /// When the last event arrived, or the current attempt was sent if that was later.
     last_event_at: Instant,
     /// Whether no event of the current attempt has arrived yet.
@@ -370,6 +373,7 @@
         let found = self.scanner.read(&chunk);
         let now = Instant::now();
         if found.events > 0 {
+            self.relayed_events = self.relayed_events.saturating_add(found.events);
             self.record_origin(attempt);
             if self.first_pending {
                 attempt.slot.on_first_event();
@@ -437,7 +441,10 @@
             {
                 return None;
             }
-            let (slot, target) = self.ctx.acquire_slot_for_resume(&self.node).await?;
+            let (slot, target) = self
+                .ctx
+                .acquire_slot_for_resume(&self.node, self.relayed_events)
+                .await?;
             self.ctx.tried.push(slot.upstream.clone());
             self.ctx.sent_at = Instant::now();
             self.ctx.runs += 1;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -26,12 +26,12 @@
 use crate::credit::{self, CreditGrant};
 use crate::expiry::{Expiry, wait_for_expiry};
 use crate::metrics::Phase;
-use crate::node::{Node, ProcessState, Target};
+use crate::node::{Node, ProcessState, SlotError, Target};
 use crate::quarantine;
 use crate::refusal::{Refusal, RefusalKind, RunStatus};
 use crate::relay::ResponseBody;
 use crate::request_log::{self, UnansweredGuard};
-use crate::table::{Organisation, Route, Table};
+use crate::table::{Organisation, Route, Table, allowed_regions};
 use crate::tasks;
 
 use attempt::NextStep;
@@ -148,8 +148,9 @@
     let origin = find_origin(node, &meta, &route).await?;
     let service = pick_service(&route, origin).ok_or_else(|| no_service(&route, origin))?;
     check_version_served(node, &service, origin)?;
-    check_time_to_shutdown(node, &service, &meta)?;
     check_regions(&route, organisation.as_deref())?;
+    let regions = allowed_regions(&route, organisation.as_deref());
+    check_time_to_shutdown(node, &service, &regions, &meta)?;
     quarantine::check(node, &service, &head, &body)?;
     let charge = charge(node, organisation.as_deref(), &route, &service, &meta).await?;
     node.retry_budget
@@ -237,7 +238,10 @@
         loop {
             unanswered.replica = None;
             let acquired = tokio::select! {
-                acquired = node.acquire_slot(self.job(node)) => acquired.map_err(|_| Expiry::RouteTimeout),
+                acquired = node.acquire_slot(self.job(node)) => acquired.map_err(|e| match e {
+                    SlotError::TimedOut => Expiry::RouteTimeout,
+                    SlotError::ShuttingDown => Expiry::Shutdown,
+                }),
                 expiry = wait_for_expiry(node, &self.route, self.received) => Err(expiry),
                 () = self.regions_changed(node) => {
                     self.recheck(node)?;
--- a/crates/entry/src/request/refusals.rs
+++ b/crates/entry/src/request/refusals.rs
@@ -9,7 +9,7 @@
 
 use super::RequestContext;
 use crate::adapter::RequestMeta;
-use crate::admission::{SHORT_RETRY_AFTER, completes_before_shutdown};
+use crate::admission::SHORT_RETRY_AFTER;
 use crate::exchange::SendFailure;
 use crate::expiry::Expiry;
 use crate::node::Node;
@@ -45,15 +45,20 @@
     Duration::from_secs_f64(rand::rng().random_range(RETRY_AFTER_S))
 }
 
-/// Refuses a request that can't complete before the process ends.
+/// Refuses a request that no replica can complete before the process ends. The load balancer keeps sending requests
+/// to a stopping instance where few instances of a zone are ready; another instance can serve them completely. The
+/// dispatcher judges the replica that it chooses once more.
 pub(super) fn check_time_to_shutdown(
     node: &Node,
     service: &ServiceId,
+    regions: &Regions,
     meta: &RequestMeta,
 ) -> Result<(), Refusal> {
-    if completes_before_shutdown(node, service, meta) {
+    let dispatch = node.dispatch.borrow();
+    if dispatch.can_finish(Instant::now(), service, regions, &meta.response_size()) {
         return Ok(());
     }
+    drop(dispatch);
     Err(unavailable(
         "this instance shuts down before the request could complete",
     ))
--- a/crates/entry/src/request/slot_request.rs
+++ b/crates/entry/src/request/slot_request.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::RequestContext;
-use super::refusals::{check_regions, check_time_to_shutdown, unavailable};
+use super::refusals::{check_regions, unavailable};
 use crate::admission::resolve;
 use crate::node::{Node, SlotGuard, Target};
 use crate::refusal::Refusal;
@@ -122,8 +122,7 @@
             service: self.service.clone(),
             software_version: self.origin.map(|origin| origin.version),
             regions: self.regions(),
-            prompt_tokens: f64::from(self.meta.prompt_tokens.unwrap_or(0)),
-            expected_output_tokens: self.meta.estimated_output_tokens(),
+            size: self.meta.response_size(),
             max_event_gap: if stream {
                 self.route.max_event_gap
             } else {
@@ -158,8 +157,7 @@
     }
 
     /// Checks a request that has waited against the table in force: its API key or route may have
-    /// been removed, or too little time may be left before the process ends. A request that no
-    /// replica has run is refunded if the check fails.
+    /// been removed. A request that no replica has run is refunded if the check fails.
     pub(super) fn recheck(&mut self, node: &Node) -> Result<(), Refusal> {
         let result = self.apply_table(node);
         if result.is_err() && self.runs == 0 {
@@ -184,7 +182,6 @@
                     route.name, self.service
                 )));
             }
-            check_time_to_shutdown(node, &self.service, &self.meta)?;
         }
         self.route = route;
         self.organisation = organisation;
@@ -199,14 +196,20 @@
     }
 
     /// Waits for a slot for the rest of a stream that broke off, under the table in force and with the
-    /// highest priority. Returns `None` if none is assigned in time or its replica can't be used.
+    /// highest priority. Returns `None` if none is assigned in time or its replica can't be used, or if no replica
+    /// can complete the rest before this instance shuts down.
+    ///
+    /// `relayed_events` is the number of events that the caller has got.
     pub async fn acquire_slot_for_resume(
         &mut self,
         node: &Rc<Node>,
+        relayed_events: u32,
     ) -> Option<(SlotGuard, Rc<Target>)> {
         self.refresh_route(node);
         let now = Instant::now();
         let mut job = self.job(node);
+        let relayed_tokens = relayed_events.saturating_mul(self.tokens_per_event(node));
+        job.size = job.size.without_output(f64::from(relayed_tokens));
         job.priority = (0, 0);
         job.slo_deadline = now + self.route.max_event_gap;
         job.queue_deadline = now + MIN_STREAM_PATIENCE.mul_f64(MAX_RESUME_WAIT_FRACTION);
@@ -216,6 +219,13 @@
         Some((slot, target))
     }
 
+    /// Tokens in each event of the service's streams.
+    fn tokens_per_event(&self, node: &Node) -> u32 {
+        let table = node.table();
+        let service = table.as_ref().and_then(|t| t.service(&self.service));
+        service.and_then(|s| s.tokens_per_event).unwrap_or(1)
+    }
+
     /// Applies the table in force. A stream whose route or API key was removed keeps the route and
     /// organisation that it had.
     fn refresh_route(&mut self, node: &Node) {
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -74,8 +74,9 @@
             stage: PhantomData,
         };
         log_stage(node, format_args!("event=stopping"));
-        node.response_deadline
-            .set(Some(shutdown.before_kill(LAST_RESPONSES_BEFORE_KILL)));
+        let last_responses = shutdown.before_kill(LAST_RESPONSES_BEFORE_KILL);
+        node.response_deadline.set(Some(last_responses));
+        node.dispatch.borrow_mut().set_finish_by(last_responses);
         node.process_state.send_replace(ProcessState::Leaving);
         shutdown
     }
@@ -85,6 +86,7 @@
         let detected = self.started + BALANCER_DETECTION_TIME;
         sleep_until(detected.min(self.before_kill(SHUT_BEFORE_KILL))).await;
         log_stage(&self.node, format_args!("event=closing"));
+        self.node.dispatch.borrow_mut().set_closing();
         self.enter(ProcessState::Closing)
     }
 }
