Let a request in progress expire by its own route

Callers saw: when a table removed a route whose streams ran, all of them were cut in the middle within 2 ms.

Cause: the timeout of a request in progress was looked up in the newest table by the prefix of its route. That finds the route with the longest prefix that begins it, which is another route once the own one is gone, and its timeout had long passed for the streams.

Evidence: event=stream_ended says how=timed_out for streams of 4 s whose route has timeout_ms=15000, at the moment of the new table; nothing is cut if no other route of the host matches.

Change: the timeout is that of the same route of the newest table, for the same host and prefix.

--- a/crates/entry/src/expiry.rs
+++ b/crates/entry/src/expiry.rs
@@ -17,7 +17,7 @@
 }
 
 /// Completes when the route's timeout in the table in force has passed, or when a process that shuts
-/// down has just enough time left to respond. If its connection were closed instead, the caller would
+/// down has just enough time left to respond. The timeout of a removed route stays in force. If its connection were closed instead, the caller would
 /// know neither whether its request ran nor when to retry.
 pub async fn wait_for_expiry(node: &Rc<Node>, route: &Route, received: Instant) -> Expiry {
     let mut version = node.version_tx.subscribe();
@@ -25,7 +25,7 @@
     loop {
         let timeout = node
             .table()
-            .and_then(|t| t.route(&route.host, &route.prefix).map(|r| r.timeout))
+            .and_then(|t| t.same_route(route).map(|r| r.timeout))
             .unwrap_or(route.timeout);
         tokio::select! {
             () = sleep_until(received + timeout) => return Expiry::RouteTimeout,
--- a/crates/entry/src/table.rs
+++ b/crates/entry/src/table.rs
@@ -243,19 +243,22 @@
             .max_by_key(|r| r.prefix.len())
     }
 
+    /// The same route as one of another table: the one for the same host and prefix, whatever its name.
+    pub fn same_route(&self, other: &Route) -> Option<&Rc<Route>> {
+        let of_other = (&other.host, &other.prefix);
+        let found = self
+            .routes
+            .binary_search_by(|r| (&r.host, &r.prefix).cmp(&of_other));
+        found.ok().map(|index| &self.routes[index])
+    }
+
     /// The route that served the requests of a newer table's route.
     ///
     /// Most routes of a large table are the same in both, and are found without a look at all others of their
     /// host.
     pub fn route_before(&self, newer: &Route) -> Option<&Rc<Route>> {
-        let of_newer = (&newer.host, &newer.prefix);
-        let same = self
-            .routes
-            .binary_search_by(|r| (&r.host, &r.prefix).cmp(&of_newer));
-        match same {
-            Ok(index) => Some(&self.routes[index]),
-            Err(_) => self.route(&newer.host, &newer.prefix),
-        }
+        self.same_route(newer)
+            .or_else(|| self.route(&newer.host, &newer.prefix))
     }
 
     /// The routes whose streams can be resumed.
