Give a request in progress no permissions of a newer table

Callers saw: bookings that waited for a replica while their route was removed were run by two replicas each.

Cause: after each wait the path was resolved again in the newest table, and the route that it found took the place of the request's own, with its kind, attempts and objective. The host's other route is idempotent, so bookings were given up after 0.6 of its objective and sent to a second replica. The same look-up refused requests that a replica may have run with 404, as not run.

Change: one module, request/terms.rs, decides what a request takes from a newer table: timeout and regions of the same route, and restrictions, never permissions. A waiting request of a removed route goes on if the route of its path leads to the same service; a request that was sent is not refused any more. What withdraws a waiting request is noticed with the table and not after the wait for a slot.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -56,16 +56,32 @@
     head: &Parts,
     meta: &RequestMeta,
 ) -> Result<(Rc<Route>, Option<Rc<Organisation>>), Refusal> {
+    let route = find_route(table, head)?;
+    let organisation = authorise(table, route, meta)?;
+    Ok((Rc::clone(route), organisation))
+}
+
+/// Finds the route of a request by host and path.
+pub fn find_route<'a>(table: &'a Table, head: &Parts) -> Result<&'a Rc<Route>, Refusal> {
     let host = head
         .headers
         .get(header::HOST)
         .and_then(|h| h.to_str().ok())
         .or_else(|| head.uri.host())
         .unwrap_or_default();
-    let route = table.route(host, head.uri.path()).ok_or_else(|| {
+    table.route(host, head.uri.path()).ok_or_else(|| {
         let reason = format!("no route for {host:?} {:?}", head.uri.path());
         Refusal::new(RefusalKind::NotFound).with_message(reason)
-    })?;
+    })
+}
+
+/// Finds the organisation that owns the API key of a request; refuses the request if its route needs a key and it
+/// has none of the table.
+pub fn authorise(
+    table: &Table,
+    route: &Route,
+    meta: &RequestMeta,
+) -> Result<Option<Rc<Organisation>>, Refusal> {
     let organisation = meta.api_key.as_deref().and_then(|k| table.organisation(k));
     if table.requires_key() && !route.public && organisation.is_none() {
         let reason = match meta.api_key {
@@ -74,7 +90,7 @@
         };
         return Err(Refusal::new(RefusalKind::Unauthorized).with_message(reason));
     }
-    Ok((Rc::clone(route), organisation.cloned()))
+    Ok(organisation.cloned())
 }
 
 /// Picks one of the services of a route: the one that began the stream which the request takes up, or else a
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -5,6 +5,7 @@
 mod origin;
 mod refusals;
 mod slot_request;
+mod terms;
 
 use std::cell::OnceCell;
 use std::rc::Rc;
@@ -16,7 +17,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use kingcupfield_decisions::fingerprint::Fingerprint;
-use kingcupfield_decisions::id::{ServiceId, UpstreamId};
+use kingcupfield_decisions::id::{ServiceId, UpstreamId, Version};
 use kingcupfield_decisions::software_versions::StreamOrigin;
 use tokio::time::Instant;
 
@@ -59,8 +60,10 @@
     pub received: Instant,
     /// Total time for which the machine had been suspended when the request was admitted.
     pub suspended: Duration,
-    /// Route of the request, updated from the table in force each time the request is rechecked.
+    /// Route that the request was admitted on, with what newer tables have changed of its terms.
     pub route: Rc<Route>,
+    /// Version of the table that `route` and `organisation` come from.
+    pub table_version: Version,
     /// Organisation that owns the caller's API key.
     pub organisation: Option<Rc<Organisation>>,
     /// Service that the request is dispatched to.
@@ -163,6 +166,7 @@
         received,
         suspended: node.suspend_detector.total_suspended(),
         route,
+        table_version: table.version,
         organisation,
         service,
         origin,
@@ -243,7 +247,7 @@
                     SlotError::ShuttingDown => Expiry::Shutdown,
                 }),
                 expiry = wait_for_expiry(node, &self.route, self.received) => Err(expiry),
-                () = self.regions_changed(node) => {
+                () = self.terms_changed(node) => {
                     self.recheck(node)?;
                     continue;
                 }
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -240,6 +240,7 @@
             received: self.received,
             suspended: self.suspended,
             route: Rc::clone(&self.route),
+            table_version: self.table_version,
             organisation: self.organisation.clone(),
             service: self.service.clone(),
             origin: self.origin,
--- a/crates/entry/src/request/slot_request.rs
+++ b/crates/entry/src/request/slot_request.rs
@@ -11,10 +11,7 @@
 use tokio::time::Instant;
 
 use super::RequestContext;
-use super::refusals::{check_regions, unavailable};
-use crate::admission::resolve;
 use crate::node::{Node, SlotGuard, Target};
-use crate::refusal::Refusal;
 use crate::stream_origin;
 use crate::table::allowed_regions;
 
@@ -66,21 +63,6 @@
         allowed_regions(&self.route, self.organisation.as_deref())
     }
 
-    /// Completes when a newer table allows other regions than those the request is queued for.
-    pub(super) async fn regions_changed(&self, node: &Node) {
-        let mut version = node.version_tx.subscribe();
-        while version.changed().await.is_ok() {
-            let table = node.table();
-            let resolved = table.and_then(|t| resolve(&t, &self.head, &self.meta).ok());
-            let allowed = resolved
-                .map(|(route, organisation)| allowed_regions(&route, organisation.as_deref()));
-            if allowed.is_some_and(|allowed| allowed != self.regions()) {
-                return;
-            }
-        }
-        std::future::pending::<()>().await;
-    }
-
     /// Latest time for the complete response: the request's timeout, or the time by which a process
     /// that shuts down must have sent its last responses, whichever is earlier.
     fn response_deadline(&self, node: &Node) -> Instant {
@@ -156,38 +138,6 @@
         })
     }
 
-    /// Checks a request that has waited against the table in force: its API key or route may have
-    /// been removed. A request that no replica has run is refunded if the check fails.
-    pub(super) fn recheck(&mut self, node: &Node) -> Result<(), Refusal> {
-        let result = self.apply_table(node);
-        if result.is_err() && self.runs == 0 {
-            self.refund(node);
-        }
-        result
-    }
-
-    /// Updates the route and organisation from the table in force. Regions, service and remaining
-    /// time are checked only before the first send: a request that may have run is not refused as
-    /// one that has not.
-    fn apply_table(&mut self, node: &Node) -> Result<(), Refusal> {
-        let Some(table) = node.table() else {
-            return Ok(());
-        };
-        let (route, organisation) = resolve(&table, &self.head, &self.meta)?;
-        if self.runs == 0 {
-            check_regions(&route, organisation.as_deref())?;
-            if !route.targets.iter().any(|(s, _)| *s == self.service) {
-                return Err(unavailable(&format!(
-                    "route {} no longer leads to service {}",
-                    route.name, self.service
-                )));
-            }
-        }
-        self.route = route;
-        self.organisation = organisation;
-        Ok(())
-    }
-
     /// Whether a replica that was not tried has the software version that the request needs.
     pub fn is_version_served(&self, node: &Node) -> bool {
         let dispatch = node.dispatch.borrow();
@@ -205,7 +155,7 @@
         node: &Rc<Node>,
         relayed_events: u32,
     ) -> Option<(SlotGuard, Rc<Target>)> {
-        self.refresh_route(node);
+        self.update_terms(node);
         let now = Instant::now();
         let mut job = self.job(node);
         let relayed_tokens = relayed_events.saturating_mul(self.tokens_per_event(node));
@@ -214,7 +164,7 @@
         job.slo_deadline = now + self.route.max_event_gap;
         job.queue_deadline = now + MIN_STREAM_PATIENCE.mul_f64(MAX_RESUME_WAIT_FRACTION);
         let slot = node.acquire_slot(job).await.ok()?;
-        self.refresh_route(node);
+        self.update_terms(node);
         let target = self.target(node, &slot)?;
         Some((slot, target))
     }
@@ -225,10 +175,4 @@
         let service = table.as_ref().and_then(|t| t.service(&self.service));
         service.and_then(|s| s.tokens_per_event).unwrap_or(1)
     }
-
-    /// Applies the table in force. A stream whose route or API key was removed keeps the route and
-    /// organisation that it had.
-    fn refresh_route(&mut self, node: &Node) {
-        let _ = self.apply_table(node);
-    }
 }
--- a/crates/entry/src/table.rs
+++ b/crates/entry/src/table.rs
@@ -27,6 +27,15 @@
         matches!(self, Self::Idempotent | Self::Stream { resumable: true })
     }
 
+    /// This kind, without the permission to repeat requests unless `newer` gives it as well.
+    fn narrowed_by(self, newer: Self) -> Self {
+        match self {
+            _ if newer.is_retryable() => self,
+            Self::Stream { .. } => Self::Stream { resumable: false },
+            Self::Idempotent | Self::NonIdempotent => Self::NonIdempotent,
+        }
+    }
+
     /// Whether the response is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
@@ -68,6 +77,19 @@
         self.leads_to_all_of(other) && other.leads_to_all_of(self)
     }
 
+    /// The terms under which a request goes on that was admitted on this route, after the same route of a newer
+    /// table. The timeout and the regions are those of the newer one. The request may be repeated only if both
+    /// permit it, and as often as both do; all else stays as it was at the admission.
+    pub fn narrowed_by(&self, newer: &Self) -> Self {
+        Self {
+            kind: self.kind.narrowed_by(newer.kind),
+            timeout: newer.timeout,
+            max_attempts: self.max_attempts.min(newer.max_attempts),
+            regions: newer.regions.clone(),
+            ..self.clone()
+        }
+    }
+
     /// Whether its streams can be resumed.
     fn is_resumable(&self) -> bool {
         self.kind.is_stream() && self.kind.is_retryable()
