Judge late requests by the reported load alone

Cause: the estimate for a stopping instance counted what replicas state of their own load, which may be false and must not decide whether they get requests; and the bound of a second for slow plain services grew with their load.

Change: the load is what the instances report; it lengthens the measured time only.

--- a/crates/decisions/src/dispatch/finish.rs
+++ b/crates/decisions/src/dispatch/finish.rs
@@ -141,7 +141,7 @@
     ) -> bool {
         self.shutdown.is_none_or(|limit| {
             let left = limit.finish_by.saturating_duration_since(now);
-            let longest = u.longest_time_with_load(now, limit, &job.size, prompt_cost);
+            let longest = u.longest_time(now, limit, &job.size, prompt_cost, u.load());
             u.has_slot_at_once() && longest <= left
         })
     }
@@ -169,27 +169,50 @@
             .filter(|u| u.is_usable() && may_serve(u))
             .peekable();
         usable.peek().is_none()
-            || usable.any(|u| u.longest_time(now, limit, size, &prompt_cost) <= left)
+            || usable
+                .any(|u| u.longest_time(now, limit, size, &prompt_cost, Load::default()) <= left)
     }
 }
 
+/// What runs at a replica before a request.
+#[derive(Debug, Clone, Copy, Default)]
+struct Load {
+    /// Prompt tokens that it has yet to process.
+    prompt_tokens: f64,
+    /// Requests for each of its slots.
+    requests_per_slot: f64,
+}
+
 impl Upstream {
-    /// Longest time that the replica is expected to need for a response if nothing else ran there.
+    /// The present load, as the instances report it. What the replica states may be false and must not keep
+    /// requests away.
+    fn load(&self) -> Load {
+        Load {
+            prompt_tokens: self.pending_prompt_tokens(),
+            requests_per_slot: f64::from(self.reported_running())
+                / f64::from(self.replica.slots.max(1)),
+        }
+    }
+
+    /// Longest time that the replica is expected to need for a response behind the `load`.
     fn longest_time(
         &self,
         now: Instant,
         limit: ShutdownLimit,
         size: &ResponseSize,
         prompt_cost: &PromptCost,
+        load: Load,
     ) -> Duration {
         let factor = self.speed.factor(now).max(1.0);
         let time = if self.replica.is_engine {
             let steps = prompt_cost.first_steps
+                + prompt_cost.prompt_steps(load.prompt_tokens)
                 + prompt_cost.prompt_steps(size.prompt_tokens)
                 + size.longest_output(limit);
             bounded_secs(steps * self.longest_step_ms(limit) * factor / 1e3) + OVERHEAD
         } else {
-            bounded_secs(self.latency.service_ms() * factor * SERVICE_TIME_MARGIN / 1e3)
+            let usual_ms = self.latency.service_ms() * (1.0 + load.requests_per_slot);
+            bounded_secs(usual_ms * factor * SERVICE_TIME_MARGIN / 1e3)
         };
         if limit.is_closing {
             time.max(SLOW_OVERHEAD)
@@ -198,23 +221,6 @@
         }
     }
 
-    /// The same with what runs there.
-    fn longest_time_with_load(
-        &self,
-        now: Instant,
-        limit: ShutdownLimit,
-        size: &ResponseSize,
-        prompt_cost: &PromptCost,
-    ) -> Duration {
-        let alone = self.longest_time(now, limit, size, prompt_cost);
-        if !self.replica.is_engine {
-            let waiting = f64::from(self.running_total()) / f64::from(self.replica.slots.max(1));
-            return bounded_secs(alone.as_secs_f64() * (1.0 + waiting));
-        }
-        let prompts_before = prompt_cost.prompt_steps(self.pending_prompt_tokens());
-        alone + bounded_secs(prompts_before * self.longest_step_ms(limit) / 1e3)
-    }
-
     /// Milliseconds per step; those of a slow engine if nothing was measured, or if the instance closes.
     fn longest_step_ms(&self, limit: ShutdownLimit) -> f64 {
         let learned_ms = self.latency.learned_step_ms();
@@ -228,6 +234,6 @@
 
     /// Whether another request begins at once, instead of waiting at the replica for a time that isn't known.
     fn has_slot_at_once(&self) -> bool {
-        !self.replica.is_engine || self.running_total() < self.replica.slots
+        !self.replica.is_engine || self.reported_running() < self.replica.slots
     }
 }
--- a/crates/decisions/src/dispatch/upstream.rs
+++ b/crates/decisions/src/dispatch/upstream.rs
@@ -250,7 +250,7 @@
 
     /// Requests that run at the replica according to the instances and the replica itself. It is used
     /// for costs only: the replica's counts may be false and must not decide whether it gets requests.
-    pub(super) fn running_total(&self) -> u32 {
+    fn running_total(&self) -> u32 {
         self.running.len() as u32 + self.remote_running.max(self.stated_load.others())
     }
 
