Start the tasks of an instance in one function

Change: sockets and tasks have functions of their own, the figures of a choice are built in one place. No decision changes.

--- a/crates/decisions/src/dispatch/choice.rs
+++ b/crates/decisions/src/dispatch/choice.rs
@@ -223,11 +223,7 @@
             }
         }
         best.map(|(index, cost_ms)| {
-            let expected_ms = self.upstreams[index].expected_ms(now, job, &prompt_cost);
-            let details = ChoiceDetails {
-                expected_ms,
-                ..self.details(now, index, cost_ms, candidates_with_room)
-            };
+            let details = self.details(now, job, index, cost_ms, candidates_with_room);
             (index, details)
         })
     }
@@ -236,14 +232,16 @@
     fn details(
         &self,
         now: Instant,
+        job: &Job,
         index: usize,
         cost_ms: f64,
         replicas_with_room: u32,
     ) -> ChoiceDetails {
         let u = &self.upstreams[index];
+        let prompt_cost = self.prompt_cost(&job.service);
         ChoiceDetails {
             cost_ms,
-            expected_ms: 0.0,
+            expected_ms: u.expected_ms(now, job, &prompt_cost),
             replicas_with_room,
             own_running: u.running.len() as u32,
             remote_running: u.remote_running,
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Mutex;
-use tokio::task::LocalSet;
+use tokio::task::{JoinHandle, LocalSet};
 use tokio::time::{Instant, interval, sleep};
 
 use crate::adapter::{DirectoryClient, ProtocolAdapter};
@@ -64,50 +64,19 @@
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
     let hup = signal(SignalKind::hangup())?;
-    let caller_listener = TcpListener::bind(cfg.listen).await?;
-    let ready_listener = TcpListener::bind(cfg.ready_listen).await?;
-    let peer_listener = TcpListener::bind(cfg.peer_listen).await?;
-    let peer_socket = UdpSocket::bind((cfg.address(), cfg.peer_port)).await?;
+    let sockets = Sockets::bind(&cfg).await?;
     let node = Node::new(cfg, protocol, directory_client);
     node.log.line(
         Priority::State,
         format_args!(
             "event=start instance={} listen={} ready_listen={} peer_listen={}",
             node.settings().instance,
-            caller_listener.local_addr()?,
-            ready_listener.local_addr()?,
-            peer_listener.local_addr()?
+            sockets.callers.local_addr()?,
+            sockets.ready.local_addr()?,
+            sockets.peers.local_addr()?
         ),
     );
-    let accepting = tasks::spawn(&node, "callers", |node| {
-        server::serve_callers(node, caller_listener)
-    });
-    let ready_listener = Rc::new(ready_listener);
-    let peer_listener = Rc::new(peer_listener);
-    let peer_socket = Rc::new(peer_socket);
-    let hup = Rc::new(Mutex::new(hup));
-    run_always(&node, "readiness", move |node| {
-        server::serve_readiness(node, Rc::clone(&ready_listener))
-    });
-    run_always(&node, "peers", move |node| {
-        server::serve_peers(node, Rc::clone(&peer_listener))
-    });
-    let socket = Rc::clone(&peer_socket);
-    run_always(&node, "receiver", move |node| {
-        receiver::receive(node, Rc::clone(&socket))
-    });
-    run_always(&node, "sender", move |node| {
-        gossip::send_queued(node, Rc::clone(&peer_socket))
-    });
-    run_always(&node, "gossip", |node| gossip::run(node, incarnation()));
-    run_always(&node, "credit", credit::run);
-    run_always(&node, "directory", directory::run);
-    run_always(&node, "queue", check_queue);
-    run_always(&node, "housekeeping", run_housekeeping);
-    run_always(&node, "log", flush_log);
-    run_always(&node, "reload", move |node| {
-        reload::run(node, path.clone(), Rc::clone(&hup))
-    });
+    let accepting = start_tasks(&node, sockets, path, hup);
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
@@ -122,6 +91,59 @@
     Ok(node)
 }
 
+/// The sockets of an instance.
+struct Sockets {
+    callers: TcpListener,
+    ready: TcpListener,
+    peers: TcpListener,
+    /// Messages of other instances.
+    messages: UdpSocket,
+}
+
+impl Sockets {
+    async fn bind(cfg: &Settings) -> std::io::Result<Self> {
+        Ok(Self {
+            callers: TcpListener::bind(cfg.listen).await?,
+            ready: TcpListener::bind(cfg.ready_listen).await?,
+            peers: TcpListener::bind(cfg.peer_listen).await?,
+            messages: UdpSocket::bind((cfg.address(), cfg.peer_port)).await?,
+        })
+    }
+}
+
+/// Starts the tasks of an instance; returns the one that accepts connections of callers, which completes after the
+/// last one.
+fn start_tasks(node: &Rc<Node>, sockets: Sockets, path: PathBuf, hup: Signal) -> JoinHandle<()> {
+    let ready = Rc::new(sockets.ready);
+    let peers = Rc::new(sockets.peers);
+    let received = Rc::new(sockets.messages);
+    let sent = Rc::clone(&received);
+    let hup = Rc::new(Mutex::new(hup));
+    run_always(node, "readiness", move |node| {
+        server::serve_readiness(node, Rc::clone(&ready))
+    });
+    run_always(node, "peers", move |node| {
+        server::serve_peers(node, Rc::clone(&peers))
+    });
+    run_always(node, "receiver", move |node| {
+        receiver::receive(node, Rc::clone(&received))
+    });
+    run_always(node, "sender", move |node| {
+        gossip::send_queued(node, Rc::clone(&sent))
+    });
+    run_always(node, "gossip", |node| gossip::run(node, incarnation()));
+    run_always(node, "credit", credit::run);
+    run_always(node, "directory", directory::run);
+    run_always(node, "queue", check_queue);
+    run_always(node, "housekeeping", run_housekeeping);
+    run_always(node, "log", flush_log);
+    run_always(node, "reload", move |node| {
+        reload::run(node, path.clone(), Rc::clone(&hup))
+    });
+    let callers = sockets.callers;
+    tasks::spawn(node, "callers", |node| server::serve_callers(node, callers))
+}
+
 /// Starts a task that runs until the process ends.
 fn run_always<S, F>(node: &Rc<Node>, name: TaskName, start: S)
 where
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -91,6 +91,7 @@
     S: Fn(Rc<Node>) -> F,
     F: Future<Output = ()> + 'static,
 {
+    // Held from a failure until the task has run for a while again.
     let mut _outage = None;
     loop {
         let mut task = spawn_local(start(Rc::clone(&node)));
