Let no small change of the directory wait for a large value

Cause: a small change waited behind a large one on three hops. A response of the store holds both and is applied when it is complete; peers are told one revision, so nobody asked an instance that had the small change and not the table; and an instance with a new table sent it to all others of its zone at once, over its own link.

Change: while a large response is in transfer, the reader watches (or lists, after a lost history) the other keys on a second connection. Instances announce both revisions apart, after the message, where earlier builds do not read; peers are asked for small entries by that, and relays pass it on. Large entries go to one peer at a time, at half of the link's speed; one that finds the sender busy asks again, and reads the store itself after 1.2 s as before. What is asked of an instance of an earlier build follows its rule of what is large. Large responses, their size and time are logged, and late changes by their part.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod credit;
 pub mod decimal;
 pub mod digest_timing;
+pub mod directory_sync;
 pub mod dispatch;
 pub mod drain;
 pub mod drained_zones;
--- a/crates/decisions/src/store_view.rs
+++ b/crates/decisions/src/store_view.rs
@@ -59,6 +59,11 @@
 /// Smallest size in bytes of a large value: at 10 Mbit/s it takes 13 ms.
 pub const LARGE_VALUE_BYTES: usize = 16 * 1024;
 
+/// Whether the value of an entry counts as large for its key alone.
+fn is_large_key(keys: &[&str], entry: &Entry) -> bool {
+    entry.value.is_some() && keys.contains(&&*entry.key)
+}
+
 /// All known entries, and the revisions up to which they are complete.
 #[derive(Debug, Clone, Default)]
 pub struct StoreView {
@@ -68,6 +73,8 @@
     large_upto: Revision,
     /// Sorted by key.
     entries: Vec<Entry>,
+    /// Keys whose values count as large whatever their size.
+    large_keys: &'static [&'static str],
 }
 
 impl StoreView {
@@ -76,6 +83,19 @@
         Self::default()
     }
 
+    /// Sets the keys that count as large whatever the size of their values. What is read apart from them is
+    /// complete without them.
+    #[must_use]
+    pub fn with_large_keys(mut self, keys: &'static [&'static str]) -> Self {
+        self.large_keys = keys;
+        self
+    }
+
+    /// Whether instances exchange an entry apart from the others.
+    pub fn is_large(&self, entry: &Entry) -> bool {
+        entry.is_large() || is_large_key(self.large_keys, entry)
+    }
+
     /// Revision up to which the view is complete; 0 before the first list.
     pub fn complete_up_to(&self) -> Revision {
         self.small_upto.min(self.large_upto)
@@ -139,6 +159,18 @@
         changed
     }
 
+    /// Applies a list of the entries that are not large, which is complete up to revision `upto`; returns
+    /// the keys that changed.
+    pub fn apply_small_list(&mut self, upto: Revision, list: Vec<Entry>) -> Vec<String> {
+        let large_keys = self.large_keys;
+        let is_large = |e: &Entry| e.is_large() || is_large_key(large_keys, e);
+        let was_removed = |e: &Entry| e.value.is_some() && e.revision <= upto && !is_large(e);
+        let mut changed = self.remove_unlisted(upto, &list, was_removed);
+        self.small_upto = self.small_upto.max(upto);
+        changed.extend(self.apply_all(list));
+        changed
+    }
+
     /// Applies changes that follow the view and are complete up to revision `upto`; returns the
     /// keys that changed.
     pub fn apply_changes(&mut self, upto: Revision, entries: Vec<Entry>) -> Vec<String> {
@@ -159,7 +191,9 @@
         if era_of(upto) > era_of(self.small_upto) {
             // The removal precedes all changes of the era.
             let era_start = u64::from(era_of(upto)) << NUMBER_BITS;
-            let was_removed = |e: &Entry| !e.is_large() && e.revision < era_start;
+            let large_keys = self.large_keys;
+            let is_large = |e: &Entry| e.is_large() || is_large_key(large_keys, e);
+            let was_removed = |e: &Entry| !is_large(e) && e.revision < era_start;
             changed = self.remove_unlisted(era_start, &entries, was_removed);
         }
         self.small_upto = self.small_upto.max(upto);
--- a/crates/decisions/tests/store_view.rs
+++ b/crates/decisions/tests/store_view.rs
@@ -209,3 +209,30 @@
     assert_eq!(value(&view, "table"), Some(&*large));
     assert_eq!(view.complete_up_to(), restored(9));
 }
+
+/// Guards against a table that is never asked for: it has become small, and what is read apart from large
+/// entries seems complete without it.
+#[test]
+fn an_entry_that_may_be_large_is_not_among_the_small_ones() {
+    let mut view = StoreView::new().with_large_keys(&["table"]);
+    view.apply_list(5, vec![entry("table", 3, Some("first"))]);
+    view.apply_small_changes(9, 5, vec![entry("replica", 9, Some("up"))]);
+    assert_eq!(
+        (
+            view.small_up_to(),
+            view.large_up_to(),
+            view.complete_up_to()
+        ),
+        (9, 5, 5)
+    );
+    assert!(
+        view.entry("table")
+            .is_some_and(|table| view.is_large(table))
+    );
+    let removed = view.apply_small_list(12, Vec::new());
+    assert_eq!(removed, ["replica"]);
+    assert_eq!(value(&view, "table"), Some("first"));
+    view.apply_large_changes(8, vec![entry("table", 7, Some("second"))]);
+    assert_eq!(value(&view, "table"), Some("second"));
+    assert_eq!((view.small_up_to(), view.complete_up_to()), (12, 8));
+}
--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::FutureExt as _;
 use futures::future::LocalBoxFuture;
 use http::request::Parts as RequestParts;
 use http::response::Parts as ResponseParts;
@@ -160,6 +161,32 @@
     pub entries: Vec<Entry>,
 }
 
+/// A response of the directory of which the head has arrived.
+pub struct Transfer<'a> {
+    /// Whether the rest of it is so large that it may take long over a slow link.
+    pub is_large: bool,
+    /// Receives the rest.
+    pub listing: LocalBoxFuture<'a, Result<Listing, DirectoryError>>,
+}
+
+impl std::fmt::Debug for Transfer<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Transfer")
+            .field("is_large", &self.is_large)
+            .finish_non_exhaustive()
+    }
+}
+
+impl From<Listing> for Transfer<'_> {
+    /// Creates a response that has arrived as a whole.
+    fn from(listing: Listing) -> Self {
+        Self {
+            is_large: false,
+            listing: std::future::ready(Ok(listing)).boxed_local(),
+        }
+    }
+}
+
 /// Error of a call to the directory.
 #[derive(Debug, thiserror::Error)]
 pub enum DirectoryError {
@@ -193,14 +220,27 @@
 
 /// Read-only client of the published directory.
 pub trait DirectoryClient {
+    /// Keys of the entries whose values may be large, which are read apart from the others.
+    fn large_keys(&self) -> &'static [&'static str];
+
     /// Reads all entries.
-    fn list(&self) -> LocalBoxFuture<'_, Result<Listing, DirectoryError>>;
+    fn list(&self) -> LocalBoxFuture<'_, Result<Transfer<'_>, DirectoryError>>;
+
+    /// Reads all entries but those of [`Self::large_keys`].
+    fn list_small(&self) -> LocalBoxFuture<'_, Result<Listing, DirectoryError>>;
 
     /// Waits for changes after a revision, at most for `wait`; returns no entries if there are none.
     fn watch(
         &self,
         after: Revision,
         wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<Transfer<'_>, DirectoryError>>;
+
+    /// Waits for changes of the entries but those of [`Self::large_keys`], as [`Self::watch`] does for all.
+    fn watch_small(
+        &self,
+        after: Revision,
+        wait: Duration,
     ) -> LocalBoxFuture<'_, Result<Listing, DirectoryError>>;
 
     /// Reads the revision of the last change, as of now.
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -3,7 +3,12 @@
 //! The store may refuse this instance alone, go silent on an open connection, answer late or drop
 //! its history. A watch without a response is therefore ended after a few seconds, and an instance
 //! whose peers have a newer revision gets the entries from them.
+//!
+//! Load pattern: replicas leave while the operator writes a table of a megabyte, before instances whose
+//! links carry less than that in a second. Small changes are read beside a large value, and never wait for
+//! it.
 
+mod beside_large;
 mod confirmation;
 mod peer_sync;
 mod reader;
@@ -25,11 +30,12 @@
 use crate::table::Table;
 use crate::tasks;
 
+use beside_large::{SmallEntries, receive};
 use peer_sync::MIN_PEER_REQUEST_INTERVAL;
 use reader::{Changes, Update};
 
 pub use confirmation::{Confirmations, catch_up};
-pub use peer_sync::{forget_announced, known_up_to, record_announced, schedule_peer_sync};
+pub use peer_sync::{forget_announced, is_behind, record_announced, schedule_peer_sync};
 pub use reader::DirectoryReader;
 
 /// Maximum duration of one watch. Each call is billed, but a store that goes silent on an open connection
@@ -187,7 +193,10 @@
 fn has_to_read(node: &Node) -> bool {
     let now = Instant::now();
     let is_empty = node.directory.borrow().complete_up_to() == 0;
-    let awaited = node.directory_reader.borrow().awaited_for(now);
+    let reader = node.directory_reader.borrow();
+    let awaited_large = reader.awaited_large.waited(now);
+    let awaited_large = awaited_large.filter(|_| !reader.large_fetch_running);
+    let awaited = reader.awaited_for(now).max(awaited_large);
     node.reads_store()
         || is_empty && node.peers.borrow().uptime(now) >= MAX_TIME_WITHOUT_ENTRIES
         || awaited.is_some_and(|waited| waited >= MAX_PEER_SYNC_TIME)
@@ -203,10 +212,7 @@
         let after = node.directory.borrow().complete_up_to();
         if after == 0 || node.needs_full_list.get() {
             listed_at = Instant::now();
-            let listing = node.directory_client.list().await?;
-            node.needs_full_list.set(false);
-            record_store_response(node, failures);
-            apply_list(node, listing);
+            list(node, failures).await?;
             continue;
         }
         let max_wait = if *failures > 0 {
@@ -215,7 +221,7 @@
             MAX_WATCH
         };
         let listing = tokio::select! {
-            listing = node.directory_client.watch(after, max_wait) => listing,
+            listing = watch(node, after, max_wait) => listing,
             () = node.resync_wakeup.notified() => {
                 // The machine was suspended: changes that were sent meanwhile may be lost.
                 node.needs_full_list.set(true);
@@ -244,6 +250,26 @@
     }
 }
 
+/// Waits for changes and receives them.
+async fn watch(
+    node: &Rc<Node>,
+    after: Revision,
+    max_wait: Duration,
+) -> Result<Listing, DirectoryError> {
+    let transfer = node.directory_client.watch(after, max_wait).await?;
+    receive(node, transfer, SmallEntries::Watched).await
+}
+
+/// Lists the directory.
+async fn list(node: &Rc<Node>, failures: &mut usize) -> Result<(), DirectoryError> {
+    let transfer = node.directory_client.list().await?;
+    let listing = receive(node, transfer, SmallEntries::Listed).await?;
+    node.needs_full_list.set(false);
+    record_store_response(node, failures);
+    apply_list(node, listing);
+    Ok(())
+}
+
 /// Records a response of the store, and logs it if the previous calls failed.
 fn record_store_response(node: &Node, failures: &mut usize) {
     node.record_store_response();
@@ -258,28 +284,50 @@
 
 /// Applies a full listing of the directory.
 fn apply_list(node: &Rc<Node>, mut listing: Listing) {
-    let entries = listing.entries.len();
     let is_first = node.directory.borrow().complete_up_to() == 0;
     prepare_era(node, listing.revision, &mut listing.entries);
+    let upto = listing.revision;
+    let entries = listing.entries.len();
+    let changed = node
+        .directory
+        .borrow_mut()
+        .apply_list(upto, listing.entries);
+    on_listed(node, is_first, &changed);
+    log_list(node, "all", upto, entries, changed.len());
+}
+
+/// Applies a listing of the small entries of the directory.
+fn apply_small_list(node: &Rc<Node>, mut listing: Listing) {
+    let is_first = node.directory.borrow().small_up_to() == 0;
+    prepare_era(node, listing.revision, &mut listing.entries);
+    let upto = listing.revision;
+    let entries = listing.entries.len();
     let changed = node
         .directory
         .borrow_mut()
-        .apply_list(listing.revision, listing.entries);
+        .apply_small_list(upto, listing.entries);
+    on_listed(node, is_first, &changed);
+    log_list(node, "small", upto, entries, changed.len());
+}
+
+/// Passes on what a listing has changed; `is_first` says whether nothing was known before.
+fn on_listed(node: &Rc<Node>, is_first: bool, changed: &[String]) {
     // Replicas that came and went since the last response are not in the list.
     if !is_first || !node.settings().first_start {
         node.record_missed_changes();
     }
+    apply_directory(node, changed, Source::Store);
+    // Also if nothing has changed: the revision may have, and with it what peers ask for.
+    node.state_changed.notify_one();
+}
+
+/// Logs a listing of the directory or of its small entries.
+fn log_list(node: &Node, part: &str, upto: Revision, entries: usize, changed: usize) {
+    let upto = Upto(upto);
     node.log.line(
         Priority::State,
-        format_args!(
-            "event=directory_list {} entries={entries} changed={}",
-            Upto(listing.revision),
-            changed.len()
-        ),
+        format_args!("event=directory_list {upto} part={part} entries={entries} changed={changed}"),
     );
-    apply_directory(node, &changed, Source::Store);
-    // Also if nothing has changed: the revision may have, and with it what peers ask for.
-    node.state_changed.notify_one();
 }
 
 /// Applies a listing of changes; returns whether anything changed.
@@ -298,22 +346,45 @@
     true
 }
 
-/// Records that the awaited change has arrived, and logs one that was late.
+/// Applies a listing of changes that has all but the large ones; returns whether anything changed.
+fn apply_small_changes(node: &Rc<Node>, listing: Listing) -> bool {
+    let mut view = node.directory.borrow_mut();
+    let large_upto = view.large_up_to();
+    let changed = view.apply_small_changes(listing.revision, large_upto, listing.entries);
+    drop(view);
+    if changed.is_empty() {
+        record_arrival(node, Source::Store);
+        return false;
+    }
+    apply_directory(node, &changed, Source::Store);
+    node.state_changed.notify_one();
+    true
+}
+
+/// Records that the awaited changes have arrived, and logs those that were late.
 fn record_arrival(node: &Node, source: Source) {
-    let known = known_up_to(node);
+    let now = Instant::now();
+    let view = node.directory.borrow();
+    let (small_upto, large_upto) = (view.small_up_to(), view.large_up_to());
+    drop(view);
     let mut reader = node.directory_reader.borrow_mut();
-    let Some(waited) = reader.awaited.on_known(Instant::now(), known) else {
-        return;
-    };
+    let small = reader.awaited.on_known(now, small_upto);
+    let large = reader.awaited_large.on_known(now, large_upto);
     drop(reader);
-    node.metrics.observe_directory_lag(waited);
-    if waited >= LATE_CHANGE {
+    if let Some(waited) = small {
+        node.metrics.observe_directory_lag(waited);
+    }
+    let parts = [("small", small_upto, small), ("large", large_upto, large)];
+    for (part, upto, waited) in parts {
+        let Some(waited) = waited.filter(|waited| *waited >= LATE_CHANGE) else {
+            continue;
+        };
         let heard_ms = waited.as_millis();
         node.log.line(
             Priority::State,
             format_args!(
-                "event=directory_late {} source={source} heard_ms={heard_ms}",
-                Upto(known)
+                "event=directory_late {} part={part} source={source} heard_ms={heard_ms}",
+                Upto(upto)
             ),
         );
     }
@@ -325,18 +396,20 @@
 fn prepare_era(node: &Node, upto: Revision, entries: &mut [Entry]) {
     let view = node.directory.borrow();
     let known_era = era_of(view.small_up_to());
-    if view.small_up_to() == 0 || era_of(upto) <= known_era {
-        return;
+    if view.small_up_to() > 0 && era_of(upto) > known_era {
+        node.directory_reader.borrow_mut().store_restored_at = Some(Instant::now());
+        node.log.line(
+            Priority::State,
+            format_args!(
+                "event=store_restored era={} before={known_era}",
+                era_of(upto)
+            ),
+        );
+    }
+    // The large entries may still be those of the era before.
+    if era_of(upto) > era_of(view.complete_up_to()) {
+        keep_later_states(node, &view, entries);
     }
-    node.directory_reader.borrow_mut().store_restored_at = Some(Instant::now());
-    node.log.line(
-        Priority::State,
-        format_args!(
-            "event=store_restored era={} before={known_era}",
-            era_of(upto)
-        ),
-    );
-    keep_later_states(node, &view, entries);
 }
 
 /// Keeps the known values of entries that the copy of a restored store would return to an earlier state;
--- a/crates/entry/src/directory/confirmation.rs
+++ b/crates/entry/src/directory/confirmation.rs
@@ -1,14 +1,14 @@
-//! Reads from the store what has changed until now, for decisions that must not rest on an old view.
+//! Reads from the store which small entries have changed until now, for decisions that must not rest on an old view.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use kingcupfield_decisions::store_view::era_of;
+use kingcupfield_decisions::store_view::{Revision, era_of};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
-use super::apply_changes;
-use crate::adapter::DirectoryError;
+use super::apply_small_changes;
+use crate::adapter::{DirectoryError, Listing};
 use crate::node::Node;
 use crate::tasks;
 
@@ -75,24 +75,33 @@
     }
 }
 
+/// Reads the changes after `known`, apart from a large value if there is one among them.
+async fn small_changes(node: &Node, known: Revision) -> Result<Listing, DirectoryError> {
+    let client = &node.directory_client;
+    let changes = client.watch(known, NO_WAIT).await?;
+    if changes.is_large {
+        return client.watch_small(known, NO_WAIT).await;
+    }
+    changes.listing.await
+}
+
 /// Reads the changes since the revision that is known, if there are any; returns whether all are known then.
 async fn read_changes(node: &Rc<Node>) -> bool {
     let current = node.directory_client.current_revision();
     let Ok(Ok(current)) = timeout(CALL_TIMEOUT, current).await else {
         return false;
     };
-    let known = node.directory.borrow().complete_up_to();
+    let known = node.directory.borrow().small_up_to();
     if known == 0 || era_of(known) != era_of(current) {
         return false;
     }
     if known >= current {
         return true;
     }
-    let changes = node.directory_client.watch(known, NO_WAIT);
-    match timeout(CALL_TIMEOUT, changes).await {
+    match timeout(CALL_TIMEOUT, small_changes(node, known)).await {
         Ok(Ok(listing)) => {
-            apply_changes(node, listing);
-            node.directory.borrow().complete_up_to() >= current
+            apply_small_changes(node, listing);
+            node.directory.borrow().small_up_to() >= current
         }
         Ok(Err(DirectoryError::HistoryCompacted)) => {
             node.needs_full_list.set(true);
--- a/crates/entry/src/directory/peer_sync.rs
+++ b/crates/entry/src/directory/peer_sync.rs
@@ -1,10 +1,12 @@
 //! Gets newer directory entries from peers.
 
+use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use kingcupfield_decisions::awaited_revision::AwaitedRevision;
+use kingcupfield_decisions::directory_sync::{Announced, Known};
 use kingcupfield_decisions::id::name_hash;
 use kingcupfield_decisions::store_view::{Entry, Revision, number_of};
 use rand::RngExt as _;
@@ -21,33 +23,48 @@
 /// Minimum interval of directory requests to peers.
 pub(super) const MIN_PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(30);
 
-/// Revision above which the entries of a peer are worth asking for. While large entries are on their way,
-/// they count as known.
-pub fn known_up_to(node: &Node) -> Revision {
+/// What this instance lacks, compared with what peers have announced. Large entries that are on their way
+/// count as known.
+fn known(node: &Node) -> Known {
     let view = node.directory.borrow();
-    if node.directory_reader.borrow().large_fetch_running {
-        view.small_up_to()
-    } else {
-        view.complete_up_to()
+    let is_on_its_way = node.directory_reader.borrow().large_fetch_running;
+    Known {
+        small_upto: view.small_up_to(),
+        large_upto: view.large_up_to(),
+        asks_for_large: !is_on_its_way,
     }
 }
 
-/// Records that another instance has announced a revision above the known one.
-pub fn record_announced(node: &Node, upto: Revision) {
+/// Whether a peer that announces this has entries that are worth asking for.
+pub fn is_behind(node: &Node, announced: Announced) -> bool {
+    known(node).is_behind(announced)
+}
+
+/// Records that another instance has announced entries that are missing here.
+pub fn record_announced(node: &Node, announced: Announced) {
+    let now = Instant::now();
+    let known = known(node);
     let mut reader = node.directory_reader.borrow_mut();
-    reader.awaited.on_announced(Instant::now(), upto);
+    if announced.small_upto > known.small_upto {
+        reader.awaited.on_announced(now, announced.small_upto);
+    }
+    if announced.upto > known.large_upto {
+        reader.awaited_large.on_announced(now, announced.upto);
+    }
 }
 
 /// Stops waiting for what no known instance announces any more: one that announced it has started again, or
 /// is gone for good.
 pub fn forget_announced(node: &Node) {
-    let known = known_up_to(node);
+    let known = known(node);
+    let peers = node.peers.borrow();
     let mut reader = node.directory_reader.borrow_mut();
-    if reader.awaited_for(Instant::now()).is_some()
-        && !node.peers.borrow().has_announced_above(known)
-    {
+    if !peers.has_announced(|announced| announced.small_upto > known.small_upto) {
         reader.awaited = AwaitedRevision::default();
     }
+    if !peers.has_announced(|announced| announced.upto > known.large_upto) {
+        reader.awaited_large = AwaitedRevision::default();
+    }
 }
 
 /// Starts a task that after `delay` gets newer entries from a peer, if one has a higher revision by
@@ -91,13 +108,12 @@
 
 /// Gets newer entries from a peer, if one has a higher revision.
 async fn sync_from_peer(node: &Rc<Node>) {
-    let Some(peer) = pick_peer(node, known_up_to(node)) else {
+    let known = known(node);
+    let Some(peer) = pick_peer(node, |announced| known.is_behind(announced)) else {
         return;
     };
-    let (after, large_after) = {
-        let view = node.directory.borrow();
-        (view.small_up_to(), view.large_up_to())
-    };
+    let (after, large_after) = (known.small_upto_for(peer.announced), known.large_upto);
+    let peer = peer.address;
     let failures = node.directory_reader.borrow().sync_failures;
     let started = Instant::now();
     match snapshot::fetch(peer, after, large_after, failures).await {
@@ -105,23 +121,60 @@
             let upto = fetched.content.upto;
             on_fetched(node, peer, "changes", upto, fetched.bytes, started);
             apply_snapshot(node, peer, fetched.content);
-            let lacks_large_entries = node.directory.borrow().lacks_large_entries();
-            if lacks_large_entries {
-                start_large_fetch(node, peer);
-            }
+            sync_large_entries(node, peer);
         }
         Err(e) => on_sync_failed(node, peer, &e),
     }
 }
 
-/// Picks a peer whose revision is above `upto`.
-fn pick_peer(node: &Node, upto: Revision) -> Option<SocketAddr> {
+/// Starts to get large entries that are missing, from the peer that has just sent the small ones or from
+/// another one that has them.
+fn sync_large_entries(node: &Rc<Node>, asked: SocketAddr) {
+    let large_upto = node.directory.borrow().large_up_to();
+    if !node.directory.borrow().lacks_large_entries() {
+        return;
+    }
+    let peer = pick_peer(node, |announced| {
+        // Peers of an earlier build count a large entry that has become small with the small ones, so
+        // these must have been asked for first.
+        announced.upto > large_upto && announced.is_split
+    });
+    let has_large = |peer: SocketAddr| {
+        let IpAddr::V4(address) = peer.ip() else {
+            return false;
+        };
+        let peers = node.peers.borrow();
+        peers
+            .announced_by(address)
+            .is_some_and(|a| a.upto > large_upto)
+    };
+    if has_large(asked) {
+        start_large_fetch(node, asked);
+    } else if let Some(peer) = peer {
+        start_large_fetch(node, peer.address);
+    }
+}
+
+/// A peer to ask, and what it has announced.
+struct SyncPeer {
+    address: SocketAddr,
+    announced: Announced,
+}
+
+/// Picks a peer by what it has announced.
+fn pick_peer<F>(node: &Node, is_wanted: F) -> Option<SyncPeer>
+where
+    F: Fn(Announced) -> bool,
+{
     let cfg = node.settings();
     let location = (name_hash(&cfg.availability_zone), name_hash(&cfg.region));
     let salt = rand::rng().random();
     let peers = node.peers.borrow();
-    let peer = peers.pick_sync_peer(Instant::now(), upto, location, salt)?;
-    Some(SocketAddr::from((peer.address, cfg.peer_listen.port())))
+    let peer = peers.pick_sync_peer(Instant::now(), is_wanted, location, salt)?;
+    Some(SyncPeer {
+        address: SocketAddr::from((peer.address, cfg.peer_listen.port())),
+        announced: peer.announced(),
+    })
 }
 
 /// Starts a task that gets the large entries that are missing here. At most one such task runs at a
@@ -144,6 +197,7 @@
                 on_fetched(&node, peer, "large", upto, fetched.bytes, started);
                 apply_large_entries(&node, peer, fetched.content);
             }
+            Err(e) if e.kind() == ErrorKind::ResourceBusy => on_peer_busy(&node, peer, started),
             Err(e) => on_sync_failed(&node, peer, &e),
         }
         drop(running);
@@ -159,7 +213,7 @@
         node.directory_reader.borrow_mut().store_failed_at = Some(Instant::now());
     }
     let large_upto = snapshot.large_upto.unwrap_or(snapshot.upto);
-    let is_first = node.directory.borrow().complete_up_to() == 0;
+    let is_first = node.directory.borrow().small_up_to() == 0;
     let changed = node.directory.borrow_mut().apply_small_changes(
         snapshot.upto,
         large_upto,
@@ -218,6 +272,16 @@
     );
 }
 
+/// Logs that a peer has no room for another transfer. It is asked again, or another one that has the same
+/// by then.
+fn on_peer_busy(node: &Node, peer: SocketAddr, started: Instant) {
+    let ms = started.elapsed().as_millis();
+    node.log.line(
+        Priority::State,
+        format_args!("event=peer_busy peer={peer} ms={ms}"),
+    );
+}
+
 /// Records and logs that a peer did not send what it was asked for.
 fn on_sync_failed(node: &Node, peer: SocketAddr, e: &std::io::Error) {
     node.directory_reader.borrow_mut().sync_failures += 1;
--- a/crates/entry/src/directory/reader.rs
+++ b/crates/entry/src/directory/reader.rs
@@ -78,8 +78,10 @@
     pub(super) store_restored_at: Option<Instant>,
     /// Whether the store was out of reach for all instances.
     store_outage: StoreOutage,
-    /// What other instances have announced and is missing here.
+    /// What other instances have announced and is missing here, but for large entries.
     pub(super) awaited: AwaitedRevision,
+    /// The same of large entries.
+    pub(super) awaited_large: AwaitedRevision,
     /// Whether a task that gets entries from a peer is running.
     pub(super) peer_sync_scheduled: bool,
     /// Number of fetches from peers that failed since one was completed in the usual time.
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -439,7 +439,11 @@
             },
             ..Digest::default()
         };
-        if matches!(kind, StateKind::Full | StateKind::Greeting) {
+        let is_full = matches!(kind, StateKind::Full | StateKind::Greeting);
+        if is_full || state.small_upto != state.upto {
+            digest.small_upto = Some(state.small_upto);
+        }
+        if is_full {
             digest.steps = local_step_times(node);
             digest.time_ms = u64::try_from(log::unix_time_ms()).ok();
         }
@@ -481,7 +485,7 @@
     if to.is_empty() {
         return;
     }
-    let Ok(bytes) = rmp_serde::to_vec(message) else {
+    let Ok(bytes) = message.encode() else {
         return;
     };
     let bytes: Rc<[u8]> = bytes.into();
--- a/crates/entry/src/gossip/local_state.rs
+++ b/crates/entry/src/gossip/local_state.rs
@@ -5,6 +5,7 @@
 use kingcupfield_decisions::dispatch::PriorityClass;
 use kingcupfield_decisions::id::{NameHash, name_hash};
 use kingcupfield_decisions::remote_load::ReplicaLoad;
+use kingcupfield_decisions::store_view::Revision;
 use tokio::time::Instant;
 
 use crate::node::{Node, ProcessState};
@@ -18,7 +19,9 @@
     /// The most urgent class of the waiting requests, by the name hash of the service.
     pub(super) waiting: Vec<(NameHash, PriorityClass)>,
     /// Directory revision up to which this instance has all entries.
-    pub(super) upto: u64,
+    pub(super) upto: Revision,
+    /// Directory revision up to which this instance has the entries that are not large.
+    pub(super) small_upto: Revision,
     /// Whether this instance reads the store, and its calls succeed.
     pub(super) reads_store: bool,
     /// Number of known instances of the own zone, including this one and the silent ones.
@@ -42,6 +45,7 @@
         self.leaving != last_sent.leaving
             || self.reads_store != last_sent.reads_store
             || self.reads_store && self.upto != last_sent.upto
+            || self.reads_store && self.small_upto != last_sent.small_upto
             || self.limits != last_sent.limits
             || self.leaving_replicas != last_sent.leaving_replicas
             || self.paces != last_sent.paces
@@ -50,10 +54,12 @@
 
 /// Reads the current state from the node.
 pub(super) fn local_state(node: &Node) -> LocalState {
+    let view = node.directory.borrow();
     LocalState {
         loads: local_loads(node),
         waiting: waiting_classes(node),
-        upto: node.directory.borrow().complete_up_to(),
+        upto: view.complete_up_to(),
+        small_upto: view.small_up_to(),
         reads_store: node.reported_store_age().is_some() && node.reads_store(),
         zone_size: node.peers.borrow().zone_size() as u16,
         limits: named_limits(node),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod adapter;
 pub mod admission;
 pub mod age;
+pub mod bulk;
 pub mod clock;
 pub mod crash_watch;
 pub mod credit;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -27,6 +27,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::adapter::{DirectoryClient, ProtocolAdapter};
+use crate::bulk::BulkSender;
 use crate::clock::SuspendDetector;
 use crate::crash_watch::CrashWatch;
 use crate::credit;
@@ -97,6 +98,8 @@
     pub crash_suspects: RefCell<CrashSuspects>,
     /// Suspects of crashes that the other instances have not been told of.
     pub untold_suspects: RefCell<Vec<Fingerprint>>,
+    /// Transfers of large entries to other instances.
+    pub bulk_sender: BulkSender,
     /// Budget for retries.
     pub retry_budget: RefCell<UpstreamRetryBudget>,
     /// Latest known entry of each directory key.
@@ -185,6 +188,7 @@
         directory_client: Rc<dyn DirectoryClient>,
     ) -> Rc<Self> {
         let now = Instant::now();
+        let large_keys = directory_client.large_keys();
         let versions = VersionHistory::new(now);
         let versions = if cfg.first_start {
             versions.with_first_start()
@@ -208,8 +212,9 @@
             crash_watch: CrashWatch::default(),
             crash_suspects: RefCell::default(),
             untold_suspects: RefCell::default(),
+            bulk_sender: BulkSender::new(),
             retry_budget: RefCell::new(UpstreamRetryBudget::new(cfg.retry_bounds())),
-            directory: RefCell::new(StoreView::new()),
+            directory: RefCell::new(StoreView::new().with_large_keys(large_keys)),
             peers: RefCell::new(
                 Peers::new(now, cfg.address(), cfg.has_other_contacts())
                     .with_zones(credit::zone_distances(&cfg)),
--- a/crates/entry/src/outbox.rs
+++ b/crates/entry/src/outbox.rs
@@ -84,6 +84,7 @@
                 digest.time_ms = digest.time_ms.or(previous.time_ms);
             }
             if previous.incarnation == digest.incarnation {
+                digest.small_upto = digest.small_upto.max(previous.small_upto);
                 let earlier = std::mem::take(&mut previous.reports.speeds);
                 keep_speeds(&mut digest.reports.speeds, earlier);
                 if digest.reports.usage.is_empty() {
@@ -141,5 +142,6 @@
         + reports.usage.len() * 11
         + reports.speeds.len() * 21
         + reports.paces.len() * 23;
-    48 + list_bytes + digest.unreachable.len() * 5 + report_bytes
+    let small_upto_bytes = digest.small_upto.map_or(1, |_| 9);
+    48 + small_upto_bytes + list_bytes + digest.unreachable.len() * 5 + report_bytes
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -14,10 +14,10 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::credit::Distance;
+use kingcupfield_decisions::directory_sync::Announced;
 use kingcupfield_decisions::dispatch::PriorityClass;
 use kingcupfield_decisions::id::{InstanceAddress, NameHash, StreamKey};
 use kingcupfield_decisions::remote_load::{RemoteLoad, TotalLoad};
-use kingcupfield_decisions::store_view::Revision;
 use kingcupfield_decisions::stream_records::{self, ASKED, HOLDERS};
 use tokio::time::Instant;
 
@@ -317,6 +317,8 @@
         let is_new = !same_incarnation || !peer.is_live(now);
         if same_incarnation {
             digest.upto = digest.upto.max(peer.digest.upto);
+            // Only some messages tell it.
+            digest.small_upto = digest.small_upto.max(peer.digest.small_upto);
         }
         peer.count_load(&mut self.remote_load, &digest.loads);
         peer.digest = digest;
@@ -444,23 +446,26 @@
         })
     }
 
-    /// Picks a peer to get newer directory entries from: one of the nearest whose revision is above
-    /// `upto`, chosen by `salt`, which is random. `location` is the zone and the region of this
+    /// Picks a peer to get newer directory entries from: one of the nearest whose announcement fulfils
+    /// `is_wanted`, chosen by `salt`, which is random. `location` is the zone and the region of this
     /// instance. One that has just failed to send entries is picked only if all of them have: it may go
     /// on announcing its revision for as long as it is stuck.
     ///
     /// If all instances asked the one with the highest revision, they would ask the same one at the
     /// same time, and a large table occupies a small machine's link for a tenth of a second per
     /// request.
-    pub fn pick_sync_peer(
+    pub fn pick_sync_peer<F>(
         &self,
         now: Instant,
-        upto: Revision,
+        is_wanted: F,
         location: (NameHash, NameHash),
         salt: u64,
-    ) -> Option<&Peer> {
+    ) -> Option<&Peer>
+    where
+        F: Fn(Announced) -> bool,
+    {
         let (zone, region) = location;
-        let is_ahead = |p: &&Peer| p.is_live(now) && p.digest.upto > upto;
+        let is_ahead = |p: &&Peer| p.is_live(now) && is_wanted(p.announced());
         let nearness = |p: &Peer| {
             let is_outside = !self.is_in_cell(p.address);
             let nearness = p.nearness(zone, region) as u8;
@@ -476,9 +481,18 @@
         Some(candidates[salt as usize % candidates.len()])
     }
 
-    /// Whether a known instance, live or silent, has announced a revision above `upto`.
-    pub fn has_announced_above(&self, upto: Revision) -> bool {
-        self.others.iter().any(|p| p.digest.upto > upto)
+    /// Whether the announcement of a known instance, live or silent, fulfils `is_wanted`.
+    pub fn has_announced<F>(&self, is_wanted: F) -> bool
+    where
+        F: Fn(Announced) -> bool,
+    {
+        self.others.iter().any(|p| is_wanted(p.announced()))
+    }
+
+    /// What an instance has announced of the directory.
+    pub fn announced_by(&self, address: Ipv4Addr) -> Option<Announced> {
+        let index = self.index_of(address).ok()?;
+        Some(self.others[index].announced())
     }
 
     /// All known instances, including this one and the silent ones; `None` while discovery of the fleet
--- a/crates/entry/src/peers/digest.rs
+++ b/crates/entry/src/peers/digest.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use kingcupfield_decisions::credit;
+use kingcupfield_decisions::directory_sync::Announced;
 use kingcupfield_decisions::dispatch::PriorityClass;
 use kingcupfield_decisions::id::{NameHash, StreamKey};
 use kingcupfield_decisions::remote_load::ReplicaLoad;
@@ -113,6 +114,69 @@
     /// instances of earlier versions can read the message.
     #[serde(skip_serializing_if = "Reports::is_empty")]
     pub reports: Reports,
+    /// Directory revision up to which the instance has all entries that are not large. Sent after the message,
+    /// where instances of earlier versions don't read it; not in every message.
+    #[serde(skip)]
+    pub small_upto: Option<Revision>,
+}
+
+impl Digest {
+    /// What the instance announces of the directory.
+    pub fn announced(&self) -> Announced {
+        Announced {
+            upto: self.upto,
+            small_upto: self.small_upto.unwrap_or(0).max(self.upto),
+            is_split: self.small_upto.is_some(),
+        }
+    }
+}
+
+/// What follows a message with digests: [`Digest::small_upto`] of each of them.
+type SmallRevisions = Vec<Option<Revision>>;
+
+impl PeerMessage {
+    /// Encodes the message as a datagram.
+    pub fn encode(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+        let mut bytes = rmp_serde::to_vec(self)?;
+        let small: SmallRevisions = self.digests().map(|digest| digest.small_upto).collect();
+        if small.iter().any(Option::is_some) {
+            bytes.extend(rmp_serde::to_vec(&small)?);
+        }
+        Ok(bytes)
+    }
+
+    /// Decodes a datagram.
+    pub fn decode(mut bytes: &[u8]) -> Result<Self, rmp_serde::decode::Error> {
+        let mut message: Self = rmp_serde::from_read(&mut bytes)?;
+        if bytes.is_empty() {
+            return Ok(message);
+        }
+        let small: SmallRevisions = rmp_serde::from_slice(bytes)?;
+        for (digest, small_upto) in message.digests_mut().zip(small) {
+            digest.small_upto = small_upto;
+        }
+        Ok(message)
+    }
+
+    /// The digests of the message.
+    fn digests(&self) -> impl Iterator<Item = &Digest> {
+        let (direct, relayed): (Option<&Digest>, &[(Ipv4Addr, Digest)]) = match self {
+            Self::Digest(digest, _) => (Some(digest), &[]),
+            Self::Relayed(digests) => (None, digests),
+            Self::Credit(_) | Self::Stream(_) | Self::Crash(_) => (None, &[]),
+        };
+        direct.into_iter().chain(relayed.iter().map(|(_, d)| d))
+    }
+
+    /// The digests of the message, to be completed.
+    fn digests_mut(&mut self) -> impl Iterator<Item = &mut Digest> {
+        let (direct, relayed): (Option<&mut Digest>, &mut [(Ipv4Addr, Digest)]) = match self {
+            Self::Digest(digest, _) => (Some(digest), &mut []),
+            Self::Relayed(digests) => (None, digests),
+            Self::Credit(_) | Self::Stream(_) | Self::Crash(_) => (None, &mut []),
+        };
+        direct.into_iter().chain(relayed.iter_mut().map(|(_, d)| d))
+    }
 }
 
 /// What one instance reports about replicas and organisations.
--- a/crates/entry/src/peers/peer.rs
+++ b/crates/entry/src/peers/peer.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use kingcupfield_decisions::directory_sync::Announced;
 use kingcupfield_decisions::id::NameHash;
 use kingcupfield_decisions::remote_load::{RemoteLoad, ReplicaLoad};
 use tokio::time::Instant;
@@ -65,6 +66,11 @@
         Some(Duration::from_millis(u64::from(age_ms)))
     }
 
+    /// What it has announced of the directory.
+    pub fn announced(&self) -> Announced {
+        self.digest.announced()
+    }
+
     /// Its distance from an instance of this zone and region.
     pub fn nearness(&self, zone: NameHash, region: NameHash) -> Nearness {
         if self.last_digest_at.is_none() {
--- a/crates/entry/src/receiver.rs
+++ b/crates/entry/src/receiver.rs
@@ -39,7 +39,7 @@
         node.peers
             .borrow_mut()
             .record_datagram(Instant::now(), sender);
-        match rmp_serde::from_slice::<PeerMessage>(&buf[..len]) {
+        match PeerMessage::decode(&buf[..len]) {
             Ok(PeerMessage::Digest(digest, scope)) => {
                 on_direct_digest(&node, sender, *digest, scope);
             }
@@ -90,7 +90,7 @@
 /// if the sender has a newer revision.
 fn apply_digest(node: &Rc<Node>, from: Ipv4Addr, digest: Digest) {
     let now = Instant::now();
-    let upto = digest.upto;
+    let announced = digest.announced();
     let steps = digest.steps.clone();
     let unreachable = digest.unreachable.clone();
     let time_ms = digest.time_ms;
@@ -134,8 +134,8 @@
     if is_leaving {
         node.remove_peer_usage(&[from]);
     }
-    if upto > directory::known_up_to(node) {
-        directory::record_announced(node, upto);
+    if directory::is_behind(node, announced) {
+        directory::record_announced(node, announced);
         directory::schedule_peer_sync(node, sync_delay(node, from));
     }
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 
 use crate::accept_queue::AcceptQueue;
+use crate::bulk::PeerBody;
 use crate::log::Priority;
 use crate::node::{Node, ProcessState};
 use crate::request;
@@ -160,25 +161,29 @@
 
 /// Serves the load balancer's readiness checks: 200 if ready, 503 otherwise.
 pub async fn serve_readiness(node: Rc<Node>, listener: Rc<TcpListener>) {
-    serve_with(node, listener, |node, _| {
+    serve_with(node, listener, async |node: Rc<Node>, _| {
         let status = if node.is_ready() {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
         };
-        request::empty_response(status)
+        request::empty_response(status).map(BodyExt::boxed_unsync)
     })
     .await;
 }
 
 /// Serves peers and operators: the directory snapshot and the metrics.
 pub async fn serve_peers(node: Rc<Node>, listener: Rc<TcpListener>) {
-    serve_with(node, listener, |node, req| match req.uri().path() {
-        SNAPSHOT_PATH => snapshot_response(node, req.uri().query().unwrap_or_default()),
-        LARGE_ENTRIES_PATH => large_entries_response(node, req.uri().query().unwrap_or_default()),
-        HISTORY_PATH => packed_response(&History::new(node)),
-        METRICS_PATH => text_response(node.metrics.render(node)),
-        _ => request::empty_response(StatusCode::NOT_FOUND),
+    serve_with(node, listener, async |node: Rc<Node>, req| {
+        let query = req.uri().query().unwrap_or_default();
+        let response = match req.uri().path() {
+            SNAPSHOT_PATH => snapshot_response(&node, query),
+            LARGE_ENTRIES_PATH => return large_entries_response(&node, query).await,
+            HISTORY_PATH => packed_response(&History::new(&node)),
+            METRICS_PATH => text_response(node.metrics.render(&node)),
+            _ => request::empty_response(StatusCode::NOT_FOUND),
+        };
+        response.map(BodyExt::boxed_unsync)
     })
     .await;
 }
@@ -195,20 +200,31 @@
 }
 
 /// Returns the large directory entries that changed after the revision `after`, the query of the request;
-/// all of them if it is not a number.
-fn large_entries_response(node: &Node, after: &str) -> Response<Full<Bytes>> {
+/// all of them if it is not a number. Refuses if other transfers are in progress for too long.
+async fn large_entries_response(node: &Node, after: &str) -> Response<PeerBody> {
+    let Some(transfer) = node.bulk_sender.begin().await else {
+        let refusal = request::empty_response(StatusCode::SERVICE_UNAVAILABLE);
+        return refusal.map(BodyExt::boxed_unsync);
+    };
+    let Some(bytes) = pack_large_entries(node, after) else {
+        let failure = request::empty_response(StatusCode::INTERNAL_SERVER_ERROR);
+        return failure.map(BodyExt::boxed_unsync);
+    };
+    Response::new(transfer.into_body(bytes, node.settings().link_bytes_per_s()))
+}
+
+/// Encodes the large directory entries that changed after a revision.
+fn pack_large_entries(node: &Node, after: &str) -> Option<Bytes> {
     let view = node.directory.borrow();
     let mut reader = node.directory_reader.borrow_mut();
     let entries = snapshot::large_entries_after(&view, after.parse().unwrap_or(0))
         .map(|entry| reader.large_values.get(entry))
         .collect::<std::io::Result<Vec<_>>>();
-    match entries {
-        Ok(entries) => packed_response(&LargeEntries {
-            upto: view.large_up_to(),
-            entries,
-        }),
-        Err(_) => request::empty_response(StatusCode::INTERNAL_SERVER_ERROR),
-    }
+    let message = LargeEntries {
+        upto: view.large_up_to(),
+        entries: entries.ok()?,
+    };
+    rmp_serde::to_vec(&message).ok().map(Into::into)
 }
 
 /// Returns a message as `MessagePack`.
@@ -230,11 +246,11 @@
     response
 }
 
-/// Builds the response to a request whose body is ignored.
-type Handler = fn(&Node, &Request<Incoming>) -> Response<Full<Bytes>>;
-
-/// Accepts connections until the process ends and passes each request to `handler`.
-async fn serve_with(node: Rc<Node>, listener: Rc<TcpListener>, handler: Handler) {
+/// Accepts connections until the process ends and passes each request, whose body is ignored, to `handler`.
+async fn serve_with<H>(node: Rc<Node>, listener: Rc<TcpListener>, handler: H)
+where
+    H: AsyncFn(Rc<Node>, Request<Incoming>) -> Response<PeerBody> + Copy + 'static,
+{
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Out of file descriptors: an immediate retry would fail the same way.
@@ -243,8 +259,8 @@
         };
         tasks::spawn(&node, "peer_connection", move |node| async move {
             let service = service_fn(move |req| {
-                let response = handler(&node, &req);
-                async move { Ok::<_, Infallible>(response) }
+                let node = Rc::clone(&node);
+                async move { Ok::<_, Infallible>(handler(node, req).await) }
             });
             // An error means that the peer disconnected.
             let _ = http1::Builder::new()
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -113,7 +113,7 @@
                 large_upto: None,
             };
         };
-        let small = view.entries().iter().filter(|e| !e.is_large());
+        let small = view.entries().iter().filter(|e| !view.is_large(e));
         let left_out = large_entries_after(view, large_after);
         let first_left_out = left_out.map(|e| e.revision).min();
         Self {
@@ -127,7 +127,7 @@
 
 /// The large entries of a view that changed after a revision.
 pub fn large_entries_after(view: &StoreView, after: Revision) -> impl Iterator<Item = &Entry> {
-    let large = view.entries().iter().filter(|e| e.is_large());
+    let large = view.entries().iter().filter(|e| view.is_large(e));
     large.filter(move |e| e.revision > after)
 }
 
@@ -182,6 +182,9 @@
     let response = timeout(max_wait, request(peer, uri))
         .await
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        return Err(std::io::ErrorKind::ResourceBusy.into());
+    }
     if response.status() != StatusCode::OK {
         let status = response.status();
         return Err(std::io::Error::other(format!("status {status}")));
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -6,6 +6,7 @@
 
 use kingcupfield_decisions::credit::Distance;
 use kingcupfield_decisions::digest_timing;
+use kingcupfield_decisions::directory_sync::Announced;
 use kingcupfield_decisions::fanout::MAX_FULL_MESH;
 use kingcupfield_decisions::momentary_speed::{MomentarySpeed, WorkTime};
 use kingcupfield_decisions::remote_load::{ReplicaLoad, TotalLoad};
@@ -393,7 +394,11 @@
         upto,
         ..digest(incarnation)
     };
-    let is_ahead = |peers: &Peers| peers.pick_sync_peer(now, 30, (1, 1), 0).is_some();
+    let is_wanted = |announced: Announced| announced.upto > 30;
+    let is_ahead = |peers: &Peers| {
+        let picked = peers.pick_sync_peer(now, is_wanted, (1, 1), 0);
+        picked.is_some()
+    };
     peers.on_digest(now, address(1), with_upto(1, 1, 40));
     assert!(is_ahead(&peers));
     peers.on_digest(now, address(1), with_upto(2, 1, 0));
@@ -458,7 +463,7 @@
     }
     let picked = |salt| {
         peers
-            .pick_sync_peer(now, 8, (1, 1), salt)
+            .pick_sync_peer(now, |announced| announced.upto > 8, (1, 1), salt)
             .map(|p| p.address)
     };
     let mut picked: Vec<Ipv4Addr> = (0..10).filter_map(picked).collect();
@@ -478,9 +483,10 @@
     ahead.upto = 9;
     peers.on_digest(now, address(1), ahead.clone());
     peers.on_digest(now, address(2), ahead);
-    assert!(peers.has_announced_above(8) && !peers.has_announced_above(9));
+    let has_announced_above = |peers: &Peers, upto| peers.has_announced(|a| a.upto > upto);
+    assert!(has_announced_above(&peers, 8) && !has_announced_above(&peers, 9));
     peers.on_digest(now, address(1), digest(2));
-    assert!(peers.has_announced_above(8));
+    assert!(has_announced_above(&peers, 8));
     peers.remove_gone(now + Duration::from_secs(61));
-    assert!(!peers.has_announced_above(0));
+    assert!(!has_announced_above(&peers, 0));
 }
--- a/crates/entry/tests/snapshot.rs
+++ b/crates/entry/tests/snapshot.rs
@@ -103,3 +103,26 @@
     damaged.value = damaged.value.slice(..damaged.value.len() / 2);
     assert!(damaged.decompress().is_err());
 }
+
+/// Guards against a table that an instance never asks for: it is small, and left out of what was read beside a
+/// large response of the store.
+#[test]
+fn a_small_table_is_sent_apart_by_its_key() {
+    let mut view = StoreView::new().with_large_keys(&["table"]);
+    view.apply_list(5, vec![entry("table", 3, 10)]);
+    view.apply_small_changes(9, 5, vec![entry("replica", 9, 10)]);
+    let query = |after, upto| SnapshotQuery {
+        after,
+        large_after: Some(upto),
+    };
+    let first = Snapshot::new(&view, query(0, 0), false);
+    assert_eq!((first.upto, first.large_upto), (9, Some(2)));
+    view.apply_large_changes(9, vec![entry("table", 7, 10)]);
+    let later = Snapshot::new(&view, query(9, 5), false);
+    assert!(later.entries.is_empty());
+    assert_eq!(later.large_upto, Some(6));
+    let large: Vec<u64> = snapshot::large_entries_after(&view, 5)
+        .map(|e| e.revision)
+        .collect();
+    assert_eq!(large, [7]);
+}
