Send no request to a replica that has left since it was chosen

Between the choice of a replica and the send lies the opening of a connection, up to 450 ms and as long as the process gets no processor time; what came meanwhile was not looked at, and a slot that was assigned before the news was used after it.

Change: what is known of the replica is checked again when the slot is taken and right before the request is written, also for the rest of a stream. Such a request is 'withdrawn': nothing was sent, no retry is consumed, and another replica is chosen.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -30,6 +30,8 @@
 pub enum SendFailure {
     /// The request was not sent.
     NotSent,
+    /// The replica announced that it leaves, or was removed, before the request was sent.
+    Withdrawn,
     /// The replica reported that it has no free slot and did not run the request.
     Full,
     /// A different replica responded, and did not run the request.
@@ -53,6 +55,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NotSent => "not_sent",
+            Self::Withdrawn => "withdrawn",
             Self::Full => "full",
             Self::WrongReplica => "another",
             Self::NotExecuted => "not_run",
@@ -81,7 +84,7 @@
         match self {
             Self::NotSent | Self::WrongReplica | Self::Dropped => Outcome::Unreachable,
             Self::Full => Outcome::Full,
-            Self::NotExecuted => Outcome::Unknown,
+            Self::NotExecuted | Self::Withdrawn => Outcome::Unknown,
             Self::Broken | Self::Abandoned | Self::InvalidResponse => Outcome::Failed,
         }
     }
@@ -125,6 +128,10 @@
                 .await
                 .map_err(|_| SendFailure::NotSent)?,
         };
+        // The replica was chosen before the connection was opened.
+        if !node.is_in_use(target) {
+            return Err(SendFailure::Withdrawn);
+        }
         let req = build_request(head, fields.clone(), body.clone());
         let sent_at = node.suspend_aware_now();
         match connection.sender.try_send_request(req).await {
--- a/crates/entry/src/node/replicas.rs
+++ b/crates/entry/src/node/replicas.rs
@@ -176,6 +176,19 @@
         Some(Rc::clone(&targets[index]))
     }
 
+    /// Whether a replica may get requests by what is known now: the same process is still published, has not
+    /// said that it leaves, and its zone is not drained.
+    pub fn is_in_use(&self, target: &Target) -> bool {
+        let published = &target.published;
+        let Some(current) = self.target(&published.id) else {
+            return false;
+        };
+        is_same_incarnation(target, &current.published)
+            && !current.published.leaving
+            && !self.drained_zones.borrow().contains(&published.zone)
+            && !self.dispatch.borrow().has_said_leaving(&published.id)
+    }
+
     /// All published replicas, sorted by id.
     pub fn targets(&self) -> Vec<Rc<Target>> {
         self.targets.borrow().clone()
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -135,8 +135,9 @@
             };
         }
         self.runs -= 1;
-        // A connection that could not be opened reached no replica, so no retry budget is consumed.
-        if failure == SendFailure::NotSent || self.consume_retry_budget(node) {
+        // What reached no replica consumes no retry budget.
+        let was_sent = !matches!(failure, SendFailure::NotSent | SendFailure::Withdrawn);
+        if !was_sent || self.consume_retry_budget(node) {
             NextStep::Retry
         } else {
             NextStep::Refuse(self.no_slot_refusal(node))
--- a/crates/entry/src/request/slot_request.rs
+++ b/crates/entry/src/request/slot_request.rs
@@ -43,13 +43,13 @@
     /// the request may no longer be served in its region.
     pub(super) fn target(&self, node: &Node, slot: &SlotGuard) -> Option<Rc<Target>> {
         let target = node.target(&slot.upstream)?;
-        let dispatch = node.dispatch.borrow();
-        if dispatch.has_said_leaving(&slot.upstream)
-            || dispatch.is_resting(Instant::now(), &slot.upstream)
-        {
+        let is_resting = node
+            .dispatch
+            .borrow()
+            .is_resting(Instant::now(), &slot.upstream);
+        if is_resting || !node.is_in_use(&target) {
             return None;
         }
-        drop(dispatch);
         let origin = stream_origin::origin_of(&target.published);
         if self.origin.is_some_and(|needed| needed != origin) {
             return None;
