Test crowds of clients that send large, unfinished or chopped requests

Callers' instances ended for want of memory when clients outside of the firms' control sent many large or unfinished bodies. The tests start the real program on a small machine (48 MiB, 112 MiB for the own interface; 512 descriptors in some cases, set as limits of the process) and check that it lives, that its resident memory and what it has not read stay below the machine's memory, that descriptors are left, that one ordinary request is served while the crowd is still there, and that no request ran whose caller was told that it never will.

--- a/tests/client_fleet.rs
+++ b/tests/client_fleet.rs
@@ -15,6 +15,8 @@
 mod process;
 #[path = "support/relay.rs"]
 mod relay;
+#[path = "support/usage.rs"]
+mod usage;
 
 use caller::{Call, Reply};
 use fleet::{BOOKINGS, Fleet, FleetConfig, MODEL, Organisation, key_of, organisation};
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -14,6 +14,8 @@
 mod raw;
 #[path = "../support/relay.rs"]
 mod relay;
+#[path = "../support/usage.rs"]
+mod usage;
 
 mod end_to_end;
 mod kept_connections;
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -17,6 +17,7 @@
 use crate::caller::{Call, Caller};
 use crate::process::{Process, wait_for};
 use crate::relay::{Link, Relay};
+use crate::usage::MachineLimits;
 
 const KINGCUPD: &str = env!("CARGO_BIN_EXE_kingcupd");
 const STANDIN: &str = env!("CARGO_BIN_EXE_kingcup-standin");
@@ -56,6 +57,8 @@
     pub organisations: Vec<Organisation>,
     /// Puts relays between the zones.
     pub relays: bool,
+    /// Limits of the entry instances' processes; `None` for those of the test.
+    pub limits: Option<MachineLimits>,
 }
 
 impl FleetConfig {
@@ -69,6 +72,7 @@
             service_args: vec![],
             organisations: vec![organisation("terminal-a"), organisation("terminal-b")],
             relays: false,
+            limits: None,
         }
     }
 
@@ -252,7 +256,15 @@
         let path = self.dir.join(format!("{name}.json"));
         fs::write(&path, settings.to_string()).expect("the settings file");
         let path = path.to_str().expect("a UTF-8 path");
-        let process = Process::spawn(KINGCUPD, &["--settings", path]);
+        let args = ["--settings", path];
+        let process = match &self.cfg.limits {
+            None => Process::spawn(KINGCUPD, &args),
+            Some(limits) => {
+                let (shell, args) = limits.wrap(KINGCUPD, &args);
+                let args: Vec<&str> = args.iter().map(String::as_str).collect();
+                Process::spawn(shell, &args)
+            }
+        };
         let address = async |key| parse(&process.started(key).await);
         let (addr, admin) = (address("listen").await, address("admin_listen").await);
         let rpc = address("rpc_listen").await;
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -89,6 +89,16 @@
         self.signal(libc::SIGCONT);
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether it runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_none())
+    }
+
     /// Waits until it has ended.
     pub async fn ended(&mut self) -> ExitStatus {
         let mut status = None;
