Hold bodies of callers within one account of memory

Callers saw an instance end when clients sent many large bodies or stopped short of their end. read_body collected each body up to the table's limit before it looked at route and key, with no sum over requests, and kept a list of slices that took 38 bytes for a chunk of one byte.

One account now counts what is held for callers: a quarter of the machine's memory, which the settings give (memory_mb, from limits.memory-mb of the platform) or the process reads. Bodies count by the memory that they take, until the last copy is dropped. Route and key are looked at first; the body of a refused request is read and dropped. When memory is short, lower tiers give way to higher ones and, within a tier, slow unfinished bodies to others; an eighth is kept for small bodies. Who is refused gets 503 with Retry-After and is not run.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod awaited_revision;
 pub mod bounded;
+pub mod caller_memory;
 pub mod cells;
 pub mod cold;
 pub mod concurrency;
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -3,14 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header;
 use http::request::Parts;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use kingcupfield_decisions::credit::{Charge, Verdict};
-use kingcupfield_decisions::id::{ServiceId, name_hash};
+use kingcupfield_decisions::id::{Rank, ServiceId, name_hash};
 use kingcupfield_decisions::software_versions::StreamOrigin;
+use kingcupfield_transfer::caller_body::{self, BodyError, BodyLimits, CallerBody};
 use rand::RngExt as _;
 
 use crate::adapter::RequestMeta;
@@ -35,21 +34,76 @@
 /// Size limit in bytes of a request body while no table has been received.
 const DEFAULT_MAX_BODY_BYTES: usize = 1 << 20;
 
-/// Reads the body of a request, within the size limit of the table and [`BODY_TIMEOUT`].
-pub async fn read_body(node: &Node, body: Incoming) -> Result<Bytes, Refusal> {
+/// Reads the body of a request, within the size limit of the table, [`BODY_TIMEOUT`] and the memory for callers.
+/// The body of a request that its head gets refused is read and dropped.
+pub async fn read_body(
+    node: &Node,
+    head: &Parts,
+    meta: &RequestMeta,
+    mut body: Incoming,
+) -> Result<CallerBody, Refusal> {
     let table = node.table();
+    let max_bytes = max_body_bytes(node, table.as_deref());
+    let limits = BodyLimits::new(max_bytes, BODY_TIMEOUT);
+    let rank = match table.as_deref().map(|t| resolve(t, head, meta)) {
+        None => Rank::MAX,
+        Some(Ok((route, organisation))) => rank(&route, organisation.as_deref()),
+        Some(Err(refusal)) => {
+            caller_body::discard(&mut body, limits).await;
+            return Err(refusal_by_newest_table(node, head, meta, refusal));
+        }
+    };
+    let hold = node.caller_memory.open(rank);
+    let received = caller_body::receive(&mut body, limits, hold).await;
+    received.map_err(|e| body_refusal(&e))
+}
+
+/// Size limit in bytes of a body: that of the table, or less on a machine that can't hold such a body.
+pub fn max_body_bytes(node: &Node, table: Option<&Table>) -> usize {
     let max_bytes = table.map_or(DEFAULT_MAX_BODY_BYTES, |t| t.limits.body_bytes);
-    let limited = Limited::new(body, max_bytes);
-    let collected = tokio::time::timeout(BODY_TIMEOUT, limited.collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::new(RefusalKind::TooLarge))
+    max_bytes.min(node.caller_memory.max_request_bytes())
+}
+
+/// Priority rank of a request. That of its organisation takes precedence over that of its route.
+fn rank(route: &Route, organisation: Option<&Organisation>) -> Rank {
+    let rank = organisation.and_then(|o| o.rank).unwrap_or(route.rank);
+    Rank::try_from(rank).unwrap_or(Rank::MAX)
+}
+
+/// The refusal of a request whose body was dropped, as the table has it that is in force now.
+fn refusal_by_newest_table(
+    node: &Node,
+    head: &Parts,
+    meta: &RequestMeta,
+    refusal: Refusal,
+) -> Refusal {
+    match node.table().map(|t| resolve(&t, head, meta)) {
+        Some(Ok(_)) => Refusal::new(RefusalKind::Unavailable)
+            .with_message("the route or key came into force while the body arrived")
+            .with_retry_after(SHORT_RETRY_AFTER),
+        Some(Err(newest)) => newest,
+        None => refusal,
+    }
+}
+
+/// Builds the refusal of a request whose body was not received.
+fn body_refusal(error: &BodyError) -> Refusal {
+    match error {
+        BodyError::TooLarge { .. } => Refusal::new(RefusalKind::TooLarge),
+        BodyError::TimedOut | BodyError::Broken(_) => {
+            Refusal::new(RefusalKind::BadRequest).with_message("the body is incomplete")
         }
-        _ => Err(Refusal::new(RefusalKind::BadRequest).with_message("the body is incomplete")),
+        BodyError::OutOfMemory(_) | BodyError::Evicted => out_of_memory_refusal(error.to_string()),
     }
 }
 
+/// Builds the refusal of a request for which there is no memory. A retry reaches another instance.
+pub fn out_of_memory_refusal(reason: String) -> Refusal {
+    Refusal::new(RefusalKind::Unavailable)
+        .with_message(reason)
+        .with_retry_after(SHORT_RETRY_AFTER)
+}
+
 /// Finds the route of a request by host and path, and the organisation that owns its API key.
 pub fn resolve(
     table: &Table,
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -76,6 +76,7 @@
             sockets.peers.local_addr()?
         ),
     );
+    node.log_caller_limits();
     let accepting = start_tasks(&node, sockets, path, hup);
     tokio::select! {
         _ = term.recv() => {}
@@ -184,6 +185,7 @@
         for target in node.targets() {
             target.pool.close_expired(now);
         }
+        node.log_memory_shortage();
         if let Some(suspended) = node.suspend_detector.take_suspension() {
             node.log.line(
                 Priority::State,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -64,6 +64,10 @@
     replica_crashes: IntCounter,
     /// Replicas whose directory entry expired although they had not announced their departure.
     expired_replicas: IntCounter,
+    /// Memory held for callers and the most that may be held, in bytes.
+    caller_memory: GaugeVec,
+    /// Requests refused for want of memory, by whether they gave way or nothing gave way to them.
+    refused_for_memory: GaugeVec,
     /// Tasks of this process that panicked or ended too soon, by name.
     task_failures: IntCounterVec,
     /// Streams that callers took up, by how it was known where they began.
@@ -110,6 +114,18 @@
                 "Requests by outcome",
                 "outcome",
             ),
+            caller_memory: gauges(
+                &registry,
+                "kingcup_caller_memory_bytes",
+                "Memory for callers: held, and the most that may be held",
+                "of",
+            ),
+            refused_for_memory: gauges(
+                &registry,
+                "kingcup_refused_for_memory",
+                "Requests refused for want of memory since the start: evicted, denied",
+                "how",
+            ),
             task_failures: counters(
                 &registry,
                 "kingcup_task_failures_total",
@@ -278,6 +294,17 @@
         ] {
             self.callers.with_label_values(&[of]).set(count as f64);
         }
+        let memory = &node.caller_memory;
+        for (of, bytes) in [("held", memory.held()), ("limit", memory.limit())] {
+            self.caller_memory
+                .with_label_values(&[of])
+                .set(bytes as f64);
+        }
+        let refused = memory.refused();
+        for (how, count) in [("evicted", refused.evicted), ("denied", refused.denied)] {
+            let gauge = self.refused_for_memory.with_label_values(&[how]);
+            gauge.set(count as f64);
+        }
         if let Some(age) = node.store_age() {
             self.set_age("store", age);
         }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,5 +1,6 @@
 //! State of one entry instance, shared by its tasks.
 
+mod caller_limits;
 mod load_figures;
 mod paces;
 mod replicas;
@@ -23,6 +24,7 @@
 use kingcupfield_decisions::store_view::{Revision, StoreView};
 use kingcupfield_decisions::stream_records::StreamRecords;
 use kingcupfield_decisions::upstream_retries::UpstreamRetryBudget;
+use kingcupfield_transfer::account::{Account, Refused};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
@@ -144,6 +146,10 @@
     pub response_deadline: Cell<Option<Instant>>,
     /// Number of requests being answered.
     pub active_requests: Cell<usize>,
+    /// Memory that is held for callers.
+    pub caller_memory: Account,
+    /// Requests refused for want of memory, as they were logged last.
+    logged_refusals: Cell<Refused>,
     /// Number of open caller connections, from their acceptance until all is written.
     pub open_connections: watch::Sender<usize>,
     /// Number of requests accepted from callers since the start.
@@ -189,6 +195,7 @@
     ) -> Rc<Self> {
         let now = Instant::now();
         let large_keys = directory_client.large_keys();
+        let machine = cfg.machine();
         let versions = VersionHistory::new(now);
         let versions = if cfg.first_start {
             versions.with_first_start()
@@ -240,6 +247,8 @@
             version_tx: watch::Sender::new(0),
             response_deadline: Cell::new(None),
             active_requests: Cell::new(0),
+            caller_memory: Account::new(machine.caller_bytes()),
+            logged_refusals: Cell::default(),
             open_connections: watch::Sender::new(0),
             accepted_requests: Cell::new(0),
             failed_tasks: Cell::new(0),
@@ -362,6 +371,7 @@
             Priority::State,
             format_args!("event=table version={version} before={current}"),
         );
+        self.check_body_limit(table.limits.body_bytes);
         *self.table.borrow_mut() = Some(table);
         self.version_tx.send_replace(version);
     }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -19,10 +19,12 @@
 use kingcupfield_decisions::fingerprint::Fingerprint;
 use kingcupfield_decisions::id::{ServiceId, UpstreamId, Version};
 use kingcupfield_decisions::software_versions::StreamOrigin;
+use kingcupfield_transfer::account::Claim;
+use kingcupfield_transfer::caller_body::CallerBody;
 use tokio::time::Instant;
 
 use crate::adapter::RequestMeta;
-use crate::admission::{charge, pick_service, read_body, resolve};
+use crate::admission::{charge, out_of_memory_refusal, pick_service, read_body, resolve};
 use crate::crash_watch::{self, BrokenRequest};
 use crate::credit::{self, CreditGrant};
 use crate::expiry::{Expiry, wait_for_expiry};
@@ -56,6 +58,8 @@
     pub head: Parts,
     /// Complete body of the request.
     pub body: Bytes,
+    /// Right of the request to be sent, unless memory runs short before.
+    pub claim: Claim,
     /// Time at which the head of the request was received.
     pub received: Instant,
     /// Total time for which the machine had been suspended when the request was admitted.
@@ -93,12 +97,20 @@
     let (head, body) = req.into_parts();
     let meta = node.protocol.parse_request(&head);
     let body = tokio::select! {
-        body = read_body(&node, body) => body,
+        body = read_body(&node, &head, &meta, body) => body,
         () = node.response_deadline_reached() => Err(unavailable("this instance shuts down before the body is complete")),
     };
     let result = match body {
         Ok(body) => {
-            let admitted = admit_and_run(&node, received, head, meta.clone(), body, active);
+            // While the body arrives, the request takes no memory for what follows.
+            let admitted = Box::pin(admit_and_run(
+                &node,
+                received,
+                head,
+                meta.clone(),
+                body,
+                active,
+            ));
             let run = tasks::catch_panic(admitted).await;
             run.unwrap_or_else(|reason| Err(failure(&node, &reason)))
         }
@@ -138,7 +150,7 @@
     received: Instant,
     head: Parts,
     meta: RequestMeta,
-    body: Bytes,
+    body: CallerBody,
     active: ActiveGuard,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let table = wait_for_table(node, &meta).await?;
@@ -154,7 +166,7 @@
     check_regions(&route, organisation.as_deref())?;
     let regions = allowed_regions(&route, organisation.as_deref());
     check_time_to_shutdown(node, &service, &regions, &meta)?;
-    quarantine::check(node, &service, &head, &body)?;
+    quarantine::check(node, &service, &head, &body.bytes)?;
     let charge = charge(node, organisation.as_deref(), &route, &service, &meta).await?;
     node.retry_budget
         .borrow_mut()
@@ -162,7 +174,8 @@
     let ctx = RequestContext {
         meta,
         head,
-        body,
+        body: body.bytes,
+        claim: body.claim,
         received,
         suspended: node.suspend_detector.total_suspended(),
         route,
@@ -239,6 +252,7 @@
         unanswered: &mut UnansweredGuard,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let mut active = Some(active);
+        let mut claim = self.claim.clone();
         loop {
             unanswered.replica = None;
             let acquired = tokio::select! {
@@ -247,6 +261,7 @@
                     SlotError::ShuttingDown => Expiry::Shutdown,
                 }),
                 expiry = wait_for_expiry(node, &self.route, self.received) => Err(expiry),
+                () = claim.evicted(), if self.tried.is_empty() => return Err(self.eviction_refusal(node)),
                 () = self.terms_changed(node) => {
                     self.recheck(node)?;
                     continue;
@@ -264,6 +279,9 @@
                 continue;
             };
             self.check_quarantine(node)?;
+            if self.tried.is_empty() && !claim.on_send() {
+                return Err(self.eviction_refusal(node));
+            }
             request_log::log_sent(node, self, &target, &slot);
             unanswered.replica = Some(slot.upstream.clone());
             match self.send(node, &target, slot, &mut active).await {
@@ -330,6 +348,12 @@
         })
     }
 
+    /// Refuses a request that gave way to one of a higher tier before it was sent.
+    fn eviction_refusal(&self, node: &Node) -> Refusal {
+        self.refund(node);
+        out_of_memory_refusal("memory is short, and a higher tier needs it".to_owned())
+    }
+
     /// Refunds the credit of a request that no replica has run.
     fn refund(&self, node: &Node) {
         if let Some(organisation) = &self.organisation {
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -238,6 +238,7 @@
             meta: std::mem::take(&mut self.meta),
             head: self.head.clone(),
             body: self.body.clone(),
+            claim: self.claim.clone(),
             received: self.received,
             suspended: self.suspended,
             route: Rc::clone(&self.route),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -12,6 +12,7 @@
 use kingcupfield_decisions::credit::Tolerance;
 use kingcupfield_decisions::id::{InstanceId, RegionId, ZoneId};
 use kingcupfield_decisions::upstream_retries::UpstreamRetryBounds;
+use kingcupfield_transfer::machine::Machine;
 use serde::Deserialize;
 
 pub use scheduling::{FairOrderSettings, LoadReportSettings, SchedulingSettings, WarmUpSettings};
@@ -19,6 +20,12 @@
 /// Largest rate or amount of a field, in its unit.
 const MAX_AMOUNT: f64 = 1e12;
 
+/// Smallest memory of a machine in MB: an idle instance and the callers' share for one body of a MB.
+const MIN_MEMORY_MB: f64 = 16.0;
+
+/// Smallest number of descriptors of a process.
+const MIN_DESCRIPTORS: u64 = 256;
+
 /// Error of a settings file.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -83,6 +90,12 @@
     /// Speed of the machine's network link in Mbit/s.
     #[serde(default = "default_link_mbit_per_s")]
     pub link_mbit_per_s: f64,
+    /// Memory of the machine in MB; unset: the limit of the process or the machine's memory, whichever is lower.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// Descriptors that the process may have open, files among them; unset: the limit of the process.
+    #[serde(default)]
+    pub max_descriptors: Option<u64>,
 }
 
 /// Speed of the slowest links of most deployments.
@@ -155,7 +168,7 @@
     }
 
     /// Returns for each field whether it is equal in `other`.
-    fn compare_fields(&self, other: &Self) -> [(&'static str, bool); 18] {
+    fn compare_fields(&self, other: &Self) -> [(&'static str, bool); 20] {
         [
             ("instance", self.instance == other.instance),
             (
@@ -195,6 +208,11 @@
                     .total_cmp(&other.link_mbit_per_s)
                     .is_eq(),
             ),
+            ("memory_mb", self.memory_mb == other.memory_mb),
+            (
+                "max_descriptors",
+                self.max_descriptors == other.max_descriptors,
+            ),
         ]
     }
 
@@ -262,6 +280,17 @@
         self.link_mbit_per_s * 1e6 / 8.0
     }
 
+    /// Limits of the machine: those of the settings, or else those that the process can read.
+    pub fn machine(&self) -> Machine {
+        let found = Machine::read();
+        Machine {
+            memory_bytes: self
+                .memory_mb
+                .map_or(found.memory_bytes, |mb| (mb * 1e6) as u64),
+            descriptors: self.max_descriptors.unwrap_or(found.descriptors),
+        }
+    }
+
     /// Budget for retries at another replica.
     pub fn retry_bounds(&self) -> UpstreamRetryBounds {
         UpstreamRetryBounds {
@@ -289,6 +318,17 @@
             MAX_TIME.as_secs_f64(),
         )?;
         check_positive("link_mbit_per_s", self.link_mbit_per_s, MAX_AMOUNT)?;
+        if let Some(memory_mb) = self.memory_mb {
+            check_at_least("memory_mb", memory_mb, MIN_MEMORY_MB)?;
+            check_at_most("memory_mb", memory_mb, MAX_AMOUNT)?;
+        }
+        if let Some(descriptors) = self.max_descriptors {
+            check_at_least(
+                "max_descriptors",
+                descriptors as f64,
+                MIN_DESCRIPTORS as f64,
+            )?;
+        }
         check_positive(
             "repeats.window_s",
             self.repeats.window_s,
@@ -321,6 +361,13 @@
     invalid(field, &format!("must be above 0, is {value}"))
 }
 
+fn check_at_least(field: &'static str, value: f64, min: f64) -> Result<(), SettingsError> {
+    if value >= min {
+        return Ok(());
+    }
+    invalid(field, &format!("must be at least {min}, is {value}"))
+}
+
 fn check_not_negative(field: &'static str, value: f64) -> Result<(), SettingsError> {
     if value >= 0.0 {
         return check_at_most(field, value, MAX_AMOUNT);
--- /dev/null
+++ b/crates/transfer/src/account.rs
@@ -0,0 +1,191 @@
+//! Account of the memory that a process holds for its callers, shared by all that hold some.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use kingcupfield_decisions::caller_memory::{CallerMemory, EntryId, OutOfMemory};
+use kingcupfield_decisions::id::Rank;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// The account of one process; clones share it.
+#[derive(Debug, Clone)]
+pub struct Account(Arc<Mutex<State>>);
+
+#[derive(Debug)]
+struct State {
+    memory: CallerMemory,
+    /// Tells requests that they give way, sorted by entry.
+    evictions: Vec<(EntryId, watch::Sender<bool>)>,
+    /// Requests that gave way, and those that were refused because nothing did.
+    refused: Refused,
+}
+
+/// Numbers of requests that were refused for want of memory.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Refused {
+    /// Requests that gave way to another one.
+    pub evicted: u64,
+    /// Requests to which nothing gave way.
+    pub denied: u64,
+}
+
+impl Account {
+    /// Creates an account in which at most `limit` bytes are held.
+    pub fn new(limit: usize) -> Self {
+        Self(Arc::new(Mutex::new(State {
+            memory: CallerMemory::new(limit),
+            evictions: Vec::new(),
+            refused: Refused::default(),
+        })))
+    }
+
+    /// Opens the entry of a request that begins to arrive.
+    pub fn open(&self, rank: Rank) -> Hold {
+        let (tx, evicted) = watch::channel(false);
+        let mut state = self.lock();
+        let id = state.memory.open(Instant::now(), rank);
+        state.evictions.push((id, tx));
+        Hold {
+            account: self.clone(),
+            id,
+            evicted,
+        }
+    }
+
+    /// Bytes that are held.
+    pub fn held(&self) -> usize {
+        self.lock().memory.held()
+    }
+
+    /// Most bytes that may be held.
+    pub fn limit(&self) -> usize {
+        self.lock().memory.limit()
+    }
+
+    /// Size in bytes of the largest request for which there is memory while nothing else is held.
+    pub fn max_request_bytes(&self) -> usize {
+        self.lock().memory.max_request_bytes()
+    }
+
+    /// Numbers of requests that were refused for want of memory, since the start.
+    pub fn refused(&self) -> Refused {
+        self.lock().refused
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn evict(&mut self, id: EntryId) {
+        if let Ok(at) = self.evictions.binary_search_by_key(&id, |(id, _)| *id) {
+            let (_, tx) = self.evictions.remove(at);
+            tx.send_replace(true);
+            self.refused.evicted += 1;
+        }
+    }
+}
+
+/// Entry of one request; it is closed when dropped.
+#[derive(Debug)]
+pub struct Hold {
+    account: Account,
+    id: EntryId,
+    evicted: watch::Receiver<bool>,
+}
+
+impl Hold {
+    /// Counts `bytes` more, for which other requests may give way. Fails without a change if there is too
+    /// little memory.
+    pub fn grow(&self, bytes: usize) -> Result<(), OutOfMemory> {
+        let mut state = self.account.lock();
+        match state.memory.grow(Instant::now(), self.id, bytes) {
+            Ok(yielding) => {
+                for id in yielding {
+                    state.evict(id);
+                }
+                Ok(())
+            }
+            Err(e) => {
+                state.refused.denied += 1;
+                Err(e)
+            }
+        }
+    }
+
+    /// Counts `bytes` more, also beyond the limit: they are held already.
+    pub fn force(&self, bytes: usize) {
+        self.account.lock().memory.force(self.id, bytes);
+    }
+
+    /// Counts `bytes` fewer.
+    pub fn shrink(&self, bytes: usize) {
+        self.account.lock().memory.shrink(self.id, bytes);
+    }
+
+    /// Counts no more than `bytes`.
+    pub fn shrink_to(&self, bytes: usize) {
+        self.account.lock().memory.shrink_to(self.id, bytes);
+    }
+
+    /// Notes that the request has arrived completely.
+    pub fn on_complete(&self) {
+        self.account.lock().memory.on_complete(self.id);
+    }
+
+    /// A view of the entry for what decides whether the request is sent.
+    pub fn claim(&self) -> Claim {
+        Claim {
+            account: self.account.clone(),
+            id: self.id,
+            evicted: self.evicted.clone(),
+        }
+    }
+
+    /// Turns true if the request gives way, and ends with the entry.
+    pub fn subscribe(&self) -> watch::Receiver<bool> {
+        self.evicted.clone()
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        let mut state = self.account.lock();
+        state.memory.close(self.id);
+        if let Ok(at) = state
+            .evictions
+            .binary_search_by_key(&self.id, |(id, _)| *id)
+        {
+            state.evictions.remove(at);
+        }
+    }
+}
+
+/// The right of a request to be sent, unless it gives way before. Its bytes may be dropped earlier or later.
+#[derive(Debug, Clone)]
+pub struct Claim {
+    account: Account,
+    id: EntryId,
+    evicted: watch::Receiver<bool>,
+}
+
+impl Claim {
+    /// Notes that the request is about to be sent. Returns false if it has given way before, and must not be
+    /// sent.
+    pub fn on_send(&self) -> bool {
+        !*self.evicted.borrow() && self.account.lock().memory.on_send(self.id)
+    }
+
+    /// Completes when the request gives way to another one.
+    pub async fn evicted(&mut self) {
+        wait_evicted(&mut self.evicted).await;
+    }
+}
+
+async fn wait_evicted(evicted: &mut watch::Receiver<bool>) {
+    if evicted.wait_for(|evicted| *evicted).await.is_err() {
+        // The entry was closed without an eviction.
+        std::future::pending::<()>().await;
+    }
+}
--- a/crates/transfer/src/lib.rs
+++ b/crates/transfer/src/lib.rs
@@ -5,6 +5,10 @@
 //! each attempt is ended, the next one starts from the beginning, and all of them together slow the
 //! link down further. A transfer is therefore ended only if it makes no progress.
 
+pub mod account;
+pub mod caller_body;
+pub mod machine;
+
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
--- /dev/null
+++ b/crates/transfer/src/machine.rs
@@ -0,0 +1,69 @@
+//! Limits of the machine that a process runs on, as far as the process can read them.
+
+use std::fs;
+
+/// Bytes in a MiB.
+const MIB: u64 = 1024 * 1024;
+
+/// Fraction of the memory that may be held for callers. The rest is for the program, its directory and table,
+/// open connections and what the kernel has received for them.
+const CALLER_FRACTION: f64 = 0.25;
+
+/// Limits of the machine or of the process, whichever are lower.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Machine {
+    /// Memory in bytes.
+    pub memory_bytes: u64,
+    /// Descriptors that the process may have open.
+    pub descriptors: u64,
+}
+
+/// Limits of a machine that tells none.
+const UNKNOWN: Machine = Machine {
+    memory_bytes: 256 * MIB,
+    descriptors: 1024,
+};
+
+impl Machine {
+    /// Bytes that may be held for callers.
+    pub fn caller_bytes(&self) -> usize {
+        (self.memory_bytes as f64 * CALLER_FRACTION) as usize
+    }
+
+    /// Reads the limits of this process and the memory of its machine.
+    pub fn read() -> Self {
+        let limits = fs::read_to_string("/proc/self/limits").unwrap_or_default();
+        let total = fs::read_to_string("/proc/meminfo").unwrap_or_default();
+        Self::parse(&limits, &total)
+    }
+
+    /// Takes the limits from the texts of the kernel: `/proc/self/limits` and `/proc/meminfo`.
+    pub fn parse(limits: &str, meminfo: &str) -> Self {
+        let memory = [
+            soft_limit(limits, "Max data size"),
+            soft_limit(limits, "Max address space"),
+            total_memory(meminfo),
+        ];
+        let descriptors = soft_limit(limits, "Max open files");
+        Self {
+            memory_bytes: memory
+                .into_iter()
+                .flatten()
+                .min()
+                .unwrap_or(UNKNOWN.memory_bytes),
+            descriptors: descriptors.unwrap_or(UNKNOWN.descriptors),
+        }
+    }
+}
+
+/// Soft limit of a resource; `None` if it is unlimited or not told.
+fn soft_limit(limits: &str, name: &str) -> Option<u64> {
+    let values = limits.lines().find_map(|line| line.strip_prefix(name))?;
+    values.split_whitespace().next()?.parse().ok()
+}
+
+fn total_memory(meminfo: &str) -> Option<u64> {
+    let value = meminfo.lines().find_map(|l| l.strip_prefix("MemTotal:"))?;
+    let kib: u64 = value.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    kib.checked_mul(1024)
+}
--- a/tests/client_fleet.rs
+++ b/tests/client_fleet.rs
@@ -11,12 +11,12 @@
 mod caller;
 #[path = "support/fleet.rs"]
 mod fleet;
+#[path = "support/machine_limits.rs"]
+mod machine_limits;
 #[path = "support/process.rs"]
 mod process;
 #[path = "support/relay.rs"]
 mod relay;
-#[path = "support/usage.rs"]
-mod usage;
 
 use caller::{Call, Reply};
 use fleet::{BOOKINGS, Fleet, FleetConfig, MODEL, Organisation, key_of, organisation};
--- a/tests/crowds/cases.rs
+++ b/tests/crowds/cases.rs
@@ -12,8 +12,9 @@
 
 use crate::caller::Call;
 use crate::fleet::{Fleet, FleetConfig, MODEL, key_of};
+use crate::machine_limits::MachineLimits;
 use crate::support::crowd::{ChunkedEnd, Crowd, Script};
-use crate::usage::{MachineLimits, UsageMonitor};
+use crate::usage::UsageMonitor;
 
 /// Largest body in bytes that an instance accepts.
 const BODY_BYTES: usize = 512 * 1024;
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -11,6 +11,8 @@
     pub mod crowd;
     #[path = "../../support/fleet.rs"]
     pub mod fleet;
+    #[path = "../../support/machine_limits.rs"]
+    pub mod machine_limits;
     #[path = "../../support/process.rs"]
     pub mod process;
     #[path = "../../support/relay.rs"]
@@ -19,6 +21,6 @@
     pub mod usage;
 }
 
-use support::{caller, fleet, process, relay, usage};
+use support::{caller, fleet, machine_limits, process, relay, usage};
 
 mod cases;
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -8,14 +8,15 @@
 mod fleet;
 #[path = "../support/load.rs"]
 mod load;
+#[path = "../support/machine_limits.rs"]
+mod machine_limits;
+#[expect(dead_code, reason = "the tests of crowds use the rest")]
 #[path = "../support/process.rs"]
 mod process;
 #[path = "../support/raw.rs"]
 mod raw;
 #[path = "../support/relay.rs"]
 mod relay;
-#[path = "../support/usage.rs"]
-mod usage;
 
 mod end_to_end;
 mod kept_connections;
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -250,7 +250,7 @@
         }
         // The connection stays open on this side.
         loop {
-            sleep(Duration::from_secs(3600)).await;
+            sleep(Duration::from_hours(1)).await;
         }
     }
 
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -15,9 +15,9 @@
 use tokio::sync::{Semaphore, SemaphorePermit};
 
 use crate::caller::{Call, Caller};
+use crate::machine_limits::MachineLimits;
 use crate::process::{Process, wait_for};
 use crate::relay::{Link, Relay};
-use crate::usage::MachineLimits;
 
 const KINGCUPD: &str = env!("CARGO_BIN_EXE_kingcupd");
 const STANDIN: &str = env!("CARGO_BIN_EXE_kingcup-standin");
--- a/tests/support/usage.rs
+++ b/tests/support/usage.rs
@@ -19,28 +19,6 @@
 /// State of a listening socket in the kernel's table of connections.
 const LISTENING: &str = "0A";
 
-/// Limits of a process: those of the machine that it runs on.
-#[derive(Debug, Clone, Copy)]
-pub struct MachineLimits {
-    /// Memory for data in KiB.
-    pub memory_kib: u64,
-    /// Open descriptors.
-    pub descriptors: u64,
-}
-
-impl MachineLimits {
-    /// Program and arguments that run a program within the limits, under the same process id.
-    pub fn wrap<'a>(&self, program: &'a str, args: &[&'a str]) -> (&'static str, Vec<String>) {
-        let script = format!(
-            "ulimit -d {} && ulimit -n {} && exec \"$0\" \"$@\"",
-            self.memory_kib, self.descriptors
-        );
-        let mut wrapped = vec!["-c".to_owned(), script, program.to_owned()];
-        wrapped.extend(args.iter().map(ToString::to_string));
-        ("sh", wrapped)
-    }
-}
-
 /// Highest usage of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Peak {
