Limit what connections of callers take of descriptors and memory

Clients that connect and say nothing, or the beginning of a head or a body, took all descriptors: the instance logged peer_unreachable "Too many open files", dialled no replica and no store, and its ordinary callers waited until the crowd left. Heads that never ended, and the read buffers and request states of many connections, ended the process.

A quarter of the sockets is kept for peers, replicas and the store. At the limit, the connection without progress for longest is closed, those that never carried a request first; one with a complete request never. A head has the table's header timeout from its first byte, large heads count in the account of memory, an answer that nobody reads for 30 s ends its connection, the receive buffer of the kernel is 16 KB, and an idle connection has no room for a request's state. Metrics and log lines tell what is held, refused and closed.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -64,6 +64,8 @@
     replica_crashes: IntCounter,
     /// Replicas whose directory entry expired although they had not announced their departure.
     expired_replicas: IntCounter,
+    /// Connections of callers that were closed early, by reason.
+    closed_connections: IntCounterVec,
     /// Memory held for callers and the most that may be held, in bytes.
     caller_memory: GaugeVec,
     /// Requests refused for want of memory, by whether they gave way or nothing gave way to them.
@@ -114,6 +116,12 @@
                 "Requests by outcome",
                 "outcome",
             ),
+            closed_connections: counters(
+                &registry,
+                "kingcup_connections_closed_total",
+                "Connections of callers that were closed early, by reason",
+                "reason",
+            ),
             caller_memory: gauges(
                 &registry,
                 "kingcup_caller_memory_bytes",
@@ -226,6 +234,11 @@
         self.outcomes.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a connection of a caller that was closed early.
+    pub fn count_closed_connection(&self, reason: &'static str) {
+        self.closed_connections.with_label_values(&[reason]).inc();
+    }
+
     /// Counts a statement of a replica about itself.
     pub fn count_statement(&self, kind: &'static str) {
         self.statements.with_label_values(&[kind]).inc();
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -30,6 +30,7 @@
 
 use crate::adapter::{DirectoryClient, ProtocolAdapter};
 use crate::bulk::BulkSender;
+use crate::caller_connections::{CallerConnections, max_connections};
 use crate::clock::SuspendDetector;
 use crate::crash_watch::CrashWatch;
 use crate::credit;
@@ -148,6 +149,8 @@
     pub active_requests: Cell<usize>,
     /// Memory that is held for callers.
     pub caller_memory: Account,
+    /// Open connections of callers.
+    pub caller_connections: CallerConnections,
     /// Requests refused for want of memory, as they were logged last.
     logged_refusals: Cell<Refused>,
     /// Number of open caller connections, from their acceptance until all is written.
@@ -248,6 +251,7 @@
             response_deadline: Cell::new(None),
             active_requests: Cell::new(0),
             caller_memory: Account::new(machine.caller_bytes()),
+            caller_connections: CallerConnections::new(max_connections(machine)),
             logged_refusals: Cell::default(),
             open_connections: watch::Sender::new(0),
             accepted_requests: Cell::new(0),
--- a/crates/entry/src/node/caller_limits.rs
+++ b/crates/entry/src/node/caller_limits.rs
@@ -10,9 +10,11 @@
         self.log.line(
             Priority::State,
             format_args!(
-                "event=caller_limits memory_bytes={} for_callers_bytes={}",
+                "event=caller_limits memory_bytes={} for_callers_bytes={} descriptors={} connections={}",
                 machine.memory_bytes,
                 self.caller_memory.limit(),
+                machine.descriptors,
+                self.caller_connections.max(),
             ),
         );
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,13 +1,15 @@
 //! HTTP servers for callers, for the load balancer's readiness checks and for peers.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -17,8 +19,11 @@
 
 use crate::accept_queue::AcceptQueue;
 use crate::bulk::PeerBody;
+use crate::caller_connections::CallerConnection;
+use crate::caller_io::CallerIo;
 use crate::log::Priority;
 use crate::node::{Node, ProcessState};
+use crate::relay::{ResponseBody, StreamBroken};
 use crate::request;
 use crate::snapshot::{
     self, LARGE_ENTRIES_PATH, LargeEntries, SNAPSHOT_PATH, Snapshot, SnapshotQuery,
@@ -38,6 +43,9 @@
 /// Size limit in bytes of a request head while no table has been received.
 const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
 
+/// Bytes of a head beside its header fields.
+const START_LINE_BYTES: usize = 2 * 1024;
+
 /// Smallest size limit in bytes of a request head.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 
@@ -46,18 +54,27 @@
 
 /// Counts an open connection of a caller until all its data is written.
 #[derive(Debug)]
-struct ConnectionGuard(Rc<Node>);
+struct ConnectionGuard {
+    node: Rc<Node>,
+    connection: Rc<CallerConnection>,
+}
 
 impl ConnectionGuard {
     fn new(node: &Rc<Node>) -> Self {
         node.open_connections.send_modify(|open| *open += 1);
-        Self(Rc::clone(node))
+        Self {
+            node: Rc::clone(node),
+            connection: node.caller_connections.add(),
+        }
     }
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        self.0.open_connections.send_modify(|open| *open -= 1);
+        let node = &self.node;
+        node.caller_connections
+            .remove(&self.connection, &node.metrics);
+        node.open_connections.send_modify(|open| *open -= 1);
     }
 }
 
@@ -79,6 +96,13 @@
 async fn accept_callers(node: Rc<Node>, listener: Rc<TcpListener>) {
     let mut stage = node.process_state.subscribe();
     loop {
+        if !node.caller_connections.make_room() {
+            // Those that wait are accepted as soon as another connection has ended.
+            tokio::select! {
+                () = sleep(ACCEPT_RETRY_DELAY) => continue,
+                _ = stage.wait_for(|stage| *stage >= ProcessState::Shut) => return,
+            }
+        }
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => spawn_connection(&node, stream),
@@ -110,14 +134,14 @@
 fn spawn_connection(node: &Rc<Node>, stream: TcpStream) {
     let guard = ConnectionGuard::new(node);
     tasks::spawn(node, "connection", |node| async move {
-        serve_connection(node, stream).await;
+        serve_connection(node, &guard.connection, stream).await;
         drop(guard);
     });
 }
 
 /// Serves the requests of one connection. Once the instance is closing, the connection ends after its
 /// current request.
-async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
+async fn serve_connection(node: Rc<Node>, caller: &Rc<CallerConnection>, stream: TcpStream) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -126,16 +150,23 @@
     let late = node.process_state() >= ProcessState::Closing;
     let limits = node.table().map(|t| t.limits);
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout.max(l.head_timeout));
+    let head_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.head_timeout);
     let head_bytes = limits
         .map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes)
         .max(MIN_HEAD_BYTES);
     let service = {
-        let node = Rc::clone(&node);
+        let (node, caller) = (Rc::clone(&node), Rc::clone(caller));
         service_fn(move |req| {
-            let node = Rc::clone(&node);
-            async move { Ok::<_, Infallible>(request::serve(node, req).await) }
+            let (node, caller) = (Rc::clone(&node), Rc::clone(&caller));
+            // An idle connection has no room for a request's state.
+            Box::pin(async move {
+                let response = request::serve(node, &caller, req).await;
+                Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, caller)))
+            })
         })
     };
+    let account = node.caller_memory.clone();
+    let stream = CallerIo::new(stream, Rc::clone(caller), account, head_timeout);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(if late {
@@ -144,7 +175,7 @@
             idle_timeout
         })
         .keep_alive(!late)
-        .max_buf_size(head_bytes * 2)
+        .max_buf_size(head_bytes + START_LINE_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     if !late {
@@ -152,6 +183,11 @@
             biased;
             // An error means that the caller disconnected or sent no valid request.
             _ = connection.as_mut() => return,
+            _ = caller.closing() => {
+                if caller.is_between_requests() {
+                    return;
+                }
+            }
             _ = stage.wait_for(|stage| *stage >= ProcessState::Closing) => {}
         }
         connection.as_mut().graceful_shutdown();
@@ -159,6 +195,45 @@
     let _ = connection.await;
 }
 
+/// Body of a response that tells its connection when it was passed on completely.
+#[derive(Debug)]
+struct TrackedBody {
+    body: ResponseBody,
+    caller: Rc<CallerConnection>,
+}
+
+impl TrackedBody {
+    fn new(body: ResponseBody, caller: Rc<CallerConnection>) -> Self {
+        Self { body, caller }
+    }
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        self.caller.on_response_end();
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = StreamBroken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Serves the load balancer's readiness checks: 200 if ready, 503 otherwise.
 pub async fn serve_readiness(node: Rc<Node>, listener: Rc<TcpListener>) {
     serve_with(node, listener, async |node: Rc<Node>, _| {
