Move callers' connections to the crate of transfers

Both programs' servers need them: the list of connections, the stream that counts what arrives, and the number that a machine bears. They are shared between threads now, and a connection may carry several requests at a time. No behaviour of the platform's program changes.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,8 +8,6 @@
 pub mod admission;
 pub mod age;
 pub mod bulk;
-pub mod caller_connections;
-pub mod caller_io;
 pub mod clock;
 pub mod crash_watch;
 pub mod credit;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -25,12 +25,12 @@
 use kingcupfield_decisions::stream_records::StreamRecords;
 use kingcupfield_decisions::upstream_retries::UpstreamRetryBudget;
 use kingcupfield_transfer::account::{Account, Refused};
+use kingcupfield_transfer::connections::CallerConnections;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
 use crate::adapter::{DirectoryClient, ProtocolAdapter};
 use crate::bulk::BulkSender;
-use crate::caller_connections::{CallerConnections, max_connections};
 use crate::clock::SuspendDetector;
 use crate::crash_watch::CrashWatch;
 use crate::credit;
@@ -251,7 +251,7 @@
             response_deadline: Cell::new(None),
             active_requests: Cell::new(0),
             caller_memory: Account::new(machine.caller_bytes()),
-            caller_connections: CallerConnections::new(max_connections(machine)),
+            caller_connections: CallerConnections::new(machine.caller_connections()),
             logged_refusals: Cell::default(),
             open_connections: watch::Sender::new(0),
             accepted_requests: Cell::new(0),
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -21,11 +21,11 @@
 use kingcupfield_decisions::software_versions::StreamOrigin;
 use kingcupfield_transfer::account::Claim;
 use kingcupfield_transfer::caller_body::CallerBody;
+use kingcupfield_transfer::connections::RequestInProgress;
 use tokio::time::Instant;
 
 use crate::adapter::RequestMeta;
 use crate::admission::{charge, out_of_memory_refusal, pick_service, read_body, resolve};
-use crate::caller_connections::CallerConnection;
 use crate::crash_watch::{self, BrokenRequest};
 use crate::credit::{self, CreditGrant};
 use crate::expiry::{Expiry, wait_for_expiry};
@@ -92,7 +92,7 @@
 /// Handles one request of a caller, from its head to the head of the response.
 pub async fn serve(
     node: Rc<Node>,
-    connection: &CallerConnection,
+    progress: &mut RequestInProgress,
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     node.active_requests.set(node.active_requests.get() + 1);
@@ -101,13 +101,12 @@
     let received = Instant::now();
     let (head, body) = req.into_parts();
     let meta = node.protocol.parse_request(&head);
-    connection.on_head();
     let body = tokio::select! {
         body = read_body(&node, &head, &meta, body) => body,
-        _ = connection.closing() => Err(unavailable("too many connections, and the body arrives too slowly")),
+        () = progress.closing() => Err(unavailable("too many connections, and the body arrives too slowly")),
         () = node.response_deadline_reached() => Err(unavailable("this instance shuts down before the body is complete")),
     };
-    connection.on_request();
+    progress.on_arrived();
     let result = match body {
         Ok(body) => {
             // While the body arrives, the request takes no memory for what follows.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -13,14 +14,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use kingcupfield_transfer::caller_io::CallerIo;
+use kingcupfield_transfer::connections::{CallerConnection, RequestInProgress};
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
 use crate::accept_queue::AcceptQueue;
 use crate::bulk::PeerBody;
-use crate::caller_connections::CallerConnection;
-use crate::caller_io::CallerIo;
 use crate::log::Priority;
 use crate::node::{Node, ProcessState};
 use crate::relay::{ResponseBody, StreamBroken};
@@ -56,7 +57,7 @@
 #[derive(Debug)]
 struct ConnectionGuard {
     node: Rc<Node>,
-    connection: Rc<CallerConnection>,
+    connection: Arc<CallerConnection>,
 }
 
 impl ConnectionGuard {
@@ -72,8 +73,9 @@
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         let node = &self.node;
-        node.caller_connections
-            .remove(&self.connection, &node.metrics);
+        if let Some(reason) = node.caller_connections.remove(&self.connection) {
+            node.metrics.count_closed_connection(reason.as_str());
+        }
         node.open_connections.send_modify(|open| *open -= 1);
     }
 }
@@ -141,7 +143,7 @@
 
 /// Serves the requests of one connection. Once the instance is closing, the connection ends after its
 /// current request.
-async fn serve_connection(node: Rc<Node>, caller: &Rc<CallerConnection>, stream: TcpStream) {
+async fn serve_connection(node: Rc<Node>, caller: &Arc<CallerConnection>, stream: TcpStream) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -155,18 +157,19 @@
         .map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes)
         .max(MIN_HEAD_BYTES);
     let service = {
-        let (node, caller) = (Rc::clone(&node), Rc::clone(caller));
+        let (node, caller) = (Rc::clone(&node), Arc::clone(caller));
         service_fn(move |req| {
-            let (node, caller) = (Rc::clone(&node), Rc::clone(&caller));
+            let (node, caller) = (Rc::clone(&node), Arc::clone(&caller));
             // An idle connection has no room for a request's state.
             Box::pin(async move {
-                let response = request::serve(node, &caller, req).await;
-                Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, caller)))
+                let mut progress = caller.begin_request();
+                let response = request::serve(node, &mut progress, req).await;
+                Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, progress)))
             })
         })
     };
     let account = node.caller_memory.clone();
-    let stream = CallerIo::new(stream, Rc::clone(caller), account, head_timeout);
+    let stream = CallerIo::new(stream, Arc::clone(caller), account, head_timeout);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(if late {
@@ -183,7 +186,7 @@
             biased;
             // An error means that the caller disconnected or sent no valid request.
             _ = connection.as_mut() => return,
-            _ = caller.closing() => {
+            () = caller.closing() => {
                 if caller.is_between_requests() {
                     return;
                 }
@@ -195,22 +198,19 @@
     let _ = connection.await;
 }
 
-/// Body of a response that tells its connection when it was passed on completely.
+/// Body of a response, with its request, which is in progress until the body was passed on.
 #[derive(Debug)]
 struct TrackedBody {
     body: ResponseBody,
-    caller: Rc<CallerConnection>,
+    _progress: RequestInProgress,
 }
 
 impl TrackedBody {
-    fn new(body: ResponseBody, caller: Rc<CallerConnection>) -> Self {
-        Self { body, caller }
-    }
-}
-
-impl Drop for TrackedBody {
-    fn drop(&mut self) {
-        self.caller.on_response_end();
+    fn new(body: ResponseBody, progress: RequestInProgress) -> Self {
+        Self {
+            body,
+            _progress: progress,
+        }
     }
 }
 
--- a/crates/entry/src/caller_io.rs
+++ b/crates/transfer/src/caller_io.rs
@@ -3,28 +3,33 @@
 
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use kingcupfield_transfer::account::Account;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
-use crate::caller_connections::{CallerConnection, CloseReason};
+use crate::account::Account;
+use crate::connections::{CallerConnection, CloseReason};
 
 /// Longest time for which a caller may read nothing of an answer that is ready.
 const MAX_UNREAD_TIME: Duration = Duration::from_secs(30);
 
+/// What an HTTP/2 connection begins with.
+const HTTP2_PREFACE: &[u8] = b"PRI ";
+
 /// Stream of a caller's connection.
 #[derive(Debug)]
 pub struct CallerIo {
     stream: TcpStream,
-    connection: Rc<CallerConnection>,
+    connection: Arc<CallerConnection>,
     account: Account,
     /// Longest time from the first byte of a head to its end.
     head_timeout: Duration,
+    /// Whether anything has arrived.
+    has_read: bool,
     /// Runs while a head is incomplete.
     head_deadline: Option<Pin<Box<Sleep>>>,
     /// Runs while the caller does not read.
@@ -35,7 +40,7 @@
     /// Creates a stream that records its progress in `connection` and the memory of heads in `account`.
     pub fn new(
         stream: TcpStream,
-        connection: Rc<CallerConnection>,
+        connection: Arc<CallerConnection>,
         account: Account,
         head_timeout: Duration,
     ) -> Self {
@@ -44,6 +49,7 @@
             connection,
             account,
             head_timeout,
+            has_read: false,
             head_deadline: None,
             write_deadline: None,
         }
@@ -98,8 +104,13 @@
             return Poll::Pending;
         };
         read?;
-        let bytes = buf.filled().len() - before;
-        if bytes > 0 {
+        let read = &buf.filled()[before..];
+        if !read.is_empty() {
+            if !this.has_read && read.starts_with(HTTP2_PREFACE) {
+                this.connection.set_multiplexed();
+            }
+            this.has_read = true;
+            let bytes = read.len();
             let counted = this.connection.on_read(&this.account, bytes);
             counted.map_err(|e| io::Error::new(io::ErrorKind::OutOfMemory, e))?;
         }
--- a/crates/transfer/src/lib.rs
+++ b/crates/transfer/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod account;
 pub mod caller_body;
+pub mod caller_io;
+pub mod connections;
 pub mod machine;
 
 use std::time::Duration;
--- a/crates/transfer/src/machine.rs
+++ b/crates/transfer/src/machine.rs
@@ -9,6 +9,12 @@
 /// open connections and what the kernel has received for them.
 const CALLER_FRACTION: f64 = 0.25;
 
+/// Descriptors that are kept for files, but at most an eighth of all.
+const FILE_DESCRIPTORS: u64 = 200;
+
+/// Fraction of the sockets that is kept for peers, upstreams and the store.
+const OWN_SOCKETS_FRACTION: f64 = 0.25;
+
 /// Limits of the machine or of the process, whichever are lower.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Machine {
@@ -25,6 +31,13 @@
 };
 
 impl Machine {
+    /// Number of connections of callers that may be open.
+    pub fn caller_connections(&self) -> usize {
+        let files = FILE_DESCRIPTORS.min(self.descriptors / 8);
+        let sockets = (self.descriptors - files) as f64;
+        (sockets * (1.0 - OWN_SOCKETS_FRACTION)) as usize
+    }
+
     /// Bytes that may be held for callers.
     pub fn caller_bytes(&self) -> usize {
         (self.memory_bytes as f64 * CALLER_FRACTION) as usize
