Hold bodies and connections of the own interface within the machine's limits

The same crowds ended kingcupd: it checked the key first, but then collected each body with no sum over requests, and a chunk of one byte took tens of bytes. Connections that sent nothing held their descriptors for ever.

Bodies count in one account of memory, a quarter of the machine's (memory_mb, max_descriptors of the settings, or what the process reads). A completion's body is written anew before it is sent; the copy counts, and the first one is dropped. Large bodies are parsed one at a time, as a parsed body takes several times its size. At the limit of connections the one without progress for longest is closed. Of a body that is announced with more than 8 MiB nothing is read.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -92,7 +92,7 @@
 /// Handles one request of a caller, from its head to the head of the response.
 pub async fn serve(
     node: Rc<Node>,
-    progress: &mut RequestInProgress,
+    progress: &RequestInProgress,
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     node.active_requests.set(node.active_requests.get() + 1);
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -162,8 +162,8 @@
             let (node, caller) = (Rc::clone(&node), Arc::clone(&caller));
             // An idle connection has no room for a request's state.
             Box::pin(async move {
-                let mut progress = caller.begin_request();
-                let response = request::serve(node, &mut progress, req).await;
+                let progress = caller.begin_request();
+                let response = request::serve(node, &progress, req).await;
                 Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, progress)))
             })
         })
--- a/crates/transfer/src/account.rs
+++ b/crates/transfer/src/account.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use bytes::Bytes;
 use kingcupfield_decisions::caller_memory::{CallerMemory, EntryId, OutOfMemory};
 use kingcupfield_decisions::id::Rank;
 use tokio::sync::watch;
@@ -52,6 +53,17 @@
         }
     }
 
+    /// Makes bytes that count until their last copy is dropped, also beyond the limit. They give way to nothing.
+    pub fn hold_bytes(&self, data: Vec<u8>) -> Bytes {
+        let hold = self.open(Rank::MIN);
+        {
+            let mut state = self.lock();
+            state.memory.on_send(hold.id);
+            state.memory.force(hold.id, data.capacity());
+        }
+        hold.into_bytes(data)
+    }
+
     /// Bytes that are held.
     pub fn held(&self) -> usize {
         self.lock().memory.held()
@@ -114,11 +126,6 @@
         }
     }
 
-    /// Counts `bytes` more, also beyond the limit: they are held already.
-    pub fn force(&self, bytes: usize) {
-        self.account.lock().memory.force(self.id, bytes);
-    }
-
     /// Counts `bytes` fewer.
     pub fn shrink(&self, bytes: usize) {
         self.account.lock().memory.shrink(self.id, bytes);
@@ -134,6 +141,11 @@
         self.account.lock().memory.on_complete(self.id);
     }
 
+    /// Makes bytes that count until their last copy is dropped; their memory is counted already.
+    pub(crate) fn into_bytes(self, data: Vec<u8>) -> Bytes {
+        Bytes::from_owner(HeldBytes { data, _hold: self })
+    }
+
     /// A view of the entry for what decides whether the request is sent.
     pub fn claim(&self) -> Claim {
         Claim {
@@ -162,6 +174,18 @@
     }
 }
 
+/// Memory that counts in an account.
+struct HeldBytes {
+    data: Vec<u8>,
+    _hold: Hold,
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
 /// The right of a request to be sent, unless it gives way before. Its bytes may be dropped earlier or later.
 #[derive(Debug, Clone)]
 pub struct Claim {
--- a/crates/transfer/src/caller_body.rs
+++ b/crates/transfer/src/caller_body.rs
@@ -76,18 +76,6 @@
     pub claim: Claim,
 }
 
-/// Memory that counts in an account.
-struct HeldBytes {
-    data: Vec<u8>,
-    _hold: Hold,
-}
-
-impl AsRef<[u8]> for HeldBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.data
-    }
-}
-
 /// Receives a body. Chunks are copied together as they come, so that small ones cost no more than their bytes.
 pub async fn receive<B>(
     body: &mut B,
@@ -109,7 +97,7 @@
     hold.shrink(BUFFER_BYTES);
     hold.on_complete();
     let claim = hold.claim();
-    let bytes = Bytes::from_owner(HeldBytes { data, _hold: hold });
+    let bytes = hold.into_bytes(data);
     Ok(CallerBody { bytes, claim })
 }
 
--- a/crates/transfer/src/connections.rs
+++ b/crates/transfer/src/connections.rs
@@ -3,6 +3,7 @@
 //! Load pattern: clients that open connections and send nothing, or the beginning of a head or a body. Each
 //! takes a descriptor and some memory, and without a limit none is left for peers, replicas and the store.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -130,7 +131,7 @@
         drop(hold);
         RequestInProgress {
             connection: Arc::clone(self),
-            is_arriving: true,
+            is_arriving: AtomicBool::new(true),
         }
     }
 
@@ -191,13 +192,13 @@
 pub struct RequestInProgress {
     connection: Arc<CallerConnection>,
     /// Whether its body arrives.
-    is_arriving: bool,
+    is_arriving: AtomicBool,
 }
 
 impl RequestInProgress {
     /// Notes that the request has arrived completely, or that its body is not needed.
-    pub fn on_arrived(&mut self) {
-        if !std::mem::take(&mut self.is_arriving) {
+    pub fn on_arrived(&self) {
+        if !self.is_arriving.swap(false, Ordering::Relaxed) {
             return;
         }
         let mut progress = self.connection.progress();
@@ -216,7 +217,7 @@
     fn drop(&mut self) {
         let mut progress = self.connection.progress();
         progress.at = Instant::now();
-        if self.is_arriving {
+        if *self.is_arriving.get_mut() {
             progress.arriving -= 1;
         } else {
             progress.serving -= 1;
--- a/examples/capacity/zone.rs
+++ b/examples/capacity/zone.rs
@@ -378,6 +378,8 @@
         platform: vec![platform],
         peers: Vec::new(),
         key_secret_file: secret,
+        memory_mb: None,
+        max_descriptors: None,
         log: LogSettings::default(),
     })
 }
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -15,7 +15,7 @@
 use kingcupfield_decisions::values::ServiceKind;
 use kingcupfield_decisions::work::Work;
 use serde_json::{Value, json};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
 use crate::attempt::{self, HeadSender, Job, Sent, Unsent};
@@ -40,6 +40,12 @@
 /// Of an error answer's body this much is passed on.
 const ERROR_LIMIT: usize = 2048;
 
+/// Size in bytes from which a body counts as large.
+const LARGE_BODY_BYTES: usize = 64 * 1024;
+
+/// Held while a large body is parsed.
+static PARSE_TURN: Semaphore = Semaphore::const_new(1);
+
 type Chunks = mpsc::Sender<Result<Bytes, Broken>>;
 
 /// A completion on its way.
@@ -60,7 +66,16 @@
     body: Bytes,
 ) -> Response {
     let received = Instant::now();
-    match receive(&shared, &id, path, &headers, &body, received) {
+    let parsed = {
+        // A parsed body takes several times its size, so that large ones are parsed one at a time.
+        let _turn = match body.len() {
+            LARGE_BODY_BYTES.. => PARSE_TURN.acquire().await.ok(),
+            _ => None,
+        };
+        receive(&shared, &id, path, &headers, &body, received)
+    };
+    drop(body);
+    match parsed {
         Err(refusal) => reply::refused(&id, &refusal),
         Ok((completion, request)) => {
             let (tx, rx) = oneshot::channel();
@@ -95,7 +110,7 @@
         })?;
     let meta = Meta::new(id, &caller, service.service.clone(), received);
     value["stream"] = json!(true);
-    let body = Bytes::from(value.to_string());
+    let body = shared.memory.hold_bytes(value.to_string().into_bytes());
     let request = Request::new(meta, shared.records.clone(), shared.metrics.clone());
     Ok((
         Completion {
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -228,6 +228,8 @@
         platform: vec![platform],
         peers: Vec::new(),
         key_secret_file,
+        memory_mb: None,
+        max_descriptors: None,
         log: LogSettings { level: Level::Warn },
     }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,21 +1,26 @@
 //! The callers' HTTP: routes, limits on every input, and answers for what no handler sees.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use axum::Router;
-use axum::body::Body;
+use axum::body::{Body, HttpBody};
 use axum::extract::{DefaultBodyLimit, Path, Request, State};
 use axum::http::header::{AUTHORIZATION, CONNECTION};
+use axum::http::request::Parts;
 use axum::http::{HeaderMap, HeaderValue, Method, Uri, Version};
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::Response;
 use axum::routing::{any, get, post};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
+use kingcupfield_decisions::id::Rank;
 use kingcupfield_decisions::idempotency::KEY_LIFETIME;
+use kingcupfield_transfer::caller_body::{self, BodyError, BodyLimits};
+use kingcupfield_transfer::connections::RequestInProgress;
 use serde_json::json;
 
-use crate::caller::authenticate;
+use crate::caller::{Caller, authenticate};
 use crate::completion;
 use crate::error::{Refusal, RefusalKind};
 use crate::issue;
@@ -74,7 +79,7 @@
     let path = req.uri().path().to_owned();
     let (parts, body) = req.into_parts();
     let id = shared.next_request();
-    match authenticated_body(&shared, &parts.headers, body).await {
+    match authenticated_body(&shared, &parts, body).await {
         Ok(body) => completion::handle(shared, id, path, parts.headers, body).await,
         Err(refusal) => refused(&id, &refusal),
     }
@@ -87,7 +92,7 @@
 ) -> Response {
     let (parts, body) = req.into_parts();
     let id = shared.next_request();
-    let body = match authenticated_body(&shared, &parts.headers, body).await {
+    let body = match authenticated_body(&shared, &parts, body).await {
         Ok(body) => body,
         Err(refusal) => return refused(&id, &refusal),
     };
@@ -180,35 +185,56 @@
 /// Reads the body only of callers that the table knows, so that strangers cost no memory.
 async fn authenticated_body(
     shared: &Shared,
-    headers: &HeaderMap,
-    body: Body,
+    parts: &Parts,
+    mut body: Body,
 ) -> Result<Bytes, Refusal> {
-    authenticate(headers, &shared.fleet.snapshot())?;
-    read_body(body).await
+    let snapshot = shared.fleet.snapshot();
+    authenticate(&parts.headers, &snapshot)?;
+    let rank = Caller::from_headers(&parts.headers, &snapshot).map_or(Rank::MAX, |c| c.tier.rank);
+    let hold = shared.memory.open(rank);
+    let limits = BodyLimits::new(BODY_LIMIT, BODY_TIMEOUT);
+    let received = tokio::select! {
+        received = caller_body::receive(&mut body, limits, hold) => received,
+        () = connection_closing(parts) => Err(BodyError::Evicted),
+    };
+    match received {
+        Ok(received) if received.claim.on_send() => Ok(received.bytes),
+        Ok(_) => Err(body_refusal(&BodyError::Evicted)),
+        Err(e) => {
+            if matches!(e, BodyError::TooLarge { .. }) {
+                discard(&mut body).await;
+            }
+            Err(body_refusal(&e))
+        }
+    }
 }
 
-async fn read_body(mut body: Body) -> Result<Bytes, Refusal> {
-    let read = Limited::new(&mut body, BODY_LIMIT).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, read).await {
-        Err(_) => {
-            Err(Refusal::new(RefusalKind::BadRequest)
-                .with_message("the body did not arrive in time"))
-        }
-        Ok(Ok(read)) => Ok(read.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            discard(&mut body).await;
-            let message = format!("the body is larger than {BODY_LIMIT} bytes");
-            Err(Refusal::new(RefusalKind::TooLarge).with_message(message))
-        }
-        Ok(Err(e)) => Err(Refusal::new(RefusalKind::BadRequest).with_message(format!("body: {e}"))),
+/// Completes when the connection of a request is to be closed.
+async fn connection_closing(parts: &Parts) {
+    match parts.extensions.get::<Arc<RequestInProgress>>() {
+        Some(progress) => progress.closing().await,
+        None => std::future::pending().await,
     }
 }
 
+fn body_refusal(e: &BodyError) -> Refusal {
+    let kind = match e {
+        BodyError::TooLarge { .. } => RefusalKind::TooLarge,
+        BodyError::TimedOut | BodyError::Broken(_) => RefusalKind::BadRequest,
+        BodyError::OutOfMemory(_) | BodyError::Evicted => RefusalKind::Unavailable,
+    };
+    Refusal::new(kind).with_message(e.to_string())
+}
+
 /// Reads the rest of a body that is refused for its size.
 ///
 /// A connection that closes while its caller is still sending is reset, and the caller may see
 /// the reset in place of the refusal; so what is already on its way is taken first.
 async fn discard(body: &mut Body) {
+    // The connection of a body that is larger than what is dropped is cut off in any case.
+    if body.size_hint().lower() > DISCARD_LIMIT as u64 {
+        return;
+    }
     let rest = async {
         let mut left = DISCARD_LIMIT;
         while let Some(Ok(frame)) = body.frame().await {
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use kingcupfield_transfer::account::{Account, Refused};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{interval, sleep};
 
 use crate::admin::{self, Admin};
 use crate::error::{Error, Result};
@@ -16,6 +17,7 @@
 use crate::issue;
 use crate::kernel::Kernel;
 use crate::logging::quote_value;
+use crate::metrics::Metrics;
 use crate::peer_server::PeerServer;
 use crate::peers::{PeerToken, Peers};
 use crate::server::Server;
@@ -30,6 +32,9 @@
 /// firms check readiness every second and need two misses.
 const LINGER: Duration = Duration::from_secs(3);
 
+/// Interval at which the memory held for callers is looked at.
+const MEMORY_WATCH_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A running entry instance.
 #[derive(Debug)]
 pub struct Instance {
@@ -44,8 +49,8 @@
 impl Instance {
     /// Starts an instance; it serves when this returns, and is ready when `/readyz` says so.
     pub async fn start(cfg: &Settings) -> Result<Self> {
-        let callers = Server::bind(cfg.listen).await?;
-        let operators = Server::bind(cfg.admin_listen).await?;
+        let callers = Server::bind(cfg.listen)?;
+        let operators = Server::bind(cfg.admin_listen)?;
         let token = PeerToken::new(&cfg.secret()?);
         let mut kernel = Kernel::new();
         let Services {
@@ -64,6 +69,16 @@
         let (listen, admin_listen, rpc_listen) =
             (callers.local(), operators.local(), server.local());
         let stop = Stop::new();
+        let machine = cfg.machine();
+        log::info!(
+            "event=caller_limits memory_bytes={} for_callers_bytes={} descriptors={} connections={}",
+            machine.memory_bytes,
+            shared.memory.limit(),
+            machine.descriptors,
+            machine.caller_connections()
+        );
+        let callers = callers.with_limits(machine, shared.memory.clone());
+        tokio::spawn(watch_memory(shared.memory.clone(), shared.metrics.clone()));
         let callers = tokio::spawn(callers.run(gateway::router(shared.clone()), stop.callers()));
         let operators = tokio::spawn(operators.run(admin::router(admin), stop.operators()));
         let life = Life {
@@ -127,6 +142,27 @@
     }
 }
 
+/// Logs how many requests were refused for want of memory, at most once a second, and updates the metrics.
+async fn watch_memory(memory: Account, metrics: Metrics) {
+    let mut before = Refused::default();
+    let mut ticks = interval(MEMORY_WATCH_INTERVAL);
+    loop {
+        ticks.tick().await;
+        metrics.set_caller_memory(&memory);
+        let refused = memory.refused();
+        if refused != before {
+            log::warn!(
+                "event=caller_memory_short evicted={} denied={} held_bytes={} limit_bytes={}",
+                refused.evicted - before.evicted,
+                refused.denied - before.denied,
+                memory.held(),
+                memory.limit()
+            );
+            before = refused;
+        }
+    }
+}
+
 /// Tells the servers to stop, callers first, operators last.
 #[derive(Debug)]
 struct Stop {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use kingcupfield_transfer::account::Account;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histogram buckets in seconds, from the time of a status check to the
@@ -37,6 +38,10 @@
     pub peer_bytes: IntCounterVec,
     /// Number of calls to the platform, by result.
     pub platform_calls: IntCounterVec,
+    /// Bytes of memory for callers: held, and the most that may be held.
+    pub caller_memory: IntGaugeVec,
+    /// Number of requests refused for want of memory: evicted, denied.
+    pub refused_for_memory: IntGaugeVec,
     /// Number of published configuration values refused, by value name.
     pub refused_values: IntCounterVec,
 }
@@ -104,6 +109,18 @@
                 "Calls to the platform.",
                 &["result"],
             ),
+            caller_memory: register_gauge_vec(
+                &registry,
+                "kingcup_caller_memory_bytes",
+                "Memory for callers: held, and the most that may be held.",
+                &["of"],
+            ),
+            refused_for_memory: register_gauge_vec(
+                &registry,
+                "kingcup_refused_for_memory",
+                "Requests refused for want of memory since the start.",
+                &["how"],
+            ),
             refused_values: register_counter_vec(
                 &registry,
                 "kingcup_values_refused_total",
@@ -124,6 +141,21 @@
         }
     }
 
+    /// Sets the gauges of the memory for callers.
+    pub fn set_caller_memory(&self, memory: &Account) {
+        let refused = memory.refused();
+        let (held, limit) = (memory.held() as u64, memory.limit() as u64);
+        for (of, bytes) in [("held", held), ("limit", limit)] {
+            self.caller_memory
+                .with_label_values(&[of])
+                .set(bytes.cast_signed());
+        }
+        for (how, count) in [("evicted", refused.evicted), ("denied", refused.denied)] {
+            let gauge = self.refused_for_memory.with_label_values(&[how]);
+            gauge.set(count.cast_signed());
+        }
+    }
+
     /// Records a duration in seconds for a tier.
     pub fn observe(histogram: &HistogramVec, tier: &str, elapsed: Duration) {
         histogram
@@ -138,6 +170,15 @@
     }
 }
 
+fn register_gauge_vec(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    let metric =
+        IntGaugeVec::new(Opts::new(name, help), labels).expect("valid metric name and labels");
+    registry
+        .register(Box::new(metric.clone()))
+        .expect("each name is registered once");
+    metric
+}
+
 fn register_counter_vec(
     registry: &Registry,
     name: &str,
--- a/src/server.rs
+++ b/src/server.rs
@@ -9,11 +9,16 @@
 
 use axum::Router;
 use axum::body::Body;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use kingcupfield_entry::accept_queue::AcceptQueue;
-use tokio::net::{TcpListener, TcpStream};
+use kingcupfield_transfer::account::Account;
+use kingcupfield_transfer::caller_io::CallerIo;
+use kingcupfield_transfer::connections::{CallerConnection, CallerConnections, RequestInProgress};
+use kingcupfield_transfer::machine::Machine;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::sleep;
 use tower::ServiceExt;
@@ -33,9 +38,15 @@
 /// Concurrent streams of one h2c connection.
 const MAX_STREAMS: u32 = 256;
 
-/// Connections at a time; more wait in the listen queue.
+/// Most connections at a time, on any machine; more wait in the listen queue.
 pub const MAX_CONNECTIONS: usize = 4096;
 
+/// Bytes that the kernel buffers for each connection before they are read; it doubles the number for its own use.
+const RECEIVE_BUFFER_BYTES: u32 = 32 * 1024;
+
+/// Connections that wait to be accepted.
+const ACCEPT_QUEUE_LENGTH: u32 = 1024;
+
 /// Pause after a failed accept, e.g. for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -44,15 +55,45 @@
 pub struct Server {
     listener: TcpListener,
     local: SocketAddr,
+    limits: Limits,
+}
+
+/// What all connections together may take.
+#[derive(Debug, Clone)]
+struct Limits {
+    connections: Arc<CallerConnections>,
+    memory: Account,
+}
+
+impl Limits {
+    fn new(machine: Machine, memory: Account) -> Self {
+        let max = machine.caller_connections().min(MAX_CONNECTIONS);
+        Self {
+            connections: Arc::new(CallerConnections::new(max)),
+            memory,
+        }
+    }
 }
 
 impl Server {
     /// Binds `address`.
-    pub async fn bind(address: SocketAddr) -> Result<Self> {
+    pub fn bind(address: SocketAddr) -> Result<Self> {
         let wrap = |e| Error::io(format!("listen on {address}"), e);
-        let listener = TcpListener::bind(address).await.map_err(wrap)?;
+        let listener = listen(address).map_err(wrap)?;
         let local = listener.local_addr().map_err(wrap)?;
-        Ok(Self { listener, local })
+        let machine = Machine::read();
+        let limits = Limits::new(machine, Account::new(machine.caller_bytes()));
+        Ok(Self {
+            listener,
+            local,
+            limits,
+        })
+    }
+
+    /// Sets the machine's limits and the account of the memory for callers.
+    pub fn with_limits(mut self, machine: Machine, memory: Account) -> Self {
+        self.limits = Limits::new(machine, memory);
+        self
     }
 
     /// The address with the port that the system chose.
@@ -62,14 +103,15 @@
 
     /// Serves `router` until `stop` turns true, then until the last connection has ended.
     pub async fn run(self, router: Router, stop: watch::Receiver<bool>) {
-        let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        let max = self.limits.connections.max();
+        let permits = Arc::new(Semaphore::new(max));
         tokio::select! {
             () = self.accept(&router, &permits, &stop) => {}
             () = stopped(stop.clone()) => {}
         }
         self.accept_queued(&router, &permits, &stop).await;
         // Each connection has its permit from when it was accepted, and none comes any more.
-        let all = permits.acquire_many(MAX_CONNECTIONS as u32).await;
+        let all = permits.acquire_many(max as u32).await;
         drop(all.expect("never closed"));
     }
 
@@ -81,10 +123,15 @@
         stop: &watch::Receiver<bool>,
     ) {
         loop {
+            while !self.limits.connections.make_room() {
+                sleep(ACCEPT_PAUSE).await;
+            }
             let permit = permits.clone().acquire_owned().await;
             let permit = permit.expect("never closed");
             match self.listener.accept().await {
-                Ok((socket, _)) => spawn(socket, router.clone(), stop.clone(), permit),
+                Ok((socket, _)) => {
+                    spawn(socket, router.clone(), stop.clone(), &self.limits, permit);
+                }
                 Err(e) => {
                     log::warn!(
                         "event=accept_failed reason={}",
@@ -118,13 +165,13 @@
         stop: &watch::Receiver<bool>,
     ) -> io::Result<()> {
         let queue = AcceptQueue::new(self.listener)?;
-        for _ in 0..MAX_CONNECTIONS {
+        for _ in 0..self.limits.connections.max() {
             let permit = permits.clone().acquire_owned().await;
             let permit = permit.expect("never closed");
             let Some(socket) = queue.next()? else {
                 break;
             };
-            spawn(socket, router.clone(), stop.clone(), permit);
+            spawn(socket, router.clone(), stop.clone(), &self.limits, permit);
         }
         Ok(())
     }
@@ -134,27 +181,50 @@
     socket: TcpStream,
     router: Router,
     stop: watch::Receiver<bool>,
+    limits: &Limits,
     permit: OwnedSemaphorePermit,
 ) {
+    let limits = limits.clone();
     tokio::spawn(async move {
-        serve(socket, router, stop).await;
+        let caller = limits.connections.add();
+        serve(socket, router, stop, &caller, limits.memory).await;
+        if let Some(reason) = limits.connections.remove(&caller) {
+            log::debug!("event=connection_closed reason={}", reason.as_str());
+        }
         drop(permit);
     });
 }
 
 /// Serves one connection to its end, or to its last answer once `stop` turns true.
-async fn serve(socket: TcpStream, router: Router, stop: watch::Receiver<bool>) {
+async fn serve(
+    socket: TcpStream,
+    router: Router,
+    stop: watch::Receiver<bool>,
+    caller: &Arc<CallerConnection>,
+    memory: Account,
+) {
     socket.set_nodelay(true).ok();
-    if !sends(&socket, stop.clone()).await {
+    let has_sent = tokio::select! {
+        has_sent = sends(&socket, stop.clone()) => has_sent,
+        () = caller.closing() => false,
+    };
+    if !has_sent {
         return;
     }
-    let service = hyper::service::service_fn(move |req: hyper::Request<Incoming>| {
+    let requests = Arc::clone(caller);
+    let service = hyper::service::service_fn(move |mut req: hyper::Request<Incoming>| {
         let router = router.clone();
-        async move {
+        let progress = Arc::new(requests.begin_request());
+        req.extensions_mut().insert(Arc::clone(&progress));
+        // An idle connection has no room for a request's state.
+        Box::pin(async move {
             let rsp = router.oneshot(req.map(Body::new)).await;
-            Ok::<_, Infallible>(rsp.unwrap_or_else(|e| match e {}))
-        }
+            progress.on_arrived();
+            let rsp = rsp.unwrap_or_else(|e| match e {});
+            Ok::<_, Infallible>(rsp.map(|body| track(body, progress)))
+        })
     });
+    let socket = CallerIo::new(socket, Arc::clone(caller), memory, HEADER_TIMEOUT);
     let builder = builder();
     let mut connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
     // The connection goes first, so that it takes what has arrived before it is told: it is closed
@@ -162,6 +232,12 @@
     let ended = tokio::select! {
         biased;
         ended = connection.as_mut() => Some(ended),
+        () = caller.closing() => {
+            if caller.is_between_requests() {
+                return;
+            }
+            None
+        }
         () = stopped(stop) => None,
     };
     let ended = if let Some(ended) = ended {
@@ -178,6 +254,27 @@
     }
 }
 
+/// Keeps a request in progress until the body of its response was passed on.
+fn track(body: Body, progress: Arc<RequestInProgress>) -> Body {
+    Body::new(body.map_frame(move |frame| {
+        let _ = &progress;
+        frame
+    }))
+}
+
+/// Listens with small receive buffers: what the kernel has received for a connection counts towards the machine's
+/// memory.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_QUEUE_LENGTH)
+}
+
 fn builder() -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
--- a/src/services.rs
+++ b/src/services.rs
@@ -21,6 +21,7 @@
 use crate::watcher::Watcher;
 use kingcupfield_decisions::configuration::ValueName;
 use kingcupfield_decisions::idempotency::Secret;
+use kingcupfield_transfer::account::Account;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
@@ -95,6 +96,7 @@
         connector,
         rests: Rests::default(),
         records,
+        memory: Account::new(cfg.machine().caller_bytes()),
         metrics,
         counter: Arc::new(AtomicU64::new(1)),
         leaving: Arc::new(AtomicBool::new(false)),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use kingcupfield_decisions::id::{InstanceId, RegionId, ZoneId};
+use kingcupfield_transfer::machine::Machine;
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
@@ -12,6 +13,12 @@
 /// Shortest key secret in bytes; HMAC-SHA256 gains nothing below half its output size.
 const MIN_SECRET: usize = 16;
 
+/// Smallest memory of a machine in MB: an idle instance and the callers' share for a few of the largest bodies.
+const MIN_MEMORY_MB: u64 = 64;
+
+/// Smallest number of descriptors of a process.
+const MIN_DESCRIPTORS: u64 = 256;
+
 /// Settings of `kingcupd`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -38,6 +45,12 @@
     /// Log settings.
     #[serde(default)]
     pub log: LogSettings,
+    /// Memory of the machine in MB; unset: the limit of the process or the machine's memory, whichever is lower.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
+    /// Descriptors that the process may have open; unset: the limit of the process.
+    #[serde(default)]
+    pub max_descriptors: Option<u64>,
 }
 
 /// Settings of the log.
@@ -111,6 +124,17 @@
         Ok(secret.to_vec())
     }
 
+    /// Limits of the machine: those of the settings, or else those that the process can read.
+    pub fn machine(&self) -> Machine {
+        let found = Machine::read();
+        Machine {
+            memory_bytes: self
+                .memory_mb
+                .map_or(found.memory_bytes, |mb| mb.saturating_mul(1_000_000)),
+            descriptors: self.max_descriptors.unwrap_or(found.descriptors),
+        }
+    }
+
     fn check(&self) -> std::result::Result<(), String> {
         let names = [
             ("instance", &self.instance),
@@ -124,6 +148,14 @@
                 ));
             }
         }
+        if self.memory_mb.is_some_and(|mb| mb < MIN_MEMORY_MB) {
+            return Err(format!("memory_mb: at least {MIN_MEMORY_MB} are needed"));
+        }
+        if self.max_descriptors.is_some_and(|n| n < MIN_DESCRIPTORS) {
+            return Err(format!(
+                "max_descriptors: at least {MIN_DESCRIPTORS} are needed"
+            ));
+        }
         if self.platform.is_empty() {
             return Err("platform: at least one address is needed".to_owned());
         }
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use kingcupfield_decisions::id::{Incarnation, InstanceId, RequestId, ZoneId};
+use kingcupfield_transfer::account::Account;
 
 use crate::calls::Calls;
 use crate::connector::Connector;
@@ -43,6 +44,8 @@
     pub rests: Rests,
     /// Lives of requests.
     pub records: Records,
+    /// Memory that is held for callers.
+    pub memory: Account,
     /// Metrics.
     pub metrics: Metrics,
     /// Counts request ids.
--- a/tests/server.rs
+++ b/tests/server.rs
@@ -26,9 +26,9 @@
     tokio::spawn(server.run(router, stop.subscribe()))
 }
 
-async fn bind() -> Server {
+fn bind() -> Server {
     let any = "127.0.0.1:0".parse().expect("an address");
-    Server::bind(any).await.expect("a free port")
+    Server::bind(any).expect("a free port")
 }
 
 async fn in_time<F>(what: &str, future: F) -> F::Output
@@ -54,7 +54,7 @@
 
 #[tokio::test]
 async fn requests_in_the_listen_queue_are_answered() {
-    let server = bind().await;
+    let server = bind();
     let mut sockets = Vec::new();
     for _ in 0..8 {
         let mut socket = TcpStream::connect(server.local()).await.expect("a queue");
@@ -76,7 +76,7 @@
 )]
 #[test_macro(tokio::test)]
 async fn a_request_on_its_way_on_an_accepted_connection_is_answered(sent: usize) {
-    let server = bind().await;
+    let server = bind();
     let mut socket = TcpStream::connect(server.local()).await.expect("a queue");
     let stop = watch::Sender::new(false);
     let ended = run(server, &stop);
@@ -92,7 +92,7 @@
 
 #[tokio::test]
 async fn a_connection_that_sends_nothing_does_not_keep_the_server() {
-    let server = bind().await;
+    let server = bind();
     let _socket = TcpStream::connect(server.local()).await.expect("a queue");
     let stop = watch::Sender::new(false);
     let ended = run(server, &stop);
