--- a/tests/crowds/cases.rs
+++ b/tests/crowds/cases.rs
@@ -11,9 +11,9 @@
 use yare::parameterized;
 
 use crate::caller::Call;
+use crate::crowd::{ChunkedEnd, Crowd, Script};
 use crate::fleet::{Fleet, FleetConfig, MODEL, key_of};
 use crate::machine_limits::MachineLimits;
-use crate::support::crowd::{ChunkedEnd, Crowd, Script};
 use crate::usage::UsageMonitor;
 
 /// Largest body in bytes that an instance accepts.
