Bound connections of callers by memory as well

A connection with a request takes up to 64 KiB of state and buffers, so that those that the descriptors allow were more than a small machine bears: 2,002 on one of 112 MB. Four tenths of the memory are for connections now. The body of a request that is refused by its head is dropped without reading when there is not even room for its buffers.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -49,7 +49,8 @@
         None => Rank::MAX,
         Some(Ok((route, organisation))) => rank(&route, organisation.as_deref()),
         Some(Err(refusal)) => {
-            caller_body::discard(&mut body, limits).await;
+            let hold = node.caller_memory.open(Rank::MAX);
+            caller_body::discard_held(&mut body, limits, hold).await;
             return Err(refusal_by_newest_table(node, head, meta, refusal));
         }
     };
--- a/crates/transfer/src/account.rs
+++ b/crates/transfer/src/account.rs
@@ -155,6 +155,11 @@
         }
     }
 
+    /// Completes when the request gives way to another one.
+    pub async fn evicted(&mut self) {
+        wait_evicted(&mut self.evicted).await;
+    }
+
     /// Turns true if the request gives way, and ends with the entry.
     pub fn subscribe(&self) -> watch::Receiver<bool> {
         self.evicted.clone()
--- a/crates/transfer/src/caller_body.rs
+++ b/crates/transfer/src/caller_body.rs
@@ -101,6 +101,22 @@
     Ok(CallerBody { bytes, claim })
 }
 
+/// Reads the body of a request that is refused already and drops it, unless there is not even memory for the
+/// buffers of its connection.
+pub async fn discard_held<B>(body: &mut B, limits: BodyLimits, mut hold: Hold)
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    if hold.grow(BUFFER_BYTES).is_err() {
+        return;
+    }
+    tokio::select! {
+        biased;
+        () = hold.evicted() => {}
+        () = discard(body, limits) => {}
+    }
+}
+
 /// Reads a body to its end. If memory runs short, the rest is read and dropped.
 async fn read_or_discard<B>(
     body: &mut B,
@@ -174,7 +190,7 @@
 ///
 /// A connection that is closed while its caller still sends is reset, and the caller may see the reset in place
 /// of the response.
-pub async fn discard<B>(body: &mut B, limits: BodyLimits)
+async fn discard<B>(body: &mut B, limits: BodyLimits)
 where
     B: Body<Data = Bytes> + Unpin,
 {
--- a/crates/transfer/src/machine.rs
+++ b/crates/transfer/src/machine.rs
@@ -5,8 +5,7 @@
 /// Bytes in a MiB.
 const MIB: u64 = 1024 * 1024;
 
-/// Fraction of the memory that may be held for callers. The rest is for the program, its directory and table,
-/// open connections and what the kernel has received for them.
+/// Fraction of the memory that may be held for callers' requests.
 const CALLER_FRACTION: f64 = 0.25;
 
 /// Descriptors that are kept for files, but at most an eighth of all.
@@ -15,6 +14,12 @@
 /// Fraction of the sockets that is kept for peers, upstreams and the store.
 const OWN_SOCKETS_FRACTION: f64 = 0.25;
 
+/// Fraction of the memory that open connections of callers may take beside the bodies.
+const CONNECTION_FRACTION: f64 = 0.4;
+
+/// Memory in bytes of a connection with a request: its state, its buffers and what the kernel has received.
+const CONNECTION_BYTES: f64 = 64.0 * 1024.0;
+
 /// Limits of the machine or of the process, whichever are lower.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Machine {
@@ -31,11 +36,13 @@
 };
 
 impl Machine {
-    /// Number of connections of callers that may be open.
+    /// Number of connections of callers that may be open, which both memory and descriptors bound.
     pub fn caller_connections(&self) -> usize {
         let files = FILE_DESCRIPTORS.min(self.descriptors / 8);
         let sockets = (self.descriptors - files) as f64;
-        (sockets * (1.0 - OWN_SOCKETS_FRACTION)) as usize
+        let by_descriptors = sockets * (1.0 - OWN_SOCKETS_FRACTION);
+        let by_memory = self.memory_bytes as f64 * CONNECTION_FRACTION / CONNECTION_BYTES;
+        by_descriptors.min(by_memory) as usize
     }
 
     /// Bytes that may be held for callers.
--- a/crates/transfer/tests/connections.rs
+++ b/crates/transfer/tests/connections.rs
@@ -55,7 +55,12 @@
     let machine = Machine::parse(limits, meminfo);
     assert_eq!(machine.memory_bytes, 50_331_648);
     assert_eq!(machine.descriptors, 4100);
-    assert_eq!(machine.caller_connections(), 2925);
+    assert_eq!(machine.caller_connections(), 307);
+    let large = Machine {
+        memory_bytes: 1 << 32,
+        ..machine
+    };
+    assert_eq!(large.caller_connections(), 2925);
     let unlimited = Machine::parse("", meminfo);
     assert_eq!(unlimited.memory_bytes, 24_641_536 * 1024);
 }
