--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,21 +1,20 @@
 //! HTTP servers for callers, for the load balancer's readiness checks and for peers.
 
 use std::convert::Infallible;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use kingcupfield_transfer::caller_io::CallerIo;
-use kingcupfield_transfer::connections::{CallerConnection, RequestInProgress};
+use kingcupfield_transfer::connections::CallerConnection;
+use kingcupfield_transfer::tracked_body::TrackedBody;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
@@ -24,7 +23,6 @@
 use crate::bulk::PeerBody;
 use crate::log::Priority;
 use crate::node::{Node, ProcessState};
-use crate::relay::{ResponseBody, StreamBroken};
 use crate::request;
 use crate::snapshot::{
     self, LARGE_ENTRIES_PATH, LargeEntries, SNAPSHOT_PATH, Snapshot, SnapshotQuery,
@@ -198,42 +196,6 @@
     let _ = connection.await;
 }
 
-/// Body of a response, with its request, which is in progress until the body was passed on.
-#[derive(Debug)]
-struct TrackedBody {
-    body: ResponseBody,
-    _progress: RequestInProgress,
-}
-
-impl TrackedBody {
-    fn new(body: ResponseBody, progress: RequestInProgress) -> Self {
-        Self {
-            body,
-            _progress: progress,
-        }
-    }
-}
-
-impl Body for TrackedBody {
-    type Data = Bytes;
-    type Error = StreamBroken;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Serves the load balancer's readiness checks: 200 if ready, 503 otherwise.
 pub async fn serve_readiness(node: Rc<Node>, listener: Rc<TcpListener>) {
     serve_with(node, listener, async |node: Rc<Node>, _| {
--- a/crates/transfer/src/lib.rs
+++ b/crates/transfer/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod caller_io;
 pub mod connections;
 pub mod machine;
+pub mod tracked_body;
 
 use std::time::Duration;
 
--- a/src/server.rs
+++ b/src/server.rs
@@ -9,15 +9,15 @@
 
 use axum::Router;
 use axum::body::Body;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use kingcupfield_entry::accept_queue::AcceptQueue;
 use kingcupfield_transfer::account::Account;
 use kingcupfield_transfer::caller_io::CallerIo;
-use kingcupfield_transfer::connections::{CallerConnection, CallerConnections, RequestInProgress};
+use kingcupfield_transfer::connections::{CallerConnection, CallerConnections};
 use kingcupfield_transfer::machine::Machine;
+use kingcupfield_transfer::tracked_body::TrackedBody;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::sleep;
@@ -221,7 +221,7 @@
             let rsp = router.oneshot(req.map(Body::new)).await;
             progress.on_arrived();
             let rsp = rsp.unwrap_or_else(|e| match e {});
-            Ok::<_, Infallible>(rsp.map(|body| track(body, progress)))
+            Ok::<_, Infallible>(rsp.map(|body| TrackedBody::new(body, progress)))
         })
     });
     let socket = CallerIo::new(socket, Arc::clone(caller), memory, HEADER_TIMEOUT);
@@ -254,14 +254,6 @@
     }
 }
 
-/// Keeps a request in progress until the body of its response was passed on.
-fn track(body: Body, progress: Arc<RequestInProgress>) -> Body {
-    Body::new(body.map_frame(move |frame| {
-        let _ = &progress;
-        frame
-    }))
-}
-
 /// Listens with small receive buffers: what the kernel has received for a connection counts towards the machine's
 /// memory.
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
