Receive the largest body for which a small machine has room

Its connection's buffers count as well, and memory for chunks grew to the next power of two, beyond the largest body: on a machine with just room for one body it was refused for ever. The test failed before for both forms.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -60,9 +60,9 @@
 }
 
 /// Size limit in bytes of a body: that of the table, or less on a machine that can't hold such a body.
-pub fn max_body_bytes(node: &Node, table: Option<&Table>) -> usize {
+fn max_body_bytes(node: &Node, table: Option<&Table>) -> usize {
     let max_bytes = table.map_or(DEFAULT_MAX_BODY_BYTES, |t| t.limits.body_bytes);
-    max_bytes.min(node.caller_memory.max_request_bytes())
+    max_bytes.min(node.caller_memory.max_body_bytes())
 }
 
 /// Priority rank of a request. That of its organisation takes precedence over that of its route.
--- a/crates/entry/src/node/caller_limits.rs
+++ b/crates/entry/src/node/caller_limits.rs
@@ -41,7 +41,7 @@
 
     /// Logs that the table allows larger bodies than there is memory for.
     pub(super) fn check_body_limit(&self, body_bytes: usize) {
-        let largest = self.caller_memory.max_request_bytes();
+        let largest = self.caller_memory.max_body_bytes();
         if body_bytes > largest {
             self.log.line(
                 Priority::State,
--- a/crates/transfer/src/account.rs
+++ b/crates/transfer/src/account.rs
@@ -8,6 +8,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::caller_body::BUFFER_BYTES;
+
 /// The account of one process; clones share it.
 #[derive(Debug, Clone)]
 pub struct Account(Arc<Mutex<State>>);
@@ -74,9 +76,10 @@
         self.lock().memory.limit()
     }
 
-    /// Size in bytes of the largest request for which there is memory while nothing else is held.
-    pub fn max_request_bytes(&self) -> usize {
-        self.lock().memory.max_request_bytes()
+    /// Size in bytes of the largest body for which there is memory while nothing else is held.
+    pub fn max_body_bytes(&self) -> usize {
+        let max_bytes = self.lock().memory.max_request_bytes();
+        max_bytes.saturating_sub(BUFFER_BYTES)
     }
 
     /// Numbers of requests that were refused for want of memory, since the start.
--- a/crates/transfer/src/caller_body.rs
+++ b/crates/transfer/src/caller_body.rs
@@ -14,7 +14,7 @@
 const MIN_CAPACITY: usize = 4 * 1024;
 
 /// Bytes that count for a body while it arrives, beside its own: the buffers of its connection.
-const BUFFER_BYTES: usize = 24 * 1024;
+pub(crate) const BUFFER_BYTES: usize = 24 * 1024;
 
 /// Bytes of a body after which memory for the length that its head tells is taken at once.
 const TRUSTED_AFTER: usize = 64 * 1024;
@@ -154,7 +154,7 @@
         if data.len() + chunk.len() > max_bytes {
             return Err(BodyError::TooLarge { max_bytes });
         }
-        reserve(&mut data, chunk.len(), announced, hold)?;
+        reserve(&mut data, chunk.len(), announced, max_bytes, hold)?;
         data.extend_from_slice(&chunk);
     }
     if (data.len() as f64) < data.capacity() as f64 * MIN_USED_FRACTION {
@@ -165,11 +165,12 @@
     Ok(data)
 }
 
-/// Takes memory for `more` bytes of a body whose length may be known.
+/// Takes memory for `more` bytes of a body of at most `max_bytes`, whose length may be known.
 fn reserve(
     data: &mut Vec<u8>,
     more: usize,
     announced: Option<usize>,
+    max_bytes: usize,
     hold: &Hold,
 ) -> Result<(), OutOfMemory> {
     let needed = data.len() + more;
@@ -178,7 +179,9 @@
     }
     let capacity = match announced {
         Some(length) if needed > TRUSTED_AFTER.min(length) => length,
-        _ => needed.next_power_of_two().max(MIN_CAPACITY),
+        _ => needed
+            .next_power_of_two()
+            .clamp(MIN_CAPACITY, max_bytes.max(MIN_CAPACITY)),
     };
     let capacity = capacity.max(needed);
     hold.grow(capacity - data.capacity())?;
--- a/crates/transfer/tests/caller_body.rs
+++ b/crates/transfer/tests/caller_body.rs
@@ -64,6 +64,19 @@
     assert_eq!(account.held(), 0);
 }
 
+/// Guards against a body that is refused on a machine that has just room for it.
+#[parameterized(
+    one_chunk = { Case { count: 1, bytes: MAX_BYTES } },
+    small_chunks = { Case { count: MAX_BYTES / 100, bytes: 100 } },
+)]
+#[test_macro(tokio::test(start_paused = true))]
+async fn the_largest_body_is_received(case: Case) {
+    let memory = (1..2 * MEMORY).find(|memory| Account::new(*memory).max_body_bytes() >= MAX_BYTES);
+    let account = Account::new(memory.expect("enough memory"));
+    let received = receive_chunks(&account, chunks(case.count, case.bytes, Duration::ZERO)).await;
+    received.expect("room for one body");
+}
+
 struct RefusedCase {
     memory: usize,
     count: usize,
