--- a/crates/decisions/src/caller_memory.rs
+++ b/crates/decisions/src/caller_memory.rs
@@ -12,7 +12,7 @@
 
 use crate::id::Rank;
 
-/// Number of an entry, ascending in the order in which entries are opened.
+/// Number of an entry; entries are opened in ascending order.
 pub type EntryId = u64;
 
 /// Time after which a request that has not arrived completely may give way to another one of its tier.
@@ -35,7 +35,7 @@
     Sent,
 }
 
-/// A request, or an answer that is held for its caller.
+/// Bytes that are held for one request.
 #[derive(Debug)]
 struct Entry {
     id: EntryId,
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -76,7 +76,7 @@
         }
     }
 
-    /// Bytes from the first line to the last byte that is sent; `head` is a head without its last empty line.
+    /// Sends the script; `head` is a head without its last empty line.
     async fn send(self, socket: &mut TcpStream, head: &str) -> std::io::Result<()> {
         match self {
             Self::Silent => Ok(()),
