Look the route of a request up once a table

The head's route and organisation were found when it arrived, for the tier of its body, and again once the body was complete. The result is kept now and looked up again only if another table has come into force; so is the refusal of a request by its head. The rule that an organisation's rank goes before its route's stood twice and is one function of the route. No behaviour changes.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -34,6 +34,25 @@
 /// Size limit in bytes of a request body while no table has been received.
 const DEFAULT_MAX_BODY_BYTES: usize = 1 << 20;
 
+/// Route and organisation of a request in one table.
+#[derive(Debug)]
+pub struct Resolved {
+    table: Rc<Table>,
+    /// Route of the request.
+    pub route: Rc<Route>,
+    /// Organisation that owns the caller's API key.
+    pub organisation: Option<Rc<Organisation>>,
+}
+
+/// A request whose body is complete.
+#[derive(Debug)]
+pub struct ArrivedRequest {
+    /// Its body.
+    pub body: CallerBody,
+    /// Route and organisation in the table that was in force when its head was received; `None` without a table.
+    pub resolved: Option<Resolved>,
+}
+
 /// Reads the body of a request, within the size limit of the table, [`BODY_TIMEOUT`] and the memory for callers.
 /// The body of a request that its head gets refused is read and dropped.
 pub async fn read_body(
@@ -41,22 +60,29 @@
     head: &Parts,
     meta: &RequestMeta,
     mut body: Incoming,
-) -> Result<CallerBody, Refusal> {
+) -> Result<ArrivedRequest, Refusal> {
     let table = node.table();
     let max_bytes = max_body_bytes(node, table.as_deref());
     let limits = BodyLimits::new(max_bytes, BODY_TIMEOUT);
-    let rank = match table.as_deref().map(|t| resolve(t, head, meta)) {
-        None => Rank::MAX,
-        Some(Ok((route, organisation))) => rank(&route, organisation.as_deref()),
-        Some(Err(refusal)) => {
+    let resolved = table.as_ref().map(|t| resolve(t, head, meta)).transpose();
+    let resolved = match resolved {
+        Ok(resolved) => resolved,
+        Err(refusal) => {
             let hold = node.caller_memory.open(Rank::MAX);
             caller_body::discard_held(&mut body, limits, hold).await;
-            return Err(refusal_by_newest_table(node, head, meta, refusal));
+            return Err(match node.table() {
+                Some(newest) if table.is_none_or(|t| !Rc::ptr_eq(&t, &newest)) => {
+                    refusal_by_table(&newest, head, meta)
+                }
+                _ => refusal,
+            });
         }
     };
+    let rank = resolved.as_ref().map_or(Rank::MAX, Resolved::rank);
     let hold = node.caller_memory.open(rank);
     let received = caller_body::receive(&mut body, limits, hold).await;
-    received.map_err(|e| body_refusal(&e))
+    let body = received.map_err(|e| body_refusal(&e))?;
+    Ok(ArrivedRequest { body, resolved })
 }
 
 /// Size limit in bytes of a body: that of the table, or less on a machine that can't hold such a body.
@@ -65,25 +91,26 @@
     max_bytes.min(node.caller_memory.max_body_bytes())
 }
 
-/// Priority rank of a request. That of its organisation takes precedence over that of its route.
-fn rank(route: &Route, organisation: Option<&Organisation>) -> Rank {
-    let rank = organisation.and_then(|o| o.rank).unwrap_or(route.rank);
-    Rank::try_from(rank).unwrap_or(Rank::MAX)
+impl Resolved {
+    /// Whether it comes from this table.
+    pub fn is_of(&self, table: &Rc<Table>) -> bool {
+        Rc::ptr_eq(&self.table, table)
+    }
+
+    /// Priority rank of the request.
+    fn rank(&self) -> Rank {
+        let rank = self.route.rank_for(self.organisation.as_deref());
+        Rank::try_from(rank).unwrap_or(Rank::MAX)
+    }
 }
 
-/// The refusal of a request whose body was dropped, as the table has it that is in force now.
-fn refusal_by_newest_table(
-    node: &Node,
-    head: &Parts,
-    meta: &RequestMeta,
-    refusal: Refusal,
-) -> Refusal {
-    match node.table().map(|t| resolve(&t, head, meta)) {
-        Some(Ok(_)) => Refusal::new(RefusalKind::Unavailable)
+/// The refusal of a request whose body was dropped, after a newer table came into force.
+fn refusal_by_table(table: &Rc<Table>, head: &Parts, meta: &RequestMeta) -> Refusal {
+    match resolve(table, head, meta) {
+        Ok(_) => Refusal::new(RefusalKind::Unavailable)
             .with_message("the route or key came into force while the body arrived")
             .with_retry_after(SHORT_RETRY_AFTER),
-        Some(Err(newest)) => newest,
-        None => refusal,
+        Err(refusal) => refusal,
     }
 }
 
@@ -106,14 +133,14 @@
 }
 
 /// Finds the route of a request by host and path, and the organisation that owns its API key.
-pub fn resolve(
-    table: &Table,
-    head: &Parts,
-    meta: &RequestMeta,
-) -> Result<(Rc<Route>, Option<Rc<Organisation>>), Refusal> {
+pub fn resolve(table: &Rc<Table>, head: &Parts, meta: &RequestMeta) -> Result<Resolved, Refusal> {
     let route = find_route(table, head)?;
     let organisation = authorise(table, route, meta)?;
-    Ok((Rc::clone(route), organisation))
+    Ok(Resolved {
+        table: Rc::clone(table),
+        route: Rc::clone(route),
+        organisation,
+    })
 }
 
 /// Finds the route of a request by host and path.
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -20,12 +20,13 @@
 use kingcupfield_decisions::id::{ServiceId, UpstreamId, Version};
 use kingcupfield_decisions::software_versions::StreamOrigin;
 use kingcupfield_transfer::account::Claim;
-use kingcupfield_transfer::caller_body::CallerBody;
 use kingcupfield_transfer::connections::RequestInProgress;
 use tokio::time::Instant;
 
 use crate::adapter::RequestMeta;
-use crate::admission::{charge, out_of_memory_refusal, pick_service, read_body, resolve};
+use crate::admission::{
+    ArrivedRequest, charge, out_of_memory_refusal, pick_service, read_body, resolve,
+};
 use crate::crash_watch::{self, BrokenRequest};
 use crate::credit::{self, CreditGrant};
 use crate::expiry::{Expiry, wait_for_expiry};
@@ -101,21 +102,21 @@
     let received = Instant::now();
     let (head, body) = req.into_parts();
     let meta = node.protocol.parse_request(&head);
-    let body = tokio::select! {
-        body = read_body(&node, &head, &meta, body) => body,
+    let arrived = tokio::select! {
+        arrived = read_body(&node, &head, &meta, body) => arrived,
         () = progress.closing() => Err(unavailable("too many connections, and the body arrives too slowly")),
         () = node.response_deadline_reached() => Err(unavailable("this instance shuts down before the body is complete")),
     };
     progress.on_arrived();
-    let result = match body {
-        Ok(body) => {
+    let result = match arrived {
+        Ok(arrived) => {
             // While the body arrives, the request takes no memory for what follows.
             let admitted = Box::pin(admit_and_run(
                 &node,
                 received,
                 head,
                 meta.clone(),
-                body,
+                arrived,
                 active,
             ));
             let run = tasks::catch_panic(admitted).await;
@@ -157,11 +158,16 @@
     received: Instant,
     head: Parts,
     meta: RequestMeta,
-    body: CallerBody,
+    arrived: ArrivedRequest,
     active: ActiveGuard,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let table = wait_for_table(node, &meta).await?;
-    let (route, organisation) = resolve(&table, &head, &meta)?;
+    let ArrivedRequest { body, resolved } = arrived;
+    let resolved = match resolved {
+        Some(resolved) if resolved.is_of(&table) => resolved,
+        _ => resolve(&table, &head, &meta)?,
+    };
+    let (route, organisation) = (resolved.route, resolved.organisation);
     if meta.attempt_id.is_empty() {
         return Err(
             Refusal::new(RefusalKind::BadRequest).with_message("the request has no attempt id")
--- a/crates/entry/src/request/slot_request.rs
+++ b/crates/entry/src/request/slot_request.rs
@@ -90,11 +90,10 @@
             self.route.timeout
         };
         let patience = patience.min(self.meta.timeout.unwrap_or(patience));
-        let organisation_rank = self.organisation.as_ref().and_then(|o| o.rank);
         Job {
             id: node.next_job_id(),
             priority: (
-                organisation_rank.unwrap_or(self.route.rank),
+                self.route.rank_for(self.organisation.as_deref()),
                 self.route.rank,
             ),
             received_at: self.received,
--- a/crates/entry/src/table.rs
+++ b/crates/entry/src/table.rs
@@ -72,6 +72,11 @@
 }
 
 impl Route {
+    /// Priority rank of a request on the route. That of its organisation takes precedence.
+    pub fn rank_for(&self, organisation: Option<&Organisation>) -> u32 {
+        organisation.and_then(|o| o.rank).unwrap_or(self.rank)
+    }
+
     /// Whether another route leads to the same services, in whatever shares.
     pub fn has_same_services(&self, other: &Self) -> bool {
         self.leads_to_all_of(other) && other.leads_to_all_of(self)
