Authenticate a body's caller once, and drop bodies by one function

The own interface hashed the key and compared it with the table's twice before it read a body: for the caller, and for the tier that the memory is taken by. The tier is found for the organisation that the first one gave. The loop that drops the rest of a body too large stood here and in the crate of transfers. No behaviour changes.

--- a/crates/transfer/src/caller_body.rs
+++ b/crates/transfer/src/caller_body.rs
@@ -193,7 +193,7 @@
 ///
 /// A connection that is closed while its caller still sends is reset, and the caller may see the reset in place
 /// of the response.
-async fn discard<B>(body: &mut B, limits: BodyLimits)
+pub async fn discard<B>(body: &mut B, limits: BodyLimits)
 where
     B: Body<Data = Bytes> + Unpin,
 {
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -78,7 +78,8 @@
     a.as_bytes().ct_eq(b.as_bytes()).into()
 }
 
-fn tier<'a>(
+/// The tier that the headers name, or else the highest that the organisation may use.
+pub fn tier<'a>(
     headers: &HeaderMap,
     snapshot: &'a Snapshot,
     organisation: &Organisation,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,14 +13,14 @@
 use axum::response::Response;
 use axum::routing::{any, get, post};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use kingcupfield_decisions::id::Rank;
 use kingcupfield_decisions::idempotency::KEY_LIFETIME;
 use kingcupfield_transfer::caller_body::{self, BodyError, BodyLimits};
 use kingcupfield_transfer::connections::RequestInProgress;
 use serde_json::json;
 
-use crate::caller::{Caller, authenticate};
+use crate::caller::{authenticate, tier};
 use crate::completion;
 use crate::error::{Refusal, RefusalKind};
 use crate::issue;
@@ -189,8 +189,8 @@
     mut body: Body,
 ) -> Result<Bytes, Refusal> {
     let snapshot = shared.fleet.snapshot();
-    authenticate(&parts.headers, &snapshot)?;
-    let rank = Caller::from_headers(&parts.headers, &snapshot).map_or(Rank::MAX, |c| c.tier.rank);
+    let organisation = authenticate(&parts.headers, &snapshot)?;
+    let rank = tier(&parts.headers, &snapshot, organisation).map_or(Rank::MAX, |t| t.rank);
     let hold = shared.memory.open(rank);
     let limits = BodyLimits::new(BODY_LIMIT, BODY_TIMEOUT);
     let received = tokio::select! {
@@ -226,24 +226,11 @@
     Refusal::new(kind).with_message(e.to_string())
 }
 
-/// Reads the rest of a body that is refused for its size.
-///
-/// A connection that closes while its caller is still sending is reset, and the caller may see
-/// the reset in place of the refusal; so what is already on its way is taken first.
+/// Reads and drops the rest of a body that is refused for its size.
 async fn discard(body: &mut Body) {
     // The connection of a body that is larger than what is dropped is cut off in any case.
     if body.size_hint().lower() > DISCARD_LIMIT as u64 {
         return;
     }
-    let rest = async {
-        let mut left = DISCARD_LIMIT;
-        while let Some(Ok(frame)) = body.frame().await {
-            let len = frame.data_ref().map_or(0, Bytes::len);
-            let Some(still) = left.checked_sub(len) else {
-                return;
-            };
-            left = still;
-        }
-    };
-    tokio::time::timeout(BODY_TIMEOUT, rest).await.ok();
+    caller_body::discard(body, BodyLimits::new(DISCARD_LIMIT, BODY_TIMEOUT)).await;
 }
