Share the listener and the machine of settings between both programs

Both listened for callers with the same steps, and both replaced limits that the settings don't give by what the process reads.

--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -1,11 +1,11 @@
 //! Lifecycle of the process: start, signals and a graceful shutdown.
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use kingcupfield_transfer::listener::listen;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Mutex;
 use tokio::task::{JoinHandle, LocalSet};
@@ -22,13 +22,9 @@
 /// Interval at which queued requests are checked for expiry and free slots are assigned to them.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Bytes that the kernel buffers for each connection of a caller before they are read; it doubles the number for
-/// its own use.
+/// Bytes that the kernel buffers for each connection of a caller before they are read.
 const RECEIVE_BUFFER_BYTES: u32 = 16 * 1024;
 
-/// Connections that wait to be accepted.
-const ACCEPT_QUEUE_LENGTH: u32 = 1024;
-
 /// Interval at which idle connections are closed and a suspension of the machine is detected.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -112,7 +108,7 @@
 impl Sockets {
     async fn bind(cfg: &Settings) -> std::io::Result<Self> {
         Ok(Self {
-            callers: listen_for_callers(cfg.listen)?,
+            callers: listen(cfg.listen, RECEIVE_BUFFER_BYTES)?,
             ready: TcpListener::bind(cfg.ready_listen).await?,
             peers: TcpListener::bind(cfg.peer_listen).await?,
             messages: UdpSocket::bind((cfg.address(), cfg.peer_port)).await?,
@@ -120,16 +116,6 @@
     }
 }
 
-/// Listens for callers, with small receive buffers: what the kernel has received for a connection counts towards
-/// the machine's memory.
-fn listen_for_callers(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
-    socket.bind(address)?;
-    socket.listen(ACCEPT_QUEUE_LENGTH)
-}
-
 /// Starts the tasks of an instance; returns the one that accepts connections of callers, which completes after the
 /// last one.
 fn start_tasks(node: &Rc<Node>, sockets: Sockets, path: PathBuf, hup: Signal) -> JoinHandle<()> {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -12,7 +12,7 @@
 use kingcupfield_decisions::credit::Tolerance;
 use kingcupfield_decisions::id::{InstanceId, RegionId, ZoneId};
 use kingcupfield_decisions::upstream_retries::UpstreamRetryBounds;
-use kingcupfield_transfer::machine::Machine;
+use kingcupfield_transfer::machine::{MIN_DESCRIPTORS, Machine};
 use serde::Deserialize;
 
 pub use scheduling::{FairOrderSettings, LoadReportSettings, SchedulingSettings, WarmUpSettings};
@@ -23,9 +23,6 @@
 /// Smallest memory of a machine in MB: an idle instance and the callers' share for one body of a MB.
 const MIN_MEMORY_MB: f64 = 16.0;
 
-/// Smallest number of descriptors of a process.
-const MIN_DESCRIPTORS: u64 = 256;
-
 /// Error of a settings file.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -282,13 +279,8 @@
 
     /// Limits of the machine: those of the settings, or else those that the process can read.
     pub fn machine(&self) -> Machine {
-        let found = Machine::read();
-        Machine {
-            memory_bytes: self
-                .memory_mb
-                .map_or(found.memory_bytes, |mb| (mb * 1e6) as u64),
-            descriptors: self.max_descriptors.unwrap_or(found.descriptors),
-        }
+        let memory_bytes = self.memory_mb.map(|mb| (mb * 1e6) as u64);
+        Machine::from_settings(memory_bytes, self.max_descriptors)
     }
 
     /// Budget for retries at another replica.
--- a/crates/transfer/src/lib.rs
+++ b/crates/transfer/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caller_body;
 pub mod caller_io;
 pub mod connections;
+pub mod listener;
 pub mod machine;
 pub mod tracked_body;
 
--- a/crates/transfer/src/machine.rs
+++ b/crates/transfer/src/machine.rs
@@ -2,6 +2,9 @@
 
 use std::fs;
 
+/// Smallest number of descriptors of a process that settings may give.
+pub const MIN_DESCRIPTORS: u64 = 256;
+
 /// Bytes in a MiB.
 const MIB: u64 = 1024 * 1024;
 
@@ -50,6 +53,15 @@
         (self.memory_bytes as f64 * CALLER_FRACTION) as usize
     }
 
+    /// Limits that settings give; those that are unset are read.
+    pub fn from_settings(memory_bytes: Option<u64>, descriptors: Option<u64>) -> Self {
+        let found = Self::read();
+        Self {
+            memory_bytes: memory_bytes.unwrap_or(found.memory_bytes),
+            descriptors: descriptors.unwrap_or(found.descriptors),
+        }
+    }
+
     /// Reads the limits of this process and the memory of its machine.
     pub fn read() -> Self {
         let limits = fs::read_to_string("/proc/self/limits").unwrap_or_default();
--- a/src/server.rs
+++ b/src/server.rs
@@ -16,9 +16,10 @@
 use kingcupfield_transfer::account::Account;
 use kingcupfield_transfer::caller_io::CallerIo;
 use kingcupfield_transfer::connections::{CallerConnection, CallerConnections};
+use kingcupfield_transfer::listener::listen;
 use kingcupfield_transfer::machine::Machine;
 use kingcupfield_transfer::tracked_body::TrackedBody;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::sleep;
 use tower::ServiceExt;
@@ -41,12 +42,9 @@
 /// Most connections at a time, on any machine; more wait in the listen queue.
 pub const MAX_CONNECTIONS: usize = 4096;
 
-/// Bytes that the kernel buffers for each connection before they are read; it doubles the number for its own use.
+/// Bytes that the kernel buffers for each connection before they are read.
 const RECEIVE_BUFFER_BYTES: u32 = 32 * 1024;
 
-/// Connections that wait to be accepted.
-const ACCEPT_QUEUE_LENGTH: u32 = 1024;
-
 /// Pause after a failed accept, e.g. for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -79,7 +77,7 @@
     /// Binds `address`.
     pub fn bind(address: SocketAddr) -> Result<Self> {
         let wrap = |e| Error::io(format!("listen on {address}"), e);
-        let listener = listen(address).map_err(wrap)?;
+        let listener = listen(address, RECEIVE_BUFFER_BYTES).map_err(wrap)?;
         let local = listener.local_addr().map_err(wrap)?;
         let machine = Machine::read();
         let limits = Limits::new(machine, Account::new(machine.caller_bytes()));
@@ -254,19 +252,6 @@
     }
 }
 
-/// Listens with small receive buffers: what the kernel has received for a connection counts towards the machine's
-/// memory.
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
-    socket.bind(address)?;
-    socket.listen(ACCEPT_QUEUE_LENGTH)
-}
-
 fn builder() -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use kingcupfield_decisions::id::{InstanceId, RegionId, ZoneId};
-use kingcupfield_transfer::machine::Machine;
+use kingcupfield_transfer::machine::{MIN_DESCRIPTORS, Machine};
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
@@ -16,9 +16,6 @@
 /// Smallest memory of a machine in MB: an idle instance and the callers' share for a few of the largest bodies.
 const MIN_MEMORY_MB: u64 = 64;
 
-/// Smallest number of descriptors of a process.
-const MIN_DESCRIPTORS: u64 = 256;
-
 /// Settings of `kingcupd`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -126,13 +123,8 @@
 
     /// Limits of the machine: those of the settings, or else those that the process can read.
     pub fn machine(&self) -> Machine {
-        let found = Machine::read();
-        Machine {
-            memory_bytes: self
-                .memory_mb
-                .map_or(found.memory_bytes, |mb| mb.saturating_mul(1_000_000)),
-            descriptors: self.max_descriptors.unwrap_or(found.descriptors),
-        }
+        let memory_bytes = self.memory_mb.map(|mb| mb.saturating_mul(1_000_000));
+        Machine::from_settings(memory_bytes, self.max_descriptors)
     }
 
     fn check(&self) -> std::result::Result<(), String> {
