Let an entry of the account hold its claim

Hold and Claim had the same fields and two ways to wait for an eviction; a removal of its sender stood twice, as did the addition of bytes in the decision. No behaviour changes.

--- a/crates/decisions/src/caller_memory.rs
+++ b/crates/decisions/src/caller_memory.rs
@@ -151,13 +151,16 @@
         for other in &yielding {
             self.close(*other);
         }
-        self.add(id, bytes);
+        self.force(id, bytes);
         Ok(yielding)
     }
 
     /// Counts `bytes` more for an entry, also beyond the limit: what is held has no other place.
     pub fn force(&mut self, id: EntryId, bytes: usize) {
-        self.add(id, bytes);
+        if let Some(at) = self.position(id) {
+            self.entries[at].bytes += bytes;
+            self.held += bytes;
+        }
     }
 
     /// Counts `bytes` fewer for an entry.
@@ -240,13 +243,6 @@
         (freed >= excess).then_some(chosen)
     }
 
-    fn add(&mut self, id: EntryId, bytes: usize) {
-        if let Some(at) = self.position(id) {
-            self.entries[at].bytes += bytes;
-            self.held += bytes;
-        }
-    }
-
     fn position(&self, id: EntryId) -> Option<usize> {
         self.entries.binary_search_by_key(&id, |e| e.id).ok()
     }
--- a/crates/transfer/src/account.rs
+++ b/crates/transfer/src/account.rs
@@ -48,11 +48,11 @@
         let mut state = self.lock();
         let id = state.memory.open(Instant::now(), rank);
         state.evictions.push((id, tx));
-        Hold {
+        Hold(Claim {
             account: self.clone(),
             id,
             evicted,
-        }
+        })
     }
 
     /// Makes bytes that count until their last copy is dropped, also beyond the limit. They give way to nothing.
@@ -60,8 +60,8 @@
         let hold = self.open(Rank::MIN);
         {
             let mut state = self.lock();
-            state.memory.on_send(hold.id);
-            state.memory.force(hold.id, data.capacity());
+            state.memory.on_send(hold.0.id);
+            state.memory.force(hold.0.id, data.capacity());
         }
         hold.into_bytes(data)
     }
@@ -94,28 +94,28 @@
 
 impl State {
     fn evict(&mut self, id: EntryId) {
-        if let Ok(at) = self.evictions.binary_search_by_key(&id, |(id, _)| *id) {
-            let (_, tx) = self.evictions.remove(at);
+        if let Some(tx) = self.take_eviction(id) {
             tx.send_replace(true);
             self.refused.evicted += 1;
         }
     }
+
+    fn take_eviction(&mut self, id: EntryId) -> Option<watch::Sender<bool>> {
+        let at = self.evictions.binary_search_by_key(&id, |(id, _)| *id);
+        at.ok().map(|at| self.evictions.remove(at).1)
+    }
 }
 
 /// Entry of one request; it is closed when dropped.
 #[derive(Debug)]
-pub struct Hold {
-    account: Account,
-    id: EntryId,
-    evicted: watch::Receiver<bool>,
-}
+pub struct Hold(Claim);
 
 impl Hold {
     /// Counts `bytes` more, for which other requests may give way. Fails without a change if there is too
     /// little memory.
     pub fn grow(&self, bytes: usize) -> Result<(), OutOfMemory> {
-        let mut state = self.account.lock();
-        match state.memory.grow(Instant::now(), self.id, bytes) {
+        let mut state = self.0.account.lock();
+        match state.memory.grow(Instant::now(), self.0.id, bytes) {
             Ok(yielding) => {
                 for id in yielding {
                     state.evict(id);
@@ -131,17 +131,17 @@
 
     /// Counts `bytes` fewer.
     pub fn shrink(&self, bytes: usize) {
-        self.account.lock().memory.shrink(self.id, bytes);
+        self.0.account.lock().memory.shrink(self.0.id, bytes);
     }
 
     /// Counts no more than `bytes`.
     pub fn shrink_to(&self, bytes: usize) {
-        self.account.lock().memory.shrink_to(self.id, bytes);
+        self.0.account.lock().memory.shrink_to(self.0.id, bytes);
     }
 
     /// Notes that the request has arrived completely.
     pub fn on_complete(&self) {
-        self.account.lock().memory.on_complete(self.id);
+        self.0.account.lock().memory.on_complete(self.0.id);
     }
 
     /// Makes bytes that count until their last copy is dropped; their memory is counted already.
@@ -151,34 +151,20 @@
 
     /// A view of the entry for what decides whether the request is sent.
     pub fn claim(&self) -> Claim {
-        Claim {
-            account: self.account.clone(),
-            id: self.id,
-            evicted: self.evicted.clone(),
-        }
-    }
-
-    /// Completes when the request gives way to another one.
-    pub async fn evicted(&mut self) {
-        wait_evicted(&mut self.evicted).await;
+        self.0.clone()
     }
 
     /// Turns true if the request gives way, and ends with the entry.
     pub fn subscribe(&self) -> watch::Receiver<bool> {
-        self.evicted.clone()
+        self.0.evicted.clone()
     }
 }
 
 impl Drop for Hold {
     fn drop(&mut self) {
-        let mut state = self.account.lock();
-        state.memory.close(self.id);
-        if let Ok(at) = state
-            .evictions
-            .binary_search_by_key(&self.id, |(id, _)| *id)
-        {
-            state.evictions.remove(at);
-        }
+        let mut state = self.0.account.lock();
+        state.memory.close(self.0.id);
+        state.take_eviction(self.0.id);
     }
 }
 
@@ -211,13 +197,9 @@
 
     /// Completes when the request gives way to another one.
     pub async fn evicted(&mut self) {
-        wait_evicted(&mut self.evicted).await;
-    }
-}
-
-async fn wait_evicted(evicted: &mut watch::Receiver<bool>) {
-    if evicted.wait_for(|evicted| *evicted).await.is_err() {
-        // The entry was closed without an eviction.
-        std::future::pending::<()>().await;
+        if self.evicted.wait_for(|evicted| *evicted).await.is_err() {
+            // The entry was closed without an eviction.
+            std::future::pending::<()>().await;
+        }
     }
 }
--- a/crates/transfer/src/caller_body.rs
+++ b/crates/transfer/src/caller_body.rs
@@ -103,16 +103,17 @@
 
 /// Reads the body of a request that is refused already and drops it, unless there is not even memory for the
 /// buffers of its connection.
-pub async fn discard_held<B>(body: &mut B, limits: BodyLimits, mut hold: Hold)
+pub async fn discard_held<B>(body: &mut B, limits: BodyLimits, hold: Hold)
 where
     B: Body<Data = Bytes> + Unpin,
 {
     if hold.grow(BUFFER_BYTES).is_err() {
         return;
     }
+    let mut eviction = hold.claim();
     tokio::select! {
         biased;
-        () = hold.evicted() => {}
+        () = eviction.evicted() => {}
         () = discard(body, limits) => {}
     }
 }
