--- a/tests/crowds/cases.rs
+++ b/tests/crowds/cases.rs
@@ -72,19 +72,6 @@
     }
 }
 
-fn chunked(chunk: usize, sent: usize, end: ChunkedEnd) -> Script {
-    Script::Chunked { chunk, sent, end }
-}
-
-fn sized_in_pieces(sent: usize, piece: usize) -> Script {
-    Script::Sized {
-        length: BODY_BYTES,
-        sent,
-        piece,
-        expects_continue: false,
-    }
-}
-
 /// Head of a chat completion without its last empty line.
 fn head(organisation: &str) -> String {
     let key = key_of(organisation);
@@ -124,15 +111,15 @@
 #[parameterized(
     all_but_the_last_byte = { Case::new(400, Script::sized(BODY_BYTES, BODY_BYTES - 1)) },
     whole_bodies = { Case::new(400, Script::sized(BODY_BYTES, BODY_BYTES)) },
-    whole_bodies_in_pieces = { Case::new(400, sized_in_pieces(BODY_BYTES, 16 * 1024)) },
-    large_chunks = { Case::new(400, chunked(64 * 1024, BODY_BYTES - 1, ChunkedEnd::Open)) },
-    chunks_of_one_byte = { Case::new(60, chunked(1, 100_000, ChunkedEnd::Open)) },
-    chunks_of_one_byte_with_an_end = { Case::new(60, chunked(1, 100_000, ChunkedEnd::Whole)) },
+    whole_bodies_in_pieces = { Case::new(400, Script::sized_in_pieces(BODY_BYTES, BODY_BYTES, 16 * 1024)) },
+    large_chunks = { Case::new(400, Script::chunked(64 * 1024, BODY_BYTES - 1, ChunkedEnd::Open)) },
+    chunks_of_one_byte = { Case::new(60, Script::chunked(1, 100_000, ChunkedEnd::Open)) },
+    chunks_of_one_byte_with_an_end = { Case::new(60, Script::chunked(1, 100_000, ChunkedEnd::Whole)) },
     unfinished_heads = { Case::new(1200, Script::Head { bytes: 30_000 }) },
     silent_connections = { Case::new(700, Script::Silent).with_descriptors(FEW_DESCRIPTORS) },
     unfinished_bodies_on_all_descriptors = { Case::new(700, Script::sized(BODY_BYTES, 100)).with_descriptors(FEW_DESCRIPTORS) },
     announced_far_over_the_limit = { Case::new(200, Script::sized(1 << 30, 16 << 20)) },
-    chunked_far_over_the_limit = { Case::new(200, chunked(64 * 1024, 16 << 20, ChunkedEnd::Open)) },
+    chunked_far_over_the_limit = { Case::new(200, Script::chunked(64 * 1024, 16 << 20, ChunkedEnd::Open)) },
     strangers = { Case::new(400, Script::sized(BODY_BYTES, BODY_BYTES - 1)).of_strangers() },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
@@ -165,6 +152,7 @@
 #[parameterized(
     with_a_length = { None },
     in_one_chunk = { Some(BODY_BYTES) },
+    in_chunks_of_64_kib = { Some(64 * 1024) },
     in_chunks_of_100_bytes = { Some(100) },
     in_chunks_of_one_byte = { Some(1) },
 )]
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -76,6 +76,21 @@
         }
     }
 
+    /// Like [`Self::sized`], written in pieces of this size.
+    pub fn sized_in_pieces(length: usize, sent: usize, piece: usize) -> Self {
+        Self::Sized {
+            length,
+            sent,
+            piece,
+            expects_continue: false,
+        }
+    }
+
+    /// A body in chunks of equal size.
+    pub fn chunked(chunk: usize, sent: usize, end: ChunkedEnd) -> Self {
+        Self::Chunked { chunk, sent, end }
+    }
+
     /// Sends the script; `head` is a head without its last empty line.
     async fn send(self, socket: &mut TcpStream, head: &str) -> std::io::Result<()> {
         match self {
@@ -162,6 +177,8 @@
     pub has_sent: bool,
     /// Status of the final response, once there is one.
     pub status: Option<u16>,
+    /// Whether that response tells when to try again.
+    pub has_retry_after: bool,
     /// Whether the server has closed the connection.
     pub is_closed: bool,
 }
@@ -266,13 +283,24 @@
                 received.extend_from_slice(&buf[..len]);
             }
             if let Some(status) = final_status(&received) {
-                self.update(|p| p.status = Some(status));
+                let has_retry_after = has_field(&received, "retry-after");
+                self.update(|p| {
+                    p.status = Some(status);
+                    p.has_retry_after = has_retry_after;
+                });
             }
         }
         self.update(|p| p.is_closed = true);
     }
 }
 
+/// Whether a line of the received heads begins with this name.
+fn has_field(received: &[u8], name: &str) -> bool {
+    let text = String::from_utf8_lossy(received);
+    let mut names = text.lines().filter_map(|line| line.split(':').next());
+    names.any(|found| found.eq_ignore_ascii_case(name))
+}
+
 /// Status of the first response that is no interim one.
 fn final_status(received: &[u8]) -> Option<u16> {
     let text = String::from_utf8_lossy(received);
