--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,86 +1,87 @@
-"""LOST: a sound replica pauses in its streams, and the entry that is being stopped ends their answers."""
+"""DRAIN: a machine that gets the directory from restarted ones never learns that a replica is gone."""
 import asyncio
 import signal
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from standins_2 import Entry, Replica, Store, config, head, main, read_message, route  # noqa: E402
+from standins_2 import Entry, Replica, Store, answer, config, head, main, request, route  # noqa: E402
 
-CALLERS = 5
-EVENTS = 26
-GAP_S = 0.1
-PAUSE_S = 2.0  # callers wait for 4 s: four times the objective of 1,000 ms
-PAUSE_AFTER = 8
+DRAIN_S = 3.0  # `drain-ms`
+DOWN_S = 1.0  # for which the other machines are down
+SERVES_ON_S = 8.0  # how much longer the removed replica serves
 
 
-class Engine(Replica):
-    """Makes streams of events. With `pauses` it preempts each once, reads it again and goes on."""
-
-    pauses = False
-    done = 0
-
+class Timed(Replica):
     async def handle(self, message, reader, writer, nth):
-        attempt = message.get("attempt-id")
+        self.arrivals.append((time.monotonic(), message.get("attempt-id")))
         self.run(message)
-        writer.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                      f"Attempt-Id: {attempt}\r\nResponse-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\r\n").encode())
-        closed = asyncio.ensure_future(reader.read(1))
-        for event in range(int(message.get("last-event-id", "0")) + 1, EVENTS + 1):
-            if Engine.pauses and event == PAUSE_AFTER + 1:
-                self.record(f"replica {self.name} preempts {attempt} after event {event - 1} and reads it again")
-                await asyncio.wait([closed], timeout=PAUSE_S)
-            if closed.done():
-                self.record(f"replica {self.name} finds the channel of {attempt} closed before event {event}")
-                return False
-            data = f"id: {event}\ndata: {attempt} {event}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
-            await asyncio.sleep(GAP_S)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        Engine.done += 1
-        self.record(f"replica {self.name} has sent all of {attempt}")
-        closed.cancel()
-        return False
-
-
-async def call(record, entry, number):
-    """Sends one stream request on a kept channel; returns whether its answer was complete."""
-    attempt = f"9c41d07be2a3{number:04x}"
-    reader, writer = await asyncio.open_connection(entry.ip, entry.front)
-    record(f"caller sends {attempt}")
-    writer.write(head("POST", "/pufi791/2f", attempt, b"{}", 8000, ["Model: m", "Token-Usage: 2890,52", "Prompt-Prefix: 5c1e07a2:60,91bd3f06:2830"]))
-    got = await asyncio.wait_for(read_message(reader, True), 12)
-    writer.close()
-    events = got.body.count(b"\n\n") if got else 0
-    record(f"caller gets {got and got.status} for {attempt}: {events} of {EVENTS} events, complete: {bool(got and got.whole)}")
-    return got is not None and (got.status != 200 or got.whole and events == EVENTS), got is not None and got.status == 200
+        await asyncio.sleep(0.02)
+        writer.write(answer(200, message.get("attempt-id"), b"booked"))
+        return True
 
 
 async def case(record, folder, trouble):
     store = Store(record)
     await store.start()
-    engine = Engine(record, store, "i-7f3a91c2", "huvo11a")
-    await engine.start()
-    kind = {"timeout-ms": 8000, "slo-ms": 1000, "priority": 1, "attempts": 2, "sticky": True, "resumable": True, "gap-aim-ms": 300}
-    store.put("op/config", config(7, [route("r-rota", "/pufi791/", "streaming", "huvo11a", **kind)]))
-    entry = Entry(record, store, folder)
-    entry.start()
+    replicas = [Timed(record, store, f"i-7f3a91c{n}") for n in range(3)]
+    for replica in replicas:
+        await replica.start()
+    store.put("op/config", config(7, [route("r-book", "/puxa403/", "non_idempotent")]))
+    entries = [Entry(record, store, folder, f"front-north-sea-a-{n}", f"127.0.0.{n}") for n in (1, 2, 3)]
+    first, others, survivor = entries[0], entries[:2], entries[2]
+    for entry in entries:  # ports are the same on all machines
+        entry.front, entry.ready, entry.control = first.front, first.ready, first.control
+        entry.fields["listen-addrs"] = {k: f"{entry.ip}:{v}" for k, v in (("front", first.front), ("ready", first.ready), ("control", first.control))}
+        entry.fields["port-range"] = first.fields["port-range"]
+        entry.fields["seed-nodes"] = [f"{e.ip}:{first.control}" for e in others]
+    for entry in entries:
+        entry.start()
+    number = 0
+
+    async def book():
+        nonlocal number
+        number += 1
+        attempt = f"9c41d07be2a3{number:04x}"
+        record(f"caller sends {attempt} to {survivor.name}")
+        got = await request(survivor.ip, survivor.front, head("POST", "/puxa403/2f", attempt, b'{"gang":4}'), 5)
+        record(f"caller gets {got and got.status} for {attempt}")
+
     try:
-        if not await entry.until_ready():
-            raise RuntimeError("the entry is not ready")
-        Engine.pauses = trouble
-        calls = [asyncio.ensure_future(call(record, entry, number)) for number in range(CALLERS)]
-        await asyncio.sleep(0.5)
-        entry.signal(signal.SIGTERM)
-        results = await asyncio.gather(*calls)
+        for entry in entries:
+            if not await entry.until_ready():
+                raise RuntimeError("an entry is not ready")
+        await asyncio.sleep(5)  # all machines are in touch, and the survivor leaves the reading of the store to the others
+        await book()
+        if trouble:
+            for entry in others:
+                entry.signal(signal.SIGKILL)
+                entry.process.wait()
+                entry.fields["bootstrap"] = False
+        await asyncio.sleep(0.2)
+        gone, acked = replicas[0], time.monotonic()
+        store.put(f"servers/{gone.name}", None)
+        record(f"replica {gone.name} leaves: its entry is removed, acked by the store; it serves on for {SERVES_ON_S} s")
+        await asyncio.sleep(DOWN_S - 0.2)
+        if trouble:
+            for entry in others:
+                entry.start()
+        await asyncio.sleep(1.0)  # no caller calls
+        while time.monotonic() < acked + SERVES_ON_S:
+            await book()
+            await asyncio.sleep(0.1)
     finally:
-        entry.end()
-    if not any(was_passed_on for _, was_passed_on in results):
-        raise RuntimeError("no request was passed on")
-    lost = sum(not whole for whole, _ in results)
-    record(f"answers that ended incomplete while their replica was at work: {lost} of {CALLERS}")
-    return lost == 0
+        for entry in entries:
+            entry.end()
+    late = [(at - acked, attempt) for at, attempt in gone.arrivals if at > acked + DRAIN_S]
+    in_all = sum(len(replica.arrivals) for replica in replicas)
+    if in_all < 20:
+        raise RuntimeError("too few bookings arrived")
+    for after, attempt in late[:5]:
+        record(f"{attempt} reached {gone.name} {after:.2f} s after the ack that it is gone; the bound is {DRAIN_S} s")
+    record(f"requests that reached it later than the bound: {len(late)} of {in_all} in all")
+    return not late
 
 
 main(Path(__file__).resolve().parent, case)
